--- /dev/null
+++ b/packages/command/src/JayfallCatalogueCommands.ts
@@ -0,0 +1,100 @@
+/** `jayfall catalogue`: list, show, put and remove entries. */
+
+import * as fs from 'node:fs'
+
+import { entryKey, parseEntry, type CatalogueEntry } from '#jayfall/catalogue'
+import { type CatalogueStore } from '#jayfall/platform'
+import { command, flag, number, option, optional, positional, string, subcommands } from 'cmd-ts'
+
+import { CommandError } from './JayfallCommandError'
+import { jsonOption, openCatalogueStore, platformOption, writerOption } from './JayfallCommandOptions'
+import { print, runReporting } from './JayfallCommandOutput'
+import { describeDifference } from './JayfallDifference'
+
+const keyArgument = positional({ type: string, displayName: 'kind/id', description: 'such as version/guide-small-3' })
+
+function withStore (platform: string, work: (store: CatalogueStore) => Promise<void>): Promise<void> {
+  return runReporting(async () => {
+    const { store, close } = openCatalogueStore(platform)
+    try {
+      await work(store)
+    } finally {
+      close()
+    }
+  })
+}
+
+const list = command({
+  name: 'list',
+  description: 'List all entries with the revision at which each last changed.',
+  args: { platform: platformOption, json: jsonOption },
+  handler: ({ platform, json }) => withStore(platform, async store => {
+    const snapshot = await store.readSnapshot()
+    const entries = [...snapshot.entries].sort((left, right) => entryKey(left.entry) < entryKey(right.entry) ? -1 : 1)
+    print(json, snapshot, [`revision ${snapshot.revision}`, ...entries.map(({ entry, revision }) => `${entryKey(entry)} revision ${revision}`)])
+  })
+})
+
+const show = command({
+  name: 'show',
+  description: 'Show one entry and its revision.',
+  args: { key: keyArgument, platform: platformOption, json: jsonOption },
+  handler: ({ key, platform, json }) => withStore(platform, async store => {
+    const found = await store.readEntry(key)
+    if (found === undefined) throw new CommandError('failed', `there is no entry ${key}; "jayfall catalogue list" shows all`)
+    print(json, found, [`revision ${found.revision}`, JSON.stringify(found.entry, null, 2)])
+  })
+})
+
+const put = command({
+  name: 'put',
+  description: 'Write the entries of a JSON file (one entry, or an array).',
+  args: {
+    file: positional({ type: string, displayName: 'file' }),
+    basedOn: option({ long: 'based-on', type: optional(number), description: 'revision of the entry that the change is based on; the current one by default' }),
+    dryRun: flag({ long: 'dry-run', description: 'only show the difference' }),
+    platform: platformOption,
+    writer: writerOption,
+    json: jsonOption
+  },
+  handler: ({ file, basedOn, dryRun, platform, writer, json }) => withStore(platform, async store => {
+    const written: object[] = []
+    const lines: string[] = []
+    for (const entry of readEntries(file)) {
+      const key = entryKey(entry)
+      const before = await store.readEntry(key)
+      const base = basedOn ?? before?.revision ?? 0
+      lines.push(`${key} based on revision ${base}`, ...describeDifference(before?.entry, entry))
+      if (dryRun) continue
+      const revision = await store.write({ key, entry, basedOn: base, writer })
+      written.push({ key, basedOn: base, revision })
+      lines.push(`${key} accepted as revision ${revision}`)
+    }
+    print(json, { written }, lines)
+  })
+})
+
+const remove = command({
+  name: 'remove',
+  description: 'Remove one entry.',
+  args: { key: keyArgument, platform: platformOption, writer: writerOption, json: jsonOption },
+  handler: ({ key, platform, writer, json }) => withStore(platform, async store => {
+    const before = await store.readEntry(key)
+    if (before === undefined) throw new CommandError('failed', `there is no entry ${key}; "jayfall catalogue list" shows all`)
+    const revision = await store.write({ key, entry: null, basedOn: before.revision, writer })
+    print(json, { key, revision }, [`${key} removed as revision ${revision}`])
+  })
+})
+
+/** All entries of a file, checked before any is written. */
+function readEntries (file: string): readonly CatalogueEntry[] {
+  let content: unknown
+  try {
+    content = JSON.parse(fs.readFileSync(file, 'utf8'))
+  } catch (error) {
+    throw new CommandError('usage', `${file} cannot be read as JSON`, error)
+  }
+  return (Array.isArray(content) ? content : [content]).map(parseEntry)
+}
+
+export const catalogueCommands = subcommands({ name: 'catalogue', description: 'Read and edit the catalogue.', cmds: { list, show, put, remove } })
--- /dev/null
+++ b/packages/command/src/JayfallCommandOutput.ts
@@ -0,0 +1,19 @@
+/** Output of subcommands: text for people, or JSON for scripts. */
+
+import { EXIT_STATUS, toCommandError } from './JayfallCommandError'
+
+/** Runs a subcommand, prints an error as one line, and sets the exit status. */
+export async function runReporting (work: () => Promise<void>): Promise<void> {
+  try {
+    await work()
+  } catch (error) {
+    const failure = toCommandError(error)
+    process.stderr.write(`jayfall: ${failure.message}\n`)
+    process.exitCode = EXIT_STATUS[failure.code]
+  }
+}
+
+/** Prints `value` as JSON when asked for, else the lines. */
+export function print (json: boolean, value: unknown, lines: readonly string[]): void {
+  process.stdout.write(json ? `${JSON.stringify(value, null, 2)}\n` : lines.map(line => `${line}\n`).join(''))
+}
--- /dev/null
+++ b/packages/entry/src/JayfallAuthentication.ts
@@ -0,0 +1,43 @@
+/** Keys of callers and operators. Keys are compared by hash in constant time and never logged. */
+
+import { createHash, timingSafeEqual } from 'node:crypto'
+
+import { type ReadonlyCatalogue, type WorkspaceEntry } from '#jayfall/catalogue'
+
+import { ApiError } from './JayfallApiError'
+
+/** The SHA-256 of a key in hexadecimal, as the catalogue and the settings hold it. */
+export function hashKey (key: string): string {
+  return createHash('sha256').update(key).digest('hex')
+}
+
+/**
+ * Finds the workspace of the key in an `Authorization` header.
+ * Every known hash is compared, so that the time does not tell how close a key was.
+ * @throws ApiError `key_invalid`.
+ */
+export function authenticateCaller (catalogue: ReadonlyCatalogue, authorization: string | undefined): WorkspaceEntry {
+  const digest = bearerDigest(authorization)
+  let found: WorkspaceEntry | undefined
+  for (const workspace of catalogue.all('workspace')) {
+    if (matchesAny(digest, workspace.keys)) found = workspace
+  }
+  if (found === undefined) throw new ApiError('key_invalid', 'the key is missing or not valid; send it as Authorization: Bearer')
+  return found
+}
+
+/** @throws ApiError `key_invalid` unless the header carries an operator's key. */
+export function authenticateOperator (hashes: readonly string[], authorization: string | undefined): void {
+  if (!matchesAny(bearerDigest(authorization), hashes)) throw new ApiError('key_invalid', 'an operator\'s key is required')
+}
+
+function bearerDigest (authorization: string | undefined): Buffer {
+  const key = /^Bearer (.+)$/.exec(authorization ?? '')?.[1] ?? ''
+  return createHash('sha256').update(key).digest()
+}
+
+function matchesAny (digest: Buffer, hashes: readonly string[]): boolean {
+  let matches = false
+  for (const hash of hashes) matches = timingSafeEqual(digest, Buffer.from(hash, 'hex')) || matches
+  return matches
+}
--- /dev/null
+++ b/packages/entry/src/JayfallBackendError.ts
@@ -0,0 +1,15 @@
+/** Errors of calls to backend servers. */
+
+import { type AttemptFailure } from '#jayfall/routing'
+import { JayfallError } from '#jayfall/shared'
+
+/** An attempt on a backend server failed. */
+export class BackendError extends JayfallError {
+  constructor (readonly failure: AttemptFailure, message: string, cause?: unknown, readonly isLeaving = false) {
+    super('BackendError', failure, message, cause)
+  }
+}
+
+export function isBackendError (error: unknown): error is BackendError {
+  return error instanceof BackendError
+}
--- /dev/null
+++ b/packages/entry/src/JayfallControlCalls.ts
@@ -0,0 +1,56 @@
+/** Calls from a data thread to the control thread, and the types of their arguments and results. */
+
+import { type Bill, type CallClaim, type CallOutcome, type CallRow, type ClaimResult } from '#jayfall/ledger'
+import { JayfallError } from '#jayfall/shared'
+
+import { type ControlMessage, type DataLinkEnd } from './JayfallControlLink'
+
+/** Names of the calls with their arguments and results. */
+export interface ControlCalls {
+  readonly claim: { readonly argument: CallClaim, readonly result: ClaimResult }
+  readonly complete: { readonly argument: { readonly claim: CallClaim, readonly outcome: CallOutcome, readonly bill: Bill }, readonly result: undefined }
+  readonly withdraw: { readonly argument: CallClaim, readonly result: undefined }
+  readonly find: { readonly argument: { readonly workspace: string, readonly key: string }, readonly result: CallRow | undefined }
+  /** Resolves when the bill survives the death of this instance. */
+  readonly bill: { readonly argument: Bill, readonly result: undefined }
+}
+
+export type ControlCallName = keyof ControlCalls
+
+/** A call to the control thread failed; `code` is that of the error below. */
+export class ControlCallError extends JayfallError {
+  constructor (code: string, message: string) {
+    super('ControlCallError', code, message)
+  }
+}
+
+interface PendingCall {
+  readonly resolve: (result: unknown) => void
+  readonly reject: (error: Error) => void
+}
+
+/** Sends calls over a link and matches the replies. */
+export class ControlCaller {
+  private readonly pending = new Map<number, PendingCall>()
+  private lastId = 0
+
+  constructor (private readonly link: DataLinkEnd) {}
+
+  /** @throws ControlCallError */
+  call<Name extends ControlCallName> (name: Name, argument: ControlCalls[Name]['argument']): Promise<ControlCalls[Name]['result']> {
+    this.lastId++
+    const id = this.lastId
+    return new Promise((resolve, reject) => {
+      this.pending.set(id, { resolve: resolve as (result: unknown) => void, reject })
+      this.link.post({ kind: 'call', id, name, argument })
+    })
+  }
+
+  /** Takes a reply from the control thread. */
+  settle (reply: Extract<ControlMessage, { kind: 'reply' }>): void {
+    const pending = this.pending.get(reply.id)
+    this.pending.delete(reply.id)
+    if (reply.error === undefined) pending?.resolve(reply.result)
+    else pending?.reject(new ControlCallError(reply.error.code, reply.error.message))
+  }
+}
--- /dev/null
+++ b/packages/entry/src/JayfallDataContext.ts
@@ -0,0 +1,35 @@
+/** What the handlers of one data thread share. */
+
+import { findVersionRefusal, type InstalledCatalogue, type VersionRefusal } from '#jayfall/catalogue'
+import { type Clock, type RandomSource } from '#jayfall/shared'
+import { type Log } from '#jayfall/telemetry'
+
+import { type BackendClient } from './JayfallBackendClient'
+import { type ControlCaller } from './JayfallControlCalls'
+import { CONFIRMATION_LIMIT_MILLISECONDS } from './JayfallEntryConstants'
+import { type RequestBook } from './JayfallRequestBook'
+import { type TokenSeal } from './JayfallTokenSeal'
+
+export interface DataContext {
+  readonly catalogue: InstalledCatalogue
+  readonly book: RequestBook
+  readonly backend: BackendClient
+  readonly control: ControlCaller
+  readonly seal: TokenSeal
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly log: Log
+  readonly instanceId: string
+  /** Milliseconds that a caller's request may take. */
+  readonly requestDeadline: number
+  /** Monotonic milliseconds; see `DispatchConditions`. */
+  confirmedAt (): number
+}
+
+/** Whether new work on a version may start now, or why not. */
+export function refusalNow (context: DataContext, workspace: string, version: string): VersionRefusal | undefined {
+  return findVersionRefusal(context.catalogue, workspace, version, {
+    confirmationAge: context.clock.monotonic() - context.confirmedAt(),
+    confirmationLimit: CONFIRMATION_LIMIT_MILLISECONDS
+  })
+}
--- /dev/null
+++ b/packages/entry/src/JayfallRequestBook.ts
@@ -0,0 +1,52 @@
+/**
+ * The requests that are in progress in this data thread, between the router's decisions
+ * and the handlers that carry them out.
+ */
+
+import { type AttemptEvent, type RoutedRequest, type Router, type RoutingDecision } from '#jayfall/routing'
+
+/** Carries out the decisions about one request. */
+export interface DecisionHandler {
+  dispatch (decision: Extract<RoutingDecision, { kind: 'dispatch' }>): void
+  cancel (attempt: number): void
+  refuse (decision: Extract<RoutingDecision, { kind: 'refuse' }>): void
+}
+
+/** Passes requests and events to the router and its decisions to the handlers. */
+export class RequestBook {
+  private readonly handlers = new Map<string, DecisionHandler>()
+
+  constructor (readonly router: Router) {}
+
+  /** Requests that have not ended. */
+  get size (): number {
+    return this.handlers.size
+  }
+
+  open (request: RoutedRequest, handler: DecisionHandler): void {
+    this.handlers.set(request.id, handler)
+    this.carryOut(this.router.submit(request))
+  }
+
+  observe (event: AttemptEvent): void {
+    this.carryOut(this.router.observe(event))
+  }
+
+  /** Forgets a request that has its final answer. */
+  close (requestId: string): void {
+    this.handlers.delete(requestId)
+  }
+
+  tick (): void {
+    this.carryOut(this.router.tick())
+  }
+
+  private carryOut (decisions: readonly RoutingDecision[]): void {
+    for (const decision of decisions) {
+      const handler = this.handlers.get(decision.requestId)
+      if (decision.kind === 'dispatch') handler?.dispatch(decision)
+      else if (decision.kind === 'cancel') handler?.cancel(decision.attempt)
+      else handler?.refuse(decision)
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/JayfallServiceCall.ts
@@ -0,0 +1,191 @@
+/** The route of plain services. A call that may not be repeated is claimed before it is sent. */
+
+import { randomUUID } from 'node:crypto'
+
+import { type Request, type ResponseObject, type ResponseToolkit } from '@hapi/hapi'
+import { type ServiceCall, type ServiceEntry, type WorkspaceEntry } from '#jayfall/catalogue'
+import { type Bill, type CallClaim, type CallOutcome, type CallRow } from '#jayfall/ledger'
+import { type RoutedRequest, type RoutingDecision } from '#jayfall/routing'
+
+import { ApiError } from './JayfallApiError'
+import { authenticateCaller } from './JayfallAuthentication'
+import { BackendError, isBackendError } from './JayfallBackendError'
+import { hashBody, readRequestKey } from './JayfallChatCompletions'
+import { ControlCallError } from './JayfallControlCalls'
+import { type DataContext } from './JayfallDataContext'
+import { REPLAYED_HEADER, REQUEST_HEADER } from './JayfallEntryConstants'
+import { refusalMessage } from './JayfallModelAnswer'
+import { type DecisionHandler } from './JayfallRequestBook'
+import { headerValue, pathParameter } from './JayfallRequestFields'
+
+type Dispatch = Extract<RoutingDecision, { kind: 'dispatch' }>
+
+interface PlainWork {
+  readonly request: RoutedRequest
+  readonly method: string
+  readonly call: ServiceCall
+  readonly payload: string
+}
+
+/** Answers one call of a plain service. */
+export async function handleServiceCall (context: DataContext, request: Request, toolkit: ResponseToolkit): Promise<ResponseObject> {
+  const workspace = authenticateCaller(context.catalogue, headerValue(request, 'authorization'))
+  const { service, call } = findCall(context, workspace, pathParameter(request, 'service'), pathParameter(request, 'call'))
+  const key = readRequestKey(request)
+  const work = createPlainWork(context, request, workspace, service, call)
+  if (call.repeatable) return toResponse(toolkit, work.request.id, await sendThroughRouter(context, work))
+  if (key === undefined) throw new ApiError('idempotency_key_required', `${call.name} may not be repeated; send an Idempotency-Key header`)
+  return await callOnce(context, toolkit, work, {
+    workspace: workspace.id,
+    key,
+    attempt: randomUUID(),
+    requestId: work.request.id,
+    instance: context.instanceId,
+    bodyHash: hashBody([request.method, service.id, call.name, request.payload]),
+    service: service.id,
+    call: call.name,
+    claimedAt: context.clock.wall()
+  })
+}
+
+/** Answers what is known about a call that was made with an idempotency key. */
+export async function handleOutcomeQuery (context: DataContext, request: Request, toolkit: ResponseToolkit): Promise<ResponseObject> {
+  const workspace = authenticateCaller(context.catalogue, headerValue(request, 'authorization'))
+  const key = pathParameter(request, 'key')
+  const row = await context.control.call('find', { workspace: workspace.id, key }).catch(throwStoreUnavailable)
+  if (row === undefined) throw new ApiError('request_unknown', 'no call with this key is recorded')
+  return toolkit.response({ key, state: row.state, ...(row.state === 'done' ? { outcome: row.outcome } : {}) })
+}
+
+function findCall (context: DataContext, workspace: WorkspaceEntry, serviceId: string, callName: string): { readonly service: ServiceEntry, readonly call: ServiceCall } {
+  const service = context.catalogue.get('service', serviceId)
+  if (service === undefined || service.type !== 'plain') throw new ApiError('service_unknown', `there is no service ${serviceId}`)
+  if (!workspace.allowed.includes(serviceId)) throw new ApiError('service_forbidden', `the workspace may not use ${serviceId}`)
+  const call = service.calls.find(({ name }) => name === callName)
+  if (call === undefined) throw new ApiError('service_unknown', `${serviceId} has no call ${callName}`)
+  return { service, call }
+}
+
+function createPlainWork (context: DataContext, request: Request, workspace: WorkspaceEntry, service: ServiceEntry, call: ServiceCall): PlainWork {
+  const now = context.clock.monotonic()
+  return {
+    request: {
+      id: randomUUID(),
+      workspace: workspace.id,
+      target: { kind: 'service', id: service.id },
+      workClass: 'short',
+      promptTokens: 0,
+      maximumOutputTokens: 1,
+      arrivedAt: now,
+      deadline: now + context.requestDeadline,
+      repeatable: call.repeatable,
+      prefixBlocks: []
+    },
+    method: request.method.toUpperCase(),
+    call,
+    payload: JSON.stringify(request.payload ?? null)
+  }
+}
+
+async function callOnce (context: DataContext, toolkit: ResponseToolkit, work: PlainWork, claim: CallClaim): Promise<ResponseObject> {
+  const result = await context.control.call('claim', claim).catch(throwStoreUnavailable)
+  if (result.kind === 'present') return replay(toolkit, work.request.id, claim, result.row)
+  const bill: Bill = { key: `${claim.workspace}/${claim.key}`, workspace: claim.workspace, source: `${claim.service}/${claim.call}`, promptTokens: 0, outputTokens: 0, amount: work.call.price }
+  try {
+    const outcome = await sendThroughRouter(context, work)
+    await context.control.call('complete', { claim, outcome, bill })
+    return toResponse(toolkit, work.request.id, outcome)
+  } catch (error) {
+    if (error instanceof ApiError && error.ran === 'no') {
+      context.control.call('withdraw', claim).catch((cause: Error) => context.log.warn('withdraw_failed', { request: claim.requestId, message: cause.message }))
+      throw error
+    }
+    throw new ApiError('outcome_unknown', 'the call was sent and its outcome is not known yet', { ran: 'unknown', ask: askPath(claim) }, error)
+  }
+}
+
+function replay (toolkit: ResponseToolkit, requestId: string, claim: CallClaim, row: CallRow): ResponseObject {
+  if (row.state === 'done') return toResponse(toolkit, requestId, row.outcome).header(REPLAYED_HEADER, '1')
+  throw new ApiError('outcome_unknown', 'an earlier attempt with this key has no recorded outcome yet', { ran: 'unknown', retryAfter: 1000, ask: askPath(claim) })
+}
+
+function askPath (claim: CallClaim): string {
+  return `/v1/requests/${encodeURIComponent(claim.key)}`
+}
+
+function toResponse (toolkit: ResponseToolkit, requestId: string, outcome: CallOutcome): ResponseObject {
+  return toolkit.response(outcome.body).code(outcome.status).type(outcome.contentType).header(REQUEST_HEADER, requestId)
+}
+
+function throwStoreUnavailable (error: unknown): never {
+  if (error instanceof ControlCallError && error.code === 'key_reused') {
+    throw new ApiError('idempotency_key_reused', 'the idempotency key was used for another call or body', {}, error)
+  }
+  throw new ApiError('store_unavailable',
+    'this attempt was not sent, as the store is out of reach; whether an earlier attempt with the same key ran is not known', { ran: 'unknown', retryAfter: 2000 }, error)
+}
+
+/** Sends a plain call where and when the router decides. */
+function sendThroughRouter (context: DataContext, work: PlainWork): Promise<CallOutcome> {
+  return new Promise((resolve, reject) => {
+    context.book.open(work.request, new PlainCall(context, work, resolve, reject))
+  })
+}
+
+/** Carries out the router's decisions about one plain call. */
+class PlainCall implements DecisionHandler {
+  private lastError: BackendError | undefined
+  /** Whether an attempt may have reached a backend server. */
+  private mayHaveRun = false
+
+  constructor (
+    private readonly context: DataContext,
+    private readonly work: PlainWork,
+    private readonly resolve: (outcome: CallOutcome) => void,
+    private readonly reject: (error: ApiError) => void
+  ) {}
+
+  dispatch (decision: Dispatch): void {
+    this.send(decision).then(outcome => this.finish(decision, outcome), (error: unknown) => this.fail(decision, error))
+  }
+
+  cancel (): void {}
+
+  refuse ({ code, retryAfter }: Extract<RoutingDecision, { kind: 'refuse' }>): void {
+    this.context.book.close(this.work.request.id)
+    this.reject(new ApiError(code, refusalMessage(code), { ran: this.mayHaveRun ? 'unknown' : 'no', retryAfter }, this.lastError))
+  }
+
+  private async send (decision: Dispatch): Promise<CallOutcome> {
+    const { request, call, method, payload } = this.work
+    const server = this.context.catalogue.get('server', decision.server)
+    if (server === undefined) throw new BackendError('unsent', `${decision.server} is no longer in the catalogue`)
+    const timeout = request.deadline - this.context.clock.monotonic()
+    const response = await this.context.backend.send({
+      method,
+      address: server.address,
+      path: `/calls/${encodeURIComponent(call.name)}`,
+      headers: { 'content-type': 'application/json', 'x-request-id': request.id },
+      payload: method === 'GET' ? undefined : payload,
+      headTimeout: timeout,
+      freshConnection: !call.repeatable
+    })
+    if (response.headers['x-request-id'] !== request.id) throw new BackendError('broken', 'the answer belongs to another request')
+    const body = await this.context.backend.read(response, timeout)
+    return { status: response.statusCode ?? 0, contentType: response.headers['content-type'] ?? 'application/json', body: body.toString() }
+  }
+
+  private finish (decision: Dispatch, outcome: CallOutcome): void {
+    this.context.book.observe({ kind: 'finished', requestId: this.work.request.id, attempt: decision.attempt, outputTokens: 1 })
+    this.context.book.close(this.work.request.id)
+    this.resolve(outcome)
+  }
+
+  private fail (decision: Dispatch, error: unknown): void {
+    const failure = isBackendError(error) ? error : new BackendError('broken', 'the call failed', error)
+    this.lastError = failure
+    this.mayHaveRun = this.mayHaveRun || failure.failure !== 'unsent'
+    const retryable = this.work.call.repeatable || failure.failure === 'unsent'
+    this.context.book.observe({ kind: 'failed', requestId: this.work.request.id, attempt: decision.attempt, failure: failure.failure, retryable })
+  }
+}
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,2 @@
+export { hashKey } from './JayfallAuthentication'
+export { ENTRY_LOG, ENTRY_SETTINGS, EntryInstance } from './JayfallEntryInstance'
--- /dev/null
+++ b/packages/ledger/src/index.ts
@@ -0,0 +1,5 @@
+export { type Bill } from './JayfallBill'
+export { BillBatches, type BillBatch } from './JayfallBillBatches'
+export { CallClaims, type CallClaim, type CallOutcome, type CallRow, type ClaimResult } from './JayfallCallClaims'
+export { BILLS_PREFIX, CALLS_TABLE } from './JayfallLedgerConstants'
+export { LedgerError, type LedgerErrorCode } from './JayfallLedgerError'
--- /dev/null
+++ b/packages/platform/src/JayfallPlatformConstants.ts
@@ -0,0 +1,16 @@
+/** Constants of the platform clients. */
+
+export const DEFAULT_PLATFORM_TIMEOUT_MILLISECONDS = 2000
+export const MAXIMUM_PLATFORM_CONNECTIONS = 16
+
+/** Rows fetched with one listing call. */
+export const LISTING_PAGE_ROWS = 500
+
+export const CATALOGUE_TABLE = 'catalogue'
+export const HEAD_TABLE = 'head'
+export const CHANGES_TABLE = 'changes'
+export const LEASES_TABLE = 'leases'
+export const HEAD_KEY = 'catalogue'
+
+/** Attempts of a catalogue write that lose only the race for the head row. */
+export const MAXIMUM_HEAD_ATTEMPTS = 20
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,7 @@
+export { CatalogueStore, type CatalogueEdit } from './JayfallCatalogueStore'
+export { HttpObjectStore, ObjectStore } from './JayfallObjectStore'
+export { LEASES_TABLE } from './JayfallPlatformConstants'
+export { PlatformError, isPlatformError, type PlatformErrorCode } from './JayfallPlatformError'
+export { PlatformHttp, type PlatformSettings } from './JayfallPlatformHttp'
+export { PlatformServices, type AnswerRating, type ListedInstance, type RatingPage } from './JayfallPlatformServices'
+export { HttpTableStore, TableStore, conflictsOf, listRows, type TableConflict, type TableRow, type TableWrite } from './JayfallTableStore'
--- /dev/null
+++ b/packages/routing/src/JayfallWork.ts
@@ -0,0 +1,3 @@
+/** Classes of work. */
+
+export type WorkClass = 'short' | 'standard' | 'long'
--- /dev/null
+++ b/packages/settings/src/JayfallEntrySettings.ts
@@ -0,0 +1,120 @@
+/**
+ * The settings of an entry instance, in INI.
+ *
+ * They are checked as a whole at start. Each problem names the section, the key,
+ * the value and what was expected.
+ */
+
+import * as fs from 'node:fs'
+
+import * as ini from 'ini'
+import { z } from 'zod'
+
+import { SettingsError } from './JayfallSettingsError'
+import { durationSetting, sizeSetting } from './JayfallUnits'
+
+const address = z.string({ error: 'expected an IP address and port' }).regex(/^[0-9.]+:\d+$/, 'expected an IP address and port, such as 127.0.0.1:8080')
+const addressList = z.string().prefault('').transform(text => text.split(',').map(part => part.trim()).filter(Boolean)).pipe(z.array(address))
+const text = z.string({ error: 'expected a text' }).min(1, 'expected a text')
+const hashList = z.string().prefault('').transform(list => list.split(',').map(part => part.trim()).filter(Boolean))
+  .pipe(z.array(z.string().regex(/^[0-9a-f]{64}$/, 'expected SHA-256 hashes in hexadecimal, separated by commas')))
+
+function wholeNumber (lowest: number, highest: number, fallback: number) {
+  return z.coerce.number({ error: 'expected a whole number' }).int().min(lowest).max(highest).prefault(fallback)
+}
+
+const schema = z.strictObject({
+  instance: z.strictObject({
+    id: text,
+    zone: text,
+    region: text
+  }).readonly(),
+  callers: z.strictObject({
+    address,
+    'body-limit': sizeSetting('1MiB'),
+    'header-timeout': durationSetting('10s'),
+    'idle-stream-timeout': durationSetting('30s'),
+    'connection-limit': wholeNumber(1, 1_000_000, 10_000),
+    'request-deadline': durationSetting('60s')
+  }).readonly(),
+  peers: z.strictObject({
+    address,
+    seeds: addressList
+  }).readonly(),
+  platform: z.strictObject({
+    address,
+    timeout: durationSetting('2s')
+  }).readonly(),
+  keys: z.strictObject({
+    'operator-hashes': hashList,
+    /** Passwords that seal session and stream tokens: `identifier:password`, newest first. */
+    'seal-passwords': z.string({ error: 'expected identifier:password, separated by commas' }).transform(list => list.split(',').map(part => part.trim()).filter(Boolean))
+      .pipe(z.array(z.string().regex(/^[A-Za-z0-9]+:.{32,}$/, 'expected identifier:password with a password of at least 32 characters')).min(1))
+  }).readonly(),
+  stop: z.strictObject({
+    'drain-notice': durationSetting('3s'),
+    'stop-limit': durationSetting('60s')
+  }).prefault({}).readonly(),
+  threads: z.strictObject({
+    'data-threads': wholeNumber(0, 64, 0)
+  }).prefault({}).readonly(),
+  ledger: z.strictObject({
+    'bill-memory': sizeSetting('24MiB'),
+    'batch-interval': durationSetting('5s')
+  }).prefault({}).readonly(),
+  telemetry: z.strictObject({
+    'log-level': z.enum(['debug', 'info', 'warn', 'error', 'silent']).prefault('info'),
+    'trace-file': z.string().optional(),
+    'otlp-address': z.string().optional()
+  }).prefault({}).readonly()
+}).readonly()
+
+/** Checked settings; durations in milliseconds, sizes in bytes. */
+export type EntrySettings = z.infer<typeof schema>
+
+/**
+ * Reads and checks a settings file.
+ * @throws SettingsError `settings_unreadable` or `settings_invalid`.
+ */
+export function readEntrySettings (path: string): EntrySettings {
+  return parseEntrySettings(readFile(path))
+}
+
+function readFile (path: string): string {
+  try {
+    return fs.readFileSync(path, 'utf8')
+  } catch (error) {
+    throw new SettingsError('settings_unreadable', `the settings file ${path} cannot be read`, error)
+  }
+}
+
+/**
+ * Parses and checks settings.
+ * @throws SettingsError `settings_invalid`, whose message has a line for each problem.
+ */
+export function parseEntrySettings (content: string): EntrySettings {
+  const values: unknown = JSON.parse(JSON.stringify(ini.parse(content)))
+  const result = schema.safeParse(values)
+  if (result.success) return result.data
+  const problems = result.error.issues.flatMap(issue => describeIssue(issue, values))
+  throw new SettingsError('settings_invalid', `the settings are not valid:\n${problems.join('\n')}`, undefined, { problems })
+}
+
+function describeIssue (issue: z.core.$ZodIssue, values: unknown): readonly string[] {
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map(key => describeProblem([...issue.path, key], values, 'unknown; remove it or correct its name'))
+  }
+  return [describeProblem(issue.path, values, issue.message)]
+}
+
+function describeProblem (path: readonly PropertyKey[], values: unknown, expected: string): string {
+  const [section, key] = path.map(String)
+  const sections = values as Record<string, Record<string, unknown> | undefined>
+  const value = key === undefined ? undefined : sections[section]?.[key]
+  const shown = value === undefined ? 'missing' : JSON.stringify(isSecret(section) ? 'hidden' : value)
+  return key === undefined ? `section [${section}]: ${expected}` : `section [${section}] key ${key} value ${shown}: ${expected}`
+}
+
+function isSecret (section: string): boolean {
+  return section === 'keys'
+}
--- /dev/null
+++ b/packages/standins/src/JayfallFaultProxy.ts
@@ -0,0 +1,122 @@
+/**
+ * A TCP proxy that injects faults on command.
+ *
+ * Each link forwards one loopback port to another. A link can delay bytes, cut connections,
+ * go silent (connections stay open and nothing passes), or lose what the target answers.
+ */
+
+import Hapi, { type Server } from '@hapi/hapi'
+import * as net from 'node:net'
+
+import { pathParameter } from './JayfallRequestFields'
+
+export interface ProxyLinkSettings {
+  readonly name: string
+  readonly port: number
+  readonly targetPort: number
+}
+
+/** Faults of one link. */
+export interface LinkFaults {
+  /** Milliseconds added in each direction. */
+  readonly delay: number
+  /** Connections are closed and new ones refused after accepting. */
+  readonly cut: boolean
+  /**
+   * - `none`: bytes pass.
+   * - `all`: nothing passes on any connection, open or new.
+   * - `open`: nothing passes on the connections that are open now; new ones work.
+   */
+  readonly silence: 'none' | 'all' | 'open'
+  /** The target's answers are discarded and their connections closed. */
+  readonly lostReplies: boolean
+}
+
+const NO_LINK_FAULTS: LinkFaults = { delay: 0, cut: false, silence: 'none', lostReplies: false }
+
+/** One forwarded port. */
+class ProxyLink {
+  private faults = NO_LINK_FAULTS
+  private readonly connections = new Set<ProxyConnection>()
+  readonly server = net.createServer(socket => this.accept(socket))
+
+  constructor (readonly settings: ProxyLinkSettings) {}
+
+  /** Applies `changes` to open and later connections. */
+  change (changes: Partial<LinkFaults>): LinkFaults {
+    this.faults = { ...this.faults, ...changes }
+    for (const connection of this.connections) {
+      if (this.faults.cut) connection.close()
+      connection.silent = connection.silent || this.faults.silence === 'open'
+    }
+    if (this.faults.silence === 'open') this.faults = { ...this.faults, silence: 'none' }
+    return this.faults
+  }
+
+  private accept (socket: net.Socket): void {
+    if (this.faults.cut) {
+      socket.destroy()
+      return
+    }
+    const connection = new ProxyConnection(socket, net.connect(this.settings.targetPort, '127.0.0.1'), () => this.faults)
+    this.connections.add(connection)
+    connection.client.once('close', () => this.connections.delete(connection))
+  }
+}
+
+/** A pair of sockets. */
+class ProxyConnection {
+  silent = false
+
+  constructor (readonly client: net.Socket, private readonly target: net.Socket, private readonly faults: () => LinkFaults) {
+    this.forward(client, target, false)
+    this.forward(target, client, true)
+  }
+
+  close (): void {
+    this.client.destroy()
+    this.target.destroy()
+  }
+
+  private forward (from: net.Socket, to: net.Socket, isReply: boolean): void {
+    from.setNoDelay(true)
+    from.on('data', bytes => {
+      const { delay, silence, lostReplies } = this.faults()
+      if (this.silent || silence === 'all') return
+      if (isReply && lostReplies) return this.close()
+      if (delay === 0) to.write(bytes)
+      else setTimeout(() => to.writable && to.write(bytes), delay)
+    })
+    from.once('error', () => this.close())
+    from.once('close', () => {
+      // A silent path passes no close either.
+      if (!this.silent && this.faults().silence !== 'all') setTimeout(() => this.close(), this.faults().delay)
+    })
+  }
+}
+
+/** Starts a proxy with its links and a control port; `POST /links/{name}` changes a link's faults. */
+export async function startFaultProxy (controlPort: number, links: readonly ProxyLinkSettings[]): Promise<Server> {
+  const byName = new Map(links.map(settings => [settings.name, new ProxyLink(settings)]))
+  for (const link of byName.values()) {
+    await new Promise<void>(resolve => link.server.listen(link.settings.port, '127.0.0.1', resolve))
+  }
+  const control = Hapi.server({ host: '127.0.0.1', port: controlPort })
+  control.route({
+    method: 'POST',
+    path: '/links/{name}',
+    handler: (request, toolkit) => {
+      const link = byName.get(pathParameter(request, 'name'))
+      if (link === undefined) return toolkit.response({ error: 'unknown link' }).code(404)
+      return toolkit.response({ ...link.change(request.payload as Partial<LinkFaults>) })
+    }
+  })
+  control.events.on('stop', () => {
+    for (const link of byName.values()) {
+      link.change({ cut: true })
+      link.server.close()
+    }
+  })
+  await control.start()
+  return control
+}
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,1 @@
+export { createLog, formatLine, type Log, type LogFields, type LogLevel } from './JayfallLog'
