Add the frames that later work builds on: peers, test system, benches, proofs

Change: trpc calls between entry instances, a test system of real processes behind the fault proxy, and the frames of benches and proofs. The proxy applies faults by source address, as a cut between zones depends on who connects.

--- /dev/null
+++ b/packages/bench/src/JayfallBenchRegistry.ts
@@ -0,0 +1,5 @@
+/** All benches by name. */
+
+import { type Bench } from './JayfallBench'
+
+export const BENCHES: readonly Bench[] = []
--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,55 @@
+/** `npm run bench -- NAME --seed N`, or `all`, or `ci` for the deterministic ones. */
+
+import { parseArgs } from 'node:util'
+
+import { formatClosingLine, meetsBound, type Bench, type BenchOptions, type BenchResult } from './JayfallBench'
+import { BENCHES } from './JayfallBenchRegistry'
+
+function readArguments (): { readonly name: string, readonly options: BenchOptions } {
+  const { positionals, tokens } = parseArgs({ allowPositionals: true, strict: false, tokens: true, args: process.argv.slice(2) })
+  const parameters: Record<string, string> = {}
+  const values = [...positionals]
+  for (const token of tokens) {
+    if (token.kind !== 'option') continue
+    // An unknown option takes the next argument as its value.
+    const next = tokens.find(other => other.index === token.index + 1 && other.kind === 'positional')
+    const value = token.value ?? (next?.kind === 'positional' ? next.value : '')
+    parameters[token.name] = value
+    if (token.value === undefined && next !== undefined) values.splice(values.indexOf(value), 1)
+  }
+  return { name: values[0] ?? '', options: { seed: Number(parameters.seed ?? 1), parameters } }
+}
+
+function selectBenches (name: string): readonly Bench[] {
+  if (name === 'all') return BENCHES
+  if (name === 'ci') return BENCHES.filter(({ isDeterministic }) => isDeterministic)
+  return BENCHES.filter(bench => bench.name === name)
+}
+
+function printResult (name: string, result: BenchResult): void {
+  for (const line of result.report) process.stdout.write(`${line}\n`)
+  for (const { name: figure, value, unit, bound, isLowerBound } of result.figures) {
+    process.stdout.write(`figure=${figure} value=${Number(value.toPrecision(4))} unit=${unit} ${isLowerBound === true ? 'at_least' : 'at_most'}=${bound}\n`)
+  }
+  process.stdout.write(`${formatClosingLine(name, result)}\n`)
+}
+
+async function main (): Promise<void> {
+  const { name, options } = readArguments()
+  const benches = selectBenches(name)
+  if (benches.length === 0 && name !== 'ci') {
+    process.stderr.write(`there is no bench "${name}"; known: all, ci, ${BENCHES.map(bench => bench.name).join(', ')}\n`)
+    process.exitCode = 2
+    return
+  }
+  for (const bench of benches) {
+    const result = await bench.run(options)
+    printResult(bench.name, result)
+    if (!result.figures.every(meetsBound)) process.exitCode = 1
+  }
+}
+
+main().catch((error: Error) => {
+  process.stderr.write(`${error.stack}\n`)
+  process.exitCode = 1
+})
--- a/packages/entry/src/JayfallBackendClient.ts
+++ b/packages/entry/src/JayfallBackendClient.ts
@@ -22,6 +22,9 @@
   readonly freshConnection?: boolean
 }
 
+/** Idle connections kept for each backend server. */
+const MAXIMUM_FREE_CONNECTIONS = 64
+
 /** Socket errors that prove that no byte of the request was sent. */
 const CONNECT_ERRORS: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL'])
 
@@ -33,9 +36,12 @@
 
 /** Sends calls and reports what the answers' headers say. */
 export class BackendClient {
-  private readonly agent = new http.Agent({ keepAlive: true, maxSockets: Infinity, maxFreeSockets: 64 })
+  private readonly agent: http.Agent
 
-  constructor (private readonly clock: Clock, private readonly observer: BackendObserver) {}
+  /** @param localAddress IP address that connections are made from. */
+  constructor (private readonly clock: Clock, private readonly observer: BackendObserver, private readonly localAddress?: string) {
+    this.agent = new http.Agent({ keepAlive: true, maxSockets: Infinity, maxFreeSockets: MAXIMUM_FREE_CONNECTIONS, localAddress })
+  }
 
   /**
    * Sends a call and returns the answer once its head has arrived.
@@ -69,7 +75,7 @@
       return await Wreck.request(call.method, `http://${call.address}${call.path}`, {
         headers: { ...call.headers },
         payload: call.payload,
-        agent: call.freshConnection === true ? new http.Agent({ keepAlive: false }) : this.agent,
+        agent: call.freshConnection === true ? new http.Agent({ keepAlive: false, localAddress: this.localAddress }) : this.agent,
         timeout: call.headTimeout
       })
     } catch (error) {
--- a/packages/entry/src/JayfallControlPlane.ts
+++ b/packages/entry/src/JayfallControlPlane.ts
@@ -22,6 +22,8 @@
 
 export interface ControlPlaneSettings {
   readonly instanceId: string
+  /** IP address that connections are made from. */
+  readonly localAddress: string
   readonly platformAddress: string
   readonly platformTimeout: number
   /** Milliseconds between writes of bills. */
@@ -40,7 +42,7 @@
   private timers: readonly NodeJS.Timeout[] = []
 
   constructor (private readonly settings: ControlPlaneSettings, private readonly log: Log) {
-    this.http = new PlatformHttp({ address: settings.platformAddress, timeout: settings.platformTimeout })
+    this.http = new PlatformHttp({ address: settings.platformAddress, timeout: settings.platformTimeout, localAddress: settings.localAddress })
     const tables = new HttpTableStore(this.http)
     const claims = new CallClaims(tables)
     this.catalogueStore = new CatalogueStore(tables)
--- a/packages/entry/src/JayfallDataPlane.ts
+++ b/packages/entry/src/JayfallDataPlane.ts
@@ -23,6 +23,8 @@
 /** Settings of a data thread; structured-clonable. */
 export interface DataPlaneSettings {
   readonly instanceId: string
+  /** IP address that connections to backend servers are made from. */
+  readonly localAddress: string
   readonly limits: CallerApiLimits
   /** Milliseconds that a caller's request may take. */
   readonly requestDeadline: number
@@ -48,7 +50,7 @@
     const backend = new BackendClient(this.clock, {
       onLoad: (address, report) => this.serverAt(address).forEach(server => this.book.router.reportLoad(server.id, report)),
       onLeaving: address => this.serverAt(address).forEach(server => this.markLeaving(server.id))
-    })
+    }, settings.localAddress)
     this.context = {
       catalogue: this.catalogue,
       book: this.book,
--- a/packages/entry/src/JayfallEntryInstance.ts
+++ b/packages/entry/src/JayfallEntryInstance.ts
@@ -24,14 +24,16 @@
   private readonly dataPlane: DataPlane
 
   constructor (@inject(ENTRY_SETTINGS) private readonly settings: EntrySettings, @inject(ENTRY_LOG) private readonly log: Log) {
-    const { instance, callers, platform, keys, ledger } = settings
+    const { instance, callers, peers, platform, keys, ledger } = settings
+    const localAddress = peers.address.split(':')[0]
     this.controlPlane = new ControlPlane({
-      instanceId: instance.id, platformAddress: platform.address, platformTimeout: platform.timeout, batchInterval: ledger['batch-interval']
+      instanceId: instance.id, localAddress, platformAddress: platform.address, platformTimeout: platform.timeout, batchInterval: ledger['batch-interval']
     }, log)
     const link = createLocalLink()
     this.controlPlane.attach(link.control)
     this.dataPlane = new DataPlane({
       instanceId: instance.id,
+      localAddress,
       limits: { bodyLimit: callers['body-limit'], headerTimeout: callers['header-timeout'], connectionLimit: callers['connection-limit'] },
       requestDeadline: callers['request-deadline'],
       sealPasswords: keys['seal-passwords']
--- /dev/null
+++ b/packages/peers/src/JayfallPeerClient.ts
@@ -0,0 +1,60 @@
+/** Calls to other entry instances. */
+
+import * as http from 'node:http'
+
+import Wreck from '@hapi/wreck'
+import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client'
+
+import { DEFAULT_PEER_TIMEOUT_MILLISECONDS, MAXIMUM_FREE_PEER_CONNECTIONS, PEER_PATH } from './JayfallPeerConstants'
+import { type PeerRouter } from './JayfallPeerRouter'
+
+export interface PeerClientSettings {
+  /** IP address that connections are made from. */
+  readonly localAddress?: string
+  /** Milliseconds for one call. */
+  readonly timeout?: number
+}
+
+/** Makes clients for single instances that share a pool of kept-alive connections. */
+export class PeerClients<Router extends PeerRouter> {
+  private readonly agent: http.Agent
+  private readonly clients = new Map<string, TRPCClient<Router>>()
+
+  constructor (private readonly settings: PeerClientSettings = {}) {
+    this.agent = new http.Agent({ keepAlive: true, maxFreeSockets: MAXIMUM_FREE_PEER_CONNECTIONS, localAddress: settings.localAddress })
+  }
+
+  /** The client for the instance at `address` (IP address and port). */
+  at (address: string): TRPCClient<Router> {
+    const known = this.clients.get(address)
+    if (known !== undefined) return known
+    const link = httpLink({ url: `http://${address}${PEER_PATH.slice(0, -1)}`, fetch: (url, options) => this.fetch(String(url), options ?? {}) } as Parameters<typeof httpLink>[0])
+    const client = createTRPCClient<Router>({ links: [link as never] })
+    this.clients.set(address, client)
+    return client
+  }
+
+  /** Forgets clients of instances that are gone. */
+  keepOnly (addresses: ReadonlySet<string>): void {
+    for (const address of this.clients.keys()) {
+      if (!addresses.has(address)) this.clients.delete(address)
+    }
+  }
+
+  close (): void {
+    this.agent.destroy()
+  }
+
+  /** What trpc needs of `fetch`; the global one cannot choose its local address. */
+  private async fetch (url: string, options: { readonly method?: string, readonly body?: unknown, readonly headers?: unknown }): Promise<Response> {
+    const timeout = this.settings.timeout ?? DEFAULT_PEER_TIMEOUT_MILLISECONDS
+    const response = await Wreck.request(options.method ?? 'GET', url, {
+      agent: this.agent,
+      timeout,
+      headers: { ...options.headers as Record<string, string> },
+      payload: options.body as string | undefined
+    })
+    const body = await Wreck.read(response, { timeout }) as Buffer
+    return new Response(new Uint8Array(body), { status: response.statusCode, headers: { 'content-type': 'application/json' } })
+  }
+}
--- /dev/null
+++ b/packages/peers/src/JayfallPeerConstants.ts
@@ -0,0 +1,7 @@
+/** Constants of the calls between entry instances. */
+
+export const PEER_PATH = '/trpc/'
+export const MAXIMUM_PEER_BODY_BYTES = 8 * 1024 * 1024
+export const DEFAULT_PEER_TIMEOUT_MILLISECONDS = 1000
+/** Idle connections to one instance that are kept. */
+export const MAXIMUM_FREE_PEER_CONNECTIONS = 2
--- /dev/null
+++ b/packages/peers/src/JayfallPeerServer.ts
@@ -0,0 +1,25 @@
+/** The listener through which other entry instances call this one. */
+
+import Hapi, { type Server } from '@hapi/hapi'
+import { createHTTPHandler } from '@trpc/server/adapters/standalone'
+
+import { MAXIMUM_PEER_BODY_BYTES, PEER_PATH } from './JayfallPeerConstants'
+import { type PeerRouter } from './JayfallPeerRouter'
+
+/** Starts the listener at `address` (IP address and port). */
+export async function startPeerServer (address: string, router: PeerRouter): Promise<Server> {
+  const [host, port] = address.split(':')
+  const server = Hapi.server({ host, port: Number(port) })
+  const handler = createHTTPHandler({ router, basePath: PEER_PATH, maxBodySize: MAXIMUM_PEER_BODY_BYTES })
+  server.route({
+    method: 'POST',
+    path: `${PEER_PATH}{procedure}`,
+    options: { payload: { parse: false, output: 'stream', maxBytes: MAXIMUM_PEER_BODY_BYTES } },
+    handler: (request, toolkit) => {
+      handler(request.raw.req, request.raw.res)
+      return toolkit.abandon
+    }
+  })
+  await server.start()
+  return server
+}
--- /dev/null
+++ b/packages/peers/src/__tests__/unit/JayfallPeerCalls.test.ts
@@ -0,0 +1,27 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+
+import { z } from 'zod'
+
+import { PeerClients } from '../../JayfallPeerClient'
+import { createPeerRouter, peerProcedure } from '../../JayfallPeerRouter'
+import { startPeerServer } from '../../JayfallPeerServer'
+
+const router = createPeerRouter({
+  test: createPeerRouter({
+    double: peerProcedure.input(z.number()).mutation(({ input }) => input * 2)
+  })
+})
+
+describe('calls between entry instances', () => {
+  it('guards against a broken transport: a mutation reaches the procedure and its result comes back', async () => {
+    const server = await startPeerServer('127.0.0.1:0', router)
+    const clients = new PeerClients<typeof router>({ localAddress: '127.0.0.5' })
+    try {
+      assert.equal(await clients.at(`127.0.0.1:${server.info.port}`).test.double.mutate(21), 42)
+    } finally {
+      clients.close()
+      await server.stop()
+    }
+  })
+})
--- /dev/null
+++ b/packages/peers/src/index.ts
@@ -0,0 +1,5 @@
+export { PeerClients, type PeerClientSettings } from './JayfallPeerClient'
+export { PeerDirectory, type Peer } from './JayfallPeerDirectory'
+export { PeerError } from './JayfallPeerError'
+export { createPeerRouter, peerProcedure, type PeerRouter } from './JayfallPeerRouter'
+export { startPeerServer } from './JayfallPeerServer'
--- a/packages/platform/src/JayfallPlatformHttp.ts
+++ b/packages/platform/src/JayfallPlatformHttp.ts
@@ -13,6 +13,8 @@
   readonly address: string
   /** Milliseconds for one call. */
   readonly timeout?: number
+  /** IP address that connections are made from. */
+  readonly localAddress?: string
 }
 
 export interface PlatformReply {
@@ -26,11 +28,12 @@
 /** Sends JSON calls over kept-alive connections. */
 export class PlatformHttp {
   private readonly timeout: number
-  private readonly agent = new http.Agent({ keepAlive: true, maxSockets: MAXIMUM_PLATFORM_CONNECTIONS })
+  private readonly agent: http.Agent
   private readonly client: typeof Wreck
 
   constructor (settings: PlatformSettings) {
     this.timeout = settings.timeout ?? DEFAULT_PLATFORM_TIMEOUT_MILLISECONDS
+    this.agent = new http.Agent({ keepAlive: true, maxSockets: MAXIMUM_PLATFORM_CONNECTIONS, localAddress: settings.localAddress })
     this.client = Wreck.defaults({ baseUrl: `http://${settings.address}`, agents: { http: this.agent, https: this.agent as never, httpsAllowUnauthorized: this.agent as never } })
   }
 
--- a/packages/settings/src/JayfallEntrySettings.ts
+++ b/packages/settings/src/JayfallEntrySettings.ts
@@ -39,6 +39,8 @@
   }).readonly(),
   peers: z.strictObject({
     address,
+    /** Where other instances reach this one, when that is not `address`. */
+    announce: address.optional(),
     seeds: addressList
   }).readonly(),
   platform: z.strictObject({
--- a/packages/standins/src/JayfallFaultProxy.ts
+++ b/packages/standins/src/JayfallFaultProxy.ts
@@ -14,9 +14,10 @@
   readonly name: string
   readonly port: number
   readonly targetPort: number
+  readonly targetHost?: string
 }
 
-/** Faults of one link. */
+/** Faults of one link, for all sources or one. */
 export interface LinkFaults {
   /** Milliseconds added in each direction. */
   readonly delay: number
@@ -34,33 +35,49 @@
 
 const NO_LINK_FAULTS: LinkFaults = { delay: 0, cut: false, silence: 'none', lostReplies: false }
 
+/** A change of a link's faults. */
+export interface LinkFaultChange extends Partial<LinkFaults> {
+  /** IP address of the connecting side that the faults apply to; all when unset. */
+  readonly source?: string
+}
+
+const ALL_SOURCES = '*'
+
 /** One forwarded port. */
 class ProxyLink {
-  private faults = NO_LINK_FAULTS
+  private readonly faultsBySource = new Map<string, LinkFaults>([[ALL_SOURCES, NO_LINK_FAULTS]])
   private readonly connections = new Set<ProxyConnection>()
   readonly server = net.createServer(socket => this.accept(socket))
 
   constructor (readonly settings: ProxyLinkSettings) {}
 
-  /** Applies `changes` to open and later connections. */
-  change (changes: Partial<LinkFaults>): LinkFaults {
-    this.faults = { ...this.faults, ...changes }
+  /** Applies a change to open and later connections, and returns the faults in force. */
+  change ({ source = ALL_SOURCES, ...changes }: LinkFaultChange): LinkFaults {
+    const faults = { ...this.faultsOf(source), ...changes }
+    // Silence of the open connections is kept by each connection, and does not apply to later ones.
+    this.faultsBySource.set(source, faults.silence === 'open' ? { ...faults, silence: 'none' } : faults)
     for (const connection of this.connections) {
-      if (this.faults.cut) connection.close()
-      connection.silent = connection.silent || this.faults.silence === 'open'
+      if (source !== ALL_SOURCES && connection.source !== source) continue
+      if (faults.cut) connection.close()
+      connection.silent = connection.silent || faults.silence === 'open'
     }
-    if (this.faults.silence === 'open') this.faults = { ...this.faults, silence: 'none' }
-    return this.faults
+    return this.faultsOf(source)
+  }
+
+  private faultsOf (source: string): LinkFaults {
+    return this.faultsBySource.get(source) ?? this.faultsBySource.get(ALL_SOURCES) ?? NO_LINK_FAULTS
   }
 
   private accept (socket: net.Socket): void {
-    if (this.faults.cut) {
+    const source = socket.remoteAddress ?? ALL_SOURCES
+    if (this.faultsOf(source).cut) {
       socket.destroy()
       return
     }
-    const connection = new ProxyConnection(socket, net.connect(this.settings.targetPort, '127.0.0.1'), () => this.faults)
+    const target = net.connect(this.settings.targetPort, this.settings.targetHost ?? '127.0.0.1')
+    const connection = new ProxyConnection(source, socket, target, () => this.faultsOf(source))
     this.connections.add(connection)
-    connection.client.once('close', () => this.connections.delete(connection))
+    socket.once('close', () => this.connections.delete(connection))
   }
 }
 
@@ -68,7 +85,7 @@
 class ProxyConnection {
   silent = false
 
-  constructor (readonly client: net.Socket, private readonly target: net.Socket, private readonly faults: () => LinkFaults) {
+  constructor (readonly source: string, private readonly client: net.Socket, private readonly target: net.Socket, private readonly faults: () => LinkFaults) {
     this.forward(client, target, false)
     this.forward(target, client, true)
   }
@@ -108,7 +125,7 @@
     handler: (request, toolkit) => {
       const link = byName.get(pathParameter(request, 'name'))
       if (link === undefined) return toolkit.response({ error: 'unknown link' }).code(404)
-      return toolkit.response({ ...link.change(request.payload as Partial<LinkFaults>) })
+      return toolkit.response({ ...link.change(request.payload as LinkFaultChange) })
     }
   })
   control.events.on('stop', () => {
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,6 +1,6 @@
 export { type EngineLimits } from './JayfallEngineScheduler'
 export { startEngineStandIn, type EngineStandInSettings } from './JayfallEngineStandIn'
-export { startFaultProxy, type LinkFaults, type ProxyLinkSettings } from './JayfallFaultProxy'
+export { startFaultProxy, type LinkFaultChange, type LinkFaults, type ProxyLinkSettings } from './JayfallFaultProxy'
 export { startPlainServiceStandIn, type PlainServiceStandInSettings } from './JayfallPlainServiceStandIn'
 export { type PlatformFaults } from './JayfallPlatformFaults'
 export { startPlatformStandIn, type PlatformCounts, type PlatformStandInSettings } from './JayfallPlatformStandIn'
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -52,7 +52,7 @@
 
 const proxy = command({
   name: 'proxy',
-  args: { port, links: restPositionals({ type: string, displayName: 'name=port:target-port' }) },
+  args: { port, links: restPositionals({ type: string, displayName: 'name=port:target-host:target-port' }) },
   handler: async ({ port, links }) => {
     await startFaultProxy(port, links.map(parseLink))
     process.stdout.write(`stand-in=proxy port=${port} state=ready\n`)
@@ -61,8 +61,8 @@
 
 function parseLink (text: string) {
   const [name, ports] = text.split('=')
-  const [from, to] = ports.split(':').map(Number)
-  return { name, port: from, targetPort: to }
+  const [port, targetHost, targetPort] = ports.split(':')
+  return { name, port: Number(port), targetHost, targetPort: Number(targetPort) }
 }
 
 run(binary(subcommands({ name: 'standins', cmds: { engine, plain, platform, proxy } })), process.argv).catch((error: Error) => {
