Resume streams on any instance, and separate the parts that keep the data path's promises

Cause: a stream that waited in an engine's queue for 2 s was taken as silent; a request had no deadline once it was sent; open requests at the stop limit were cut off without an error; a caller whose instance died could not resume. Change: AttemptStream reads one stream over as many connections as it takes; silence is judged by missing progress with patience that doubles; GET /v1/streams/resume; deadline until the first token; a leaving instance closes each connection after its answer and interrupts what is left at the stop limit. Sessions, stream checks and leaving signals are replaceable parts, for counter-proofs.

--- a/packages/command/src/JayfallEntryCommand.ts
+++ b/packages/command/src/JayfallEntryCommand.ts
@@ -1,6 +1,6 @@
 /** `jayfall entry`: the daemon. */
 
-import { ENTRY_LOG, ENTRY_SETTINGS, EntryInstance } from '#jayfall/entry'
+import { ENTRY_LOG, ENTRY_PARTS, ENTRY_SETTINGS, EntryInstance, createDataParts } from '#jayfall/entry'
 import { readEntrySettings } from '#jayfall/settings'
 import { createLog } from '#jayfall/telemetry'
 import { command, flag, option, string } from 'cmd-ts'
@@ -24,6 +24,8 @@
     const log = createLog(settings.telemetry['log-level'], { instance: settings.instance.id })
     container.registerInstance(ENTRY_SETTINGS, settings)
     container.registerInstance(ENTRY_LOG, log)
+    // Counter-proofs register parts of their own before this command runs.
+    if (!container.isRegistered(ENTRY_PARTS)) container.registerInstance(ENTRY_PARTS, createDataParts())
     const instance = container.resolve(EntryInstance)
     await instance.start()
     await stopOnSignal(instance)
--- a/packages/entry/src/JayfallBackendClient.ts
+++ b/packages/entry/src/JayfallBackendClient.ts
@@ -7,6 +7,7 @@
 import { type Clock } from '#jayfall/shared'
 
 import { BackendError } from './JayfallBackendError'
+import { type LeavingPolicy } from './JayfallLeavingPolicy'
 
 /** One call to a backend server. */
 export interface BackendCall {
@@ -39,7 +40,7 @@
   private readonly agent: http.Agent
 
   /** @param localAddress IP address that connections are made from. */
-  constructor (private readonly clock: Clock, private readonly observer: BackendObserver, private readonly localAddress?: string) {
+  constructor (private readonly clock: Clock, private readonly observer: BackendObserver, private readonly leaving: LeavingPolicy, private readonly localAddress?: string) {
     this.agent = new http.Agent({ keepAlive: true, maxSockets: Infinity, maxFreeSockets: MAXIMUM_FREE_CONNECTIONS, localAddress })
   }
 
@@ -53,7 +54,7 @@
     const status = response.statusCode ?? 0
     if (status < 500) return response
     response.resume()
-    const isLeaving = response.headers['x-leaving'] === '1'
+    const isLeaving = this.leaving.isAnnounced(response.headers)
     throw new BackendError(status === 503 ? 'refused' : 'broken', `${call.address} answered with status ${status}`, undefined, isLeaving)
   }
 
@@ -84,7 +85,7 @@
   }
 
   private observe (address: string, response: http.IncomingMessage): void {
-    if (response.headers['x-leaving'] === '1') this.observer.onLeaving(address)
+    if (this.leaving.isAnnounced(response.headers)) this.observer.onLeaving(address)
     const load = response.headers['x-load']
     if (typeof load !== 'string') return
     const [active, slots, queuedTokens] = load.split('/').map(Number)
--- a/packages/entry/src/JayfallCallerApi.ts
+++ b/packages/entry/src/JayfallCallerApi.ts
@@ -12,6 +12,7 @@
 import { type DataContext } from './JayfallDataContext'
 import { headerValue } from './JayfallRequestFields'
 import { handleOutcomeQuery, handleServiceCall } from './JayfallServiceCall'
+import { handleStreamResumption } from './JayfallStreamResumption'
 
 /** Limits of the callers' server; times in milliseconds, sizes in bytes. */
 export interface CallerApiLimits {
@@ -23,18 +24,61 @@
 /** Whether the instance takes new requests. */
 export type Readiness = 'starting' | 'serving' | 'leaving'
 
-/** Creates the callers' server without a listening socket; the caller of this function listens. */
-export function createCallerApi (context: DataContext, limits: CallerApiLimits, readiness: () => Readiness): { readonly server: Server, readonly listener: http.Server } {
-  const listener = http.createServer({ headersTimeout: limits.headerTimeout, requestTimeout: 0, connectionsCheckingInterval: 1000 })
-  listener.maxConnections = limits.connectionLimit
-  const server = Hapi.server({
-    listener,
-    autoListen: false,
-    routes: { payload: { maxBytes: limits.bodyLimit, allow: 'application/json' } }
-  })
-  registerRoutes(server, context, readiness)
-  server.ext('onPreResponse', (request, toolkit) => answerError(context, request, toolkit))
-  return { server, listener }
+/** An address, or the file descriptor of a socket that listens already. */
+export type ListenTarget = { readonly host: string, readonly port: number } | { readonly fd: number }
+
+/** The callers' server of one data thread. */
+export class CallerApi {
+  private readonly listener: http.Server
+  private readonly server: Server
+  private exchanges = 0
+
+  constructor (context: DataContext, limits: CallerApiLimits, private readonly readiness: () => Readiness) {
+    this.listener = http.createServer({ headersTimeout: limits.headerTimeout, requestTimeout: 0, connectionsCheckingInterval: 1000 })
+    this.listener.maxConnections = limits.connectionLimit
+    this.listener.on('request', (_request, response) => this.track(response))
+    this.server = Hapi.server({
+      listener: this.listener,
+      autoListen: false,
+      routes: { payload: { maxBytes: limits.bodyLimit, allow: 'application/json' } }
+    })
+    registerRoutes(this.server, context, readiness)
+    this.server.ext('onPreResponse', (request, toolkit) => answerError(context, request, toolkit))
+  }
+
+  /** Requests whose answers are not whole yet. */
+  get openExchanges (): number {
+    return this.exchanges
+  }
+
+  async listen (target: ListenTarget): Promise<void> {
+    await this.server.start()
+    await new Promise<void>((resolve, reject) => {
+      this.listener.once('error', reject)
+      this.listener.listen(target, resolve)
+    })
+  }
+
+  /** Takes no new connections and closes those that are idle. */
+  close (): void {
+    this.listener.close()
+    this.listener.closeIdleConnections()
+  }
+
+  async stop (): Promise<void> {
+    this.listener.closeAllConnections()
+    await this.server.stop({ timeout: 0 })
+  }
+
+  private track (response: http.ServerResponse): void {
+    this.exchanges++
+    // A leaving instance closes each connection after its answer, so that no later request meets a closed one.
+    if (this.readiness() === 'leaving') response.shouldKeepAlive = false
+    response.once('close', () => { this.exchanges-- })
+    response.once('finish', () => {
+      if (this.readiness() === 'leaving') response.socket?.end()
+    })
+  }
 }
 
 function registerRoutes (server: Server, context: DataContext, readiness: () => Readiness): void {
@@ -45,6 +89,7 @@
     }
   server.route([
     { method: 'POST', path: '/v1/chat/completions', handler: whenServing(handleChatCompletion) },
+    { method: 'GET', path: '/v1/streams/resume', handler: whenServing(handleStreamResumption) },
     { method: 'GET', path: '/v1/models', handler: whenServing(listModels) },
     { method: ['GET', 'POST', 'PUT', 'DELETE'], path: '/v1/services/{service}/{call}', handler: whenServing(handleServiceCall) },
     { method: 'GET', path: '/v1/requests/{key}', handler: whenServing(handleOutcomeQuery) },
--- a/packages/entry/src/JayfallChatCompletions.ts
+++ b/packages/entry/src/JayfallChatCompletions.ts
@@ -10,7 +10,7 @@
 import { authenticateCaller } from './JayfallAuthentication'
 import { chooseVersion, estimatePromptTokens, maximumOutputTokens, parseChatBody, type ChatBody, type ChosenVersion } from './JayfallChatRequest'
 import { type DataContext } from './JayfallDataContext'
-import { IDEMPOTENCY_HEADER, MAXIMUM_IDEMPOTENCY_KEY_LENGTH, ON_WITHDRAWAL_HEADER, REQUEST_HEADER, SESSION_HEADER, SESSION_MOVED_HEADER, VERSION_HEADER } from './JayfallEntryConstants'
+import { IDEMPOTENCY_HEADER, MAXIMUM_IDEMPOTENCY_KEY_LENGTH, ON_WITHDRAWAL_HEADER, REQUEST_HEADER, RESUMABLE_HEADER, SESSION_HEADER, SESSION_MOVED_HEADER, VERSION_HEADER } from './JayfallEntryConstants'
 import { ModelAnswer, type ModelWork } from './JayfallModelAnswer'
 import { headerValue } from './JayfallRequestFields'
 
@@ -18,8 +18,7 @@
 export async function handleChatCompletion (context: DataContext, request: Request, toolkit: ResponseToolkit): Promise<symbol> {
   const workspace = authenticateCaller(context.catalogue, headerValue(request, 'authorization'))
   const body = parseChatBody(request.payload)
-  const sealed = headerValue(request, SESSION_HEADER)
-  const session = sealed === undefined ? undefined : await context.seal.openSession(sealed, workspace.id, context.clock.wall())
+  const session = await context.parts.sessions.find(context.seal, headerValue(request, SESSION_HEADER), workspace.id, context.clock.wall())
   const chosen = chooseVersion(context, workspace, body.model, session, headerValue(request, ON_WITHDRAWAL_HEADER) === 'move')
   const work = createWork(context, request, workspace, body, chosen, session?.server)
   const response = request.raw.res
@@ -52,6 +51,7 @@
     version,
     payload: JSON.stringify(payload),
     model: body.model,
+    isResumable: headerValue(request, RESUMABLE_HEADER) === '1',
     billKey: `${workspace.id}/${readRequestKey(request) ?? id}`,
     headers: {
       [REQUEST_HEADER]: id,
--- a/packages/entry/src/JayfallChatRequest.ts
+++ b/packages/entry/src/JayfallChatRequest.ts
@@ -3,7 +3,7 @@
 import { chooseByTrafficShare, findAllowedVersions, type CascadeEntry, type VersionEntry, type WorkspaceEntry } from '#jayfall/catalogue'
 import { z } from 'zod'
 
-import { ApiError, type ApiErrorCode } from './JayfallApiError'
+import { ApiError, type ApiErrorCode, type RanState } from './JayfallApiError'
 import { type DataContext, refusalNow } from './JayfallDataContext'
 import { CHARACTERS_PER_TOKEN, DEFAULT_MAXIMUM_OUTPUT_TOKENS } from './JayfallEntryConstants'
 import { type SessionToken } from './JayfallTokenSeal'
@@ -86,7 +86,7 @@
 }
 
 /** The error for a version that may get no new work. */
-export function refusalError (refusal: string, version: string): ApiError {
+export function refusalError (refusal: string, version: string, ran: RanState = 'no'): ApiError {
   const codes: Readonly<Record<string, ApiErrorCode>> = {
     version_unknown: 'model_unknown',
     version_forbidden: 'version_forbidden',
@@ -99,5 +99,5 @@
     version_withdrawn: `${version} was withdrawn`,
     version_unconfirmed: `this instance cannot confirm that ${version} may still be used; try another instance`
   }
-  return new ApiError(codes[refusal] ?? 'internal', messages[refusal] ?? refusal, refusal === 'version_unconfirmed' ? { retryAfter: 2000 } : {})
+  return new ApiError(codes[refusal] ?? 'internal', messages[refusal] ?? refusal, { ran, ...(refusal === 'version_unconfirmed' ? { retryAfter: 2000 } : {}) })
 }
--- a/packages/entry/src/JayfallDataContext.ts
+++ b/packages/entry/src/JayfallDataContext.ts
@@ -7,6 +7,7 @@
 import { type BackendClient } from './JayfallBackendClient'
 import { type ControlCaller } from './JayfallControlCalls'
 import { CONFIRMATION_LIMIT_MILLISECONDS } from './JayfallEntryConstants'
+import { type DataParts } from './JayfallDataParts'
 import { type RequestBook } from './JayfallRequestBook'
 import { type TokenSeal } from './JayfallTokenSeal'
 
@@ -16,6 +17,7 @@
   readonly backend: BackendClient
   readonly control: ControlCaller
   readonly seal: TokenSeal
+  readonly parts: DataParts
   readonly clock: Clock
   readonly random: RandomSource
   readonly log: Log
--- /dev/null
+++ b/packages/entry/src/JayfallDataParts.ts
@@ -0,0 +1,16 @@
+/** The parts of the data path that keep its promises. Counter-proofs run with one of them replaced. */
+
+import { type AnswerReaderFactory } from './JayfallAnswerReader'
+import { EarliestLeavingPolicy, type LeavingPolicy } from './JayfallLeavingPolicy'
+import { SealedSessionPolicy, type SessionPolicy } from './JayfallSessionPolicy'
+import { StreamReaderFactory } from './JayfallStreamReader'
+
+export interface DataParts {
+  readonly readers: AnswerReaderFactory
+  readonly sessions: SessionPolicy
+  readonly leaving: LeavingPolicy
+}
+
+export function createDataParts (replaced: Partial<DataParts> = {}): DataParts {
+  return { readers: new StreamReaderFactory(), sessions: new SealedSessionPolicy(), leaving: new EarliestLeavingPolicy(), ...replaced }
+}
--- a/packages/entry/src/JayfallDataPlane.ts
+++ b/packages/entry/src/JayfallDataPlane.ts
@@ -4,19 +4,17 @@
  * It learns the catalogue, limit shares and the instance's lifecycle from the control thread.
  */
 
-import { type Server as HttpServer } from 'node:http'
-
-import { type Server } from '@hapi/hapi'
 import { InstalledCatalogue, type ServerEntry } from '#jayfall/catalogue'
 import { LeastOutstandingRouter, TICK_INTERVAL_MILLISECONDS, type RoutedServer } from '#jayfall/routing'
 import { createRandomSource, SystemClock } from '#jayfall/shared'
 import { type Log } from '#jayfall/telemetry'
 
 import { BackendClient } from './JayfallBackendClient'
-import { createCallerApi, type CallerApiLimits, type Readiness } from './JayfallCallerApi'
+import { CallerApi, type CallerApiLimits, type ListenTarget, type Readiness } from './JayfallCallerApi'
 import { ControlCaller } from './JayfallControlCalls'
 import { type ControlMessage, type DataLinkEnd } from './JayfallControlLink'
 import { type DataContext } from './JayfallDataContext'
+import { type DataParts } from './JayfallDataParts'
 import { RequestBook } from './JayfallRequestBook'
 import { TokenSeal } from './JayfallTokenSeal'
 
@@ -38,24 +36,24 @@
   private readonly book = new RequestBook(new LeastOutstandingRouter())
   private readonly control: ControlCaller
   private readonly context: DataContext
-  private readonly server: Server
-  private readonly listener: HttpServer
+  private readonly api: CallerApi
   private readonly ticker: NodeJS.Timeout
   private confirmedAt = -Infinity
   private lifecycle: 'serving' | 'leaving' = 'serving'
   private leavingServers: ReadonlySet<string> = new Set()
 
-  constructor (settings: DataPlaneSettings, private readonly link: DataLinkEnd, log: Log) {
+  constructor (settings: DataPlaneSettings, private readonly link: DataLinkEnd, log: Log, private readonly parts: DataParts) {
     this.control = new ControlCaller(link)
     const backend = new BackendClient(this.clock, {
       onLoad: (address, report) => this.serverAt(address).forEach(server => this.book.router.reportLoad(server.id, report)),
       onLeaving: address => this.serverAt(address).forEach(server => this.markLeaving(server.id))
-    }, settings.localAddress)
+    }, parts.leaving, settings.localAddress)
     this.context = {
       catalogue: this.catalogue,
       book: this.book,
       backend,
       control: this.control,
+      parts,
       seal: new TokenSeal(settings.sealPasswords),
       clock: this.clock,
       random: createRandomSource(),
@@ -64,39 +62,36 @@
       requestDeadline: settings.requestDeadline,
       confirmedAt: () => this.confirmedAt
     }
-    const api = createCallerApi(this.context, settings.limits, () => this.readiness())
-    this.server = api.server
-    this.listener = api.listener
+    this.api = new CallerApi(this.context, settings.limits, () => this.readiness())
     this.catalogue.registerInstallListener(() => this.updateServers())
     this.ticker = setInterval(() => this.book.tick(), TICK_INTERVAL_MILLISECONDS)
     link.receive(message => this.take(message))
   }
 
-  /** Requests that have not ended. */
+  /** Callers' requests that have not been answered whole. */
   get openRequests (): number {
-    return this.book.size
+    return this.api.openExchanges
   }
 
   /** Listens on `target`: an address, or the file descriptor of a listening socket. */
-  async listen (target: { readonly host: string, readonly port: number } | { readonly fd: number }): Promise<void> {
-    await this.server.start()
-    await new Promise<void>((resolve, reject) => {
-      this.listener.once('error', reject)
-      this.listener.listen(target, resolve)
-    })
+  async listen (target: ListenTarget): Promise<void> {
+    await this.api.listen(target)
   }
 
   /** Takes no new connections; open requests go on. */
   closeListener (): void {
-    this.listener.close()
-    this.listener.closeIdleConnections()
+    this.api.close()
+  }
+
+  /** Ends open requests with an error that says how to go on. */
+  interruptAll (): void {
+    this.book.interruptAll()
   }
 
   async stop (): Promise<void> {
     clearInterval(this.ticker)
+    await this.api.stop()
     this.context.backend.close()
-    this.listener.closeAllConnections()
-    await this.server.stop({ timeout: 0 })
   }
 
   private take (message: ControlMessage): void {
@@ -114,7 +109,7 @@
         this.book.router.updateShares(message.shares)
         break
       case 'leaving-servers':
-        this.leavingServers = new Set(message.servers)
+        if (this.parts.leaving.honoursMarks) this.leavingServers = new Set(message.servers)
         this.updateServers()
         break
       case 'lifecycle':
@@ -146,6 +141,6 @@
 
   private routedServer ({ id, zone, service, leaving }: ServerEntry): RoutedServer {
     const versions = this.catalogue.get('service', service)?.versions ?? []
-    return { id, zone, service, versions, leaving: leaving || this.leavingServers.has(id) }
+    return { id, zone, service, versions, leaving: (leaving && this.parts.leaving.honoursMarks) || this.leavingServers.has(id) }
   }
 }
--- a/packages/entry/src/JayfallEntryConstants.ts
+++ b/packages/entry/src/JayfallEntryConstants.ts
@@ -3,6 +3,8 @@
 export const SESSION_HEADER = 'x-jayfall-session'
 export const SESSION_MOVED_HEADER = 'x-jayfall-session-moved'
 export const ON_WITHDRAWAL_HEADER = 'x-jayfall-on-withdrawal'
+/** With the value 1 the engine goes on when the caller's connection ends, so that the caller can resume. */
+export const RESUMABLE_HEADER = 'x-jayfall-resumable'
 export const STREAM_HEADER = 'x-jayfall-stream'
 export const VERSION_HEADER = 'x-jayfall-version'
 export const REQUEST_HEADER = 'x-jayfall-request'
@@ -20,7 +22,9 @@
 export const MINIMUM_SILENCE_MILLISECONDS = 2000
 /** Silence is also judged against this many recent gaps between tokens. */
 export const SILENCE_GAP_FACTOR = 20
-/** Times that one answer is resumed on a new connection. */
+/** Interval at which a streaming answer's progress is checked. */
+export const SILENCE_CHECK_MILLISECONDS = 500
+/** Times that one answer is resumed on a new connection without progress in between. */
 export const MAXIMUM_RESUMPTIONS = 3
 
 export const MAXIMUM_IDEMPOTENCY_KEY_LENGTH = 200
--- a/packages/entry/src/JayfallEntryInstance.ts
+++ b/packages/entry/src/JayfallEntryInstance.ts
@@ -8,11 +8,13 @@
 
 import { createLocalLink } from './JayfallControlLink'
 import { ControlPlane } from './JayfallControlPlane'
+import { type DataParts } from './JayfallDataParts'
 import { DataPlane } from './JayfallDataPlane'
 
 /** Names under which the container holds what an instance is made of. */
 export const ENTRY_SETTINGS = Symbol('EntrySettings')
 export const ENTRY_LOG = Symbol('EntryLog')
+export const ENTRY_PARTS = Symbol('EntryParts')
 
 /** Interval at which a stopping instance looks for open requests. */
 const DRAIN_POLL_MILLISECONDS = 50
@@ -23,7 +25,7 @@
   private readonly controlPlane: ControlPlane
   private readonly dataPlane: DataPlane
 
-  constructor (@inject(ENTRY_SETTINGS) private readonly settings: EntrySettings, @inject(ENTRY_LOG) private readonly log: Log) {
+  constructor (@inject(ENTRY_SETTINGS) private readonly settings: EntrySettings, @inject(ENTRY_LOG) private readonly log: Log, @inject(ENTRY_PARTS) parts: DataParts) {
     const { instance, callers, peers, platform, keys, ledger } = settings
     const localAddress = peers.address.split(':')[0]
     this.controlPlane = new ControlPlane({
@@ -37,7 +39,7 @@
       limits: { bodyLimit: callers['body-limit'], headerTimeout: callers['header-timeout'], connectionLimit: callers['connection-limit'] },
       requestDeadline: callers['request-deadline'],
       sealPasswords: keys['seal-passwords']
-    }, link.data, log)
+    }, link.data, log, parts)
   }
 
   async start (): Promise<void> {
@@ -58,8 +60,9 @@
     await this.stopNow()
   }
 
-  /** Writes the bills and closes everything. */
+  /** Ends open requests with an error, writes the bills and closes everything. */
   async stopNow (): Promise<void> {
+    this.dataPlane.interruptAll()
     await this.controlPlane.stop()
     await this.dataPlane.stop()
     this.log.info('instance_stopped')
--- a/packages/entry/src/JayfallModelAnswer.ts
+++ b/packages/entry/src/JayfallModelAnswer.ts
@@ -2,22 +2,22 @@
  * One model request from its routing to its last byte.
  *
  * The router decides which attempts run. The first attempt that delivers an event is the
- * answer's; others are cancelled. A broken stream is resumed at the next index on a new
- * connection before the router is asked for another attempt.
+ * answer's; the others are cancelled by the router's decisions.
  */
 
 import { type VersionEntry } from '#jayfall/catalogue'
-import { type Bill } from '#jayfall/ledger'
 import { type RoutedRequest, type RoutingDecision } from '#jayfall/routing'
 
-import { parseUsage, type AnswerHeaders, type AnswerSink } from './JayfallAnswerSink'
-import { ApiError } from './JayfallApiError'
+import { type AnswerHeaders, type AnswerSink } from './JayfallAnswerSink'
+import { ApiError, type RanState } from './JayfallApiError'
+import { AttemptStream } from './JayfallAttemptStream'
 import { BackendError, isBackendError } from './JayfallBackendError'
 import { refusalError } from './JayfallChatRequest'
 import { refusalNow, type DataContext } from './JayfallDataContext'
-import { FIRST_TOKEN_LIMIT_MILLISECONDS, MAXIMUM_RESUMPTIONS, MINIMUM_SILENCE_MILLISECONDS, SESSION_HEADER, STREAM_HEADER } from './JayfallEntryConstants'
+import { settleDraft } from './JayfallDraftBill'
+import { SESSION_HEADER, STREAM_HEADER } from './JayfallEntryConstants'
 import { type DecisionHandler } from './JayfallRequestBook'
-import { StreamReader, type StreamBreak } from './JayfallStreamReader'
+import { refusalMessage } from './JayfallRefusalMessage'
 
 /** What a model request needs besides its routing. */
 export interface ModelWork {
@@ -27,6 +27,8 @@
   readonly payload: string
   readonly model: string
   readonly billKey: string
+  /** Whether the engine goes on when the caller's connection ends. */
+  readonly isResumable: boolean
   /** Headers of the answer besides the tokens. */
   readonly headers: AnswerHeaders
 }
@@ -35,196 +37,167 @@
 
 interface Attempt {
   readonly decision: Dispatch
-  readonly address: string
-  readonly streamId: string
   readonly tokens: AnswerHeaders
-  /** Index of the next event that is expected. */
-  nextIndex: number
-  resumptions: number
-  reader?: StreamReader
-  cancelled: boolean
+  readonly stream: AttemptStream
 }
 
 /** Carries out the router's decisions about one model request. */
 export class ModelAnswer implements DecisionHandler {
   private readonly attempts = new Map<number, Attempt>()
+  private readonly cancelled = new Set<number>()
   /** The attempt whose events the caller receives. */
-  private chosen: Attempt | undefined
+  private chosen: number | undefined
   private lastError: BackendError | undefined
   /** Whether an attempt may have reached a backend server. */
   private mayHaveRun = false
+  private callerHasLeft = false
+  private readonly deadlineTimer: NodeJS.Timeout
 
-  constructor (private readonly context: DataContext, private readonly work: ModelWork, private readonly sink: AnswerSink) {}
+  constructor (private readonly context: DataContext, private readonly work: ModelWork, private readonly sink: AnswerSink) {
+    const { deadline } = work.request
+    this.deadlineTimer = setTimeout(() => this.passDeadline(), deadline - context.clock.monotonic())
+  }
 
   dispatch (decision: Dispatch): void {
     this.start(decision).catch((error: unknown) => this.failAttempt(decision.attempt, error))
   }
 
   cancel (attempt: number): void {
-    const found = this.attempts.get(attempt)
-    if (found === undefined) return
-    found.cancelled = true
-    found.reader?.stop()
-    this.cancelStream(found)
+    this.cancelled.add(attempt)
+    this.attempts.get(attempt)?.stream.cancel()
   }
 
   refuse (decision: Extract<RoutingDecision, { kind: 'refuse' }>): void {
-    const ran = this.mayHaveRun ? 'unknown' : 'no'
-    this.end(new ApiError(decision.code, refusalMessage(decision.code), { ran, retryAfter: decision.retryAfter }, this.lastError))
+    this.end(new ApiError(decision.code, refusalMessage(decision.code), { ran: this.ranState(), retryAfter: decision.retryAfter }, this.lastError))
+  }
+
+  /** Ends the answer because the instance stops; a streamed one can be resumed elsewhere. */
+  interrupt (): void {
+    for (const { stream } of this.attempts.values()) stream.stop()
+    const message = 'the instance stops; ask another instance, with the stream token when the answer was streamed'
+    this.abandonAtRouter()
+    this.end(new ApiError('instance_stopping', message, { ran: this.ranState(), retryAfter: 0, ask: '/v1/streams/resume' }))
   }
 
-  /** The caller went away: the engine stops generating. */
+  /** The caller's connection ended. */
   abandon (): void {
     if (this.sink.isEnded) return
-    for (const attempt of this.attempts.keys()) this.cancel(attempt)
-    this.context.book.observe({ kind: 'abandoned', requestId: this.work.request.id })
-    this.context.book.close(this.work.request.id)
+    this.callerHasLeft = true
+    // A resumable answer is read to its end, so that it is billed and its server's load is known.
+    if (this.work.isResumable && this.chosen !== undefined) return
+    this.cancelAll()
+    this.abandonAtRouter()
   }
 
   private async start (decision: Dispatch): Promise<void> {
     const { request, version } = this.work
     const refusal = refusalNow(this.context, request.workspace, version.id)
-    if (refusal !== undefined) return this.end(refusalError(refusal, version.id))
+    if (refusal !== undefined) {
+      this.abandonAtRouter()
+      return this.end(refusalError(refusal, version.id, this.ranState()))
+    }
     const server = this.context.catalogue.get('server', decision.server)
     if (server === undefined) throw new BackendError('unsent', `${decision.server} is no longer in the catalogue`)
     const attempt = await this.openAttempt(decision, server.address)
-    const response = await this.context.backend.send({
-      method: 'POST',
-      address: attempt.address,
-      path: '/v1/chat/completions',
-      headers: { 'content-type': 'application/json', 'x-request-id': attempt.streamId, 'x-priority': String(decision.priority), 'x-model-version': version.id },
-      payload: this.work.payload,
-      headTimeout: FIRST_TOKEN_LIMIT_MILLISECONDS
+    if (this.cancelled.has(decision.attempt)) return
+    await attempt.stream.start({
+      headers: { 'x-priority': String(decision.priority), 'x-model-version': version.id },
+      payload: this.work.payload
     })
-    if (response.statusCode !== 200) throw new BackendError('broken', `the engine answered with status ${response.statusCode}`)
-    this.read(attempt, response)
   }
 
   private async openAttempt (decision: Dispatch, address: string): Promise<Attempt> {
     const { request, version, model, billKey } = this.work
     const streamId = `${request.id}.${decision.attempt}`
-    const issuedAt = this.context.clock.wall()
-    const common = { workspace: request.workspace, version: version.id, server: decision.server, issuedAt }
-    const attempt: Attempt = {
-      decision,
-      address,
-      streamId,
-      tokens: {
-        [SESSION_HEADER]: await this.context.seal.seal({ kind: 'session', model, ...common }),
-        [STREAM_HEADER]: await this.context.seal.seal({ kind: 'stream', requestId: request.id, streamId, billKey, ...common })
-      },
-      nextIndex: 0,
-      resumptions: 0,
-      cancelled: false
+    const common = { workspace: request.workspace, version: version.id, server: decision.server, issuedAt: this.context.clock.wall() }
+    const tokens = {
+      [SESSION_HEADER]: await this.context.seal.seal({ kind: 'session', model, ...common }),
+      [STREAM_HEADER]: await this.context.seal.seal({ kind: 'stream', requestId: request.id, streamId, billKey, ...common })
     }
+    const target = { requestId: request.id, workspace: request.workspace, version: version.id, server: decision.server, address, streamId }
+    const stream = new AttemptStream(this.context, target, 0, {
+      onEvents: raw => this.passOn(decision.attempt, raw),
+      onFinal: raw => { this.complete(decision.attempt, raw).catch((error: unknown) => this.failAttempt(decision.attempt, error)) },
+      onFailure: error => this.failAttempt(decision.attempt, error)
+    })
+    const attempt = { decision, tokens, stream }
     this.attempts.set(decision.attempt, attempt)
     return attempt
   }
 
-  private read (attempt: Attempt, response: ConstructorParameters<typeof StreamReader>[0]): void {
-    if (attempt.cancelled) {
-      response.destroy()
-      return
-    }
-    attempt.reader = new StreamReader(response, attempt.streamId, attempt.nextIndex, () => MINIMUM_SILENCE_MILLISECONDS, {
-      onEvents: (raw, index) => this.passOn(attempt, raw, index),
-      onFinal: raw => { this.complete(attempt, raw).catch((error: unknown) => this.failAttempt(attempt.decision.attempt, error)) },
-      onBreak: reason => { this.resume(attempt, reason).catch((error: unknown) => this.failAttempt(attempt.decision.attempt, error)) }
-    })
-  }
-
-  private passOn (attempt: Attempt, raw: Buffer, index: number): void {
-    if (!this.choose(attempt)) return
-    attempt.nextIndex = index + 1
-    this.sink.events(raw, this.answerHeaders(attempt))
+  private passOn (number: number, raw: Buffer): void {
+    if (this.choose(number) && !this.callerHasLeft) this.sink.events(raw, this.answerHeaders(number))
   }
 
   /** Makes the first attempt that delivers the answer's; false for the others. */
-  private choose (attempt: Attempt): boolean {
-    if (this.chosen === undefined) {
-      this.chosen = attempt
-      this.context.book.observe({ kind: 'first-token', requestId: this.work.request.id, attempt: attempt.decision.attempt })
+  private choose (number: number): boolean {
+    if (this.chosen === undefined && !this.cancelled.has(number)) {
+      this.chosen = number
+      clearTimeout(this.deadlineTimer)
+      this.context.book.observe({ kind: 'first-token', requestId: this.work.request.id, attempt: number })
     }
-    return this.chosen === attempt && !attempt.cancelled
+    return this.chosen === number && !this.cancelled.has(number)
   }
 
-  private async complete (attempt: Attempt, raw: Buffer): Promise<void> {
-    if (!this.choose(attempt)) return
-    const usage = parseUsage(raw)
-    const bill = createDraftBill(this.work, usage.promptTokens, usage.outputTokens)
-    await this.context.control.call('bill', bill)
-    this.context.book.observe({ kind: 'finished', requestId: this.work.request.id, attempt: attempt.decision.attempt, outputTokens: usage.outputTokens })
-    this.context.book.close(this.work.request.id)
-    this.sink.finish(raw, this.answerHeaders(attempt))
+  private async complete (number: number, raw: Buffer): Promise<void> {
+    if (!this.choose(number)) return
+    const { request, version, billKey } = this.work
+    const bill = await settleDraft(this.context, { workspace: request.workspace, version, billKey }, raw)
+    this.context.book.observe({ kind: 'finished', requestId: request.id, attempt: number, outputTokens: bill.outputTokens })
+    this.close()
+    if (!this.callerHasLeft) this.sink.finish(raw, this.answerHeaders(number))
     this.context.log.info('request_finished', {
-      request: this.work.request.id, workspace: bill.workspace, version: bill.source, server: attempt.decision.server, output_tokens: usage.outputTokens, amount: bill.amount
+      request: request.id, workspace: bill.workspace, version: bill.source, server: this.attempts.get(number)?.decision.server, output_tokens: bill.outputTokens, amount: bill.amount
     })
   }
 
-  private async resume (attempt: Attempt, reason: StreamBreak): Promise<void> {
-    if (attempt.cancelled) return
-    if (attempt.resumptions >= MAXIMUM_RESUMPTIONS) throw new BackendError(reason === 'silent' ? 'silent' : 'broken', `the stream broke off (${reason})`)
-    attempt.resumptions++
-    this.context.log.warn('stream_resumed', { request: this.work.request.id, server: attempt.decision.server, reason, index: attempt.nextIndex })
-    const response = await this.context.backend.send({
-      method: 'GET',
-      address: attempt.address,
-      path: `/streams/${encodeURIComponent(attempt.streamId)}?offset=${attempt.nextIndex}`,
-      headers: {},
-      headTimeout: FIRST_TOKEN_LIMIT_MILLISECONDS,
-      freshConnection: true
-    })
-    if (response.statusCode !== 200) throw new BackendError('broken', 'the engine no longer has the stream')
-    this.read(attempt, response)
-  }
-
   private failAttempt (number: number, error: unknown): void {
-    const attempt = this.attempts.get(number)
-    if (attempt?.cancelled === true || this.sink.isEnded) return
+    if (this.cancelled.has(number) || this.sink.isEnded) return
     const failure = isBackendError(error) ? error : new BackendError('broken', 'the attempt failed', error)
     this.lastError = failure
     this.mayHaveRun = this.mayHaveRun || failure.failure !== 'unsent'
-    const started = this.chosen !== undefined
-    if (started && this.chosen !== attempt) return
+    if (this.chosen !== undefined && this.chosen !== number) return
+    const hasStarted = this.chosen !== undefined
     this.context.log.warn('attempt_failed', { request: this.work.request.id, attempt: number, failure: failure.failure, message: failure.message })
-    this.chosen = undefined
-    this.context.book.observe({ kind: 'failed', requestId: this.work.request.id, attempt: number, failure: failure.failure, retryable: !started })
-    if (started) this.end(new ApiError('stream_incomplete', 'the answer broke off and could not be resumed', { ran: 'yes' }, failure))
+    this.context.book.observe({ kind: 'failed', requestId: this.work.request.id, attempt: number, failure: failure.failure, retryable: !hasStarted })
+    if (hasStarted) this.end(new ApiError('stream_incomplete', 'the answer broke off and could not be resumed', { ran: 'yes' }, failure))
+  }
+
+  private passDeadline (): void {
+    if (this.sink.isEnded) return
+    this.cancelAll()
+    this.abandonAtRouter()
+    this.end(new ApiError('deadline_passed', refusalMessage('deadline_passed'), { ran: this.ranState() }))
   }
 
   private end (error: ApiError): void {
-    this.context.book.close(this.work.request.id)
+    this.close()
     this.sink.fail(error)
     this.context.log.warn('request_refused', { request: this.work.request.id, workspace: this.work.request.workspace, code: error.code, ran: error.ran })
   }
 
-  private answerHeaders (attempt: Attempt): AnswerHeaders {
-    return { ...this.work.headers, ...attempt.tokens }
+  private close (): void {
+    clearTimeout(this.deadlineTimer)
+    this.context.book.close(this.work.request.id)
   }
 
-  private cancelStream (attempt: Attempt): void {
-    this.context.backend.send({
-      method: 'DELETE', address: attempt.address, path: `/streams/${encodeURIComponent(attempt.streamId)}`, headers: {}, headTimeout: FIRST_TOKEN_LIMIT_MILLISECONDS
-    }).then(response => response.resume(), (error: Error) => this.context.log.debug('cancel_failed', { message: error.message }))
+  private cancelAll (): void {
+    for (const number of this.attempts.keys()) this.cancel(number)
   }
-}
 
-/** The bill of one draft; prices are for a million tokens. */
-export function createDraftBill (work: Pick<ModelWork, 'version' | 'request' | 'billKey'>, promptTokens: number, outputTokens: number): Bill {
-  const { price, id } = work.version
-  const amount = (promptTokens * price.promptPerMillionTokens + outputTokens * price.outputPerMillionTokens) / 1e6
-  return { key: work.billKey, workspace: work.request.workspace, source: id, promptTokens, outputTokens, amount }
-}
+  private abandonAtRouter (): void {
+    this.context.book.observe({ kind: 'abandoned', requestId: this.work.request.id })
+    this.close()
+  }
 
-/** What callers read about a refusal by the router. */
-export function refusalMessage (code: Extract<RoutingDecision, { kind: 'refuse' }>['code']): string {
-  const messages = {
-    limit_exceeded: 'the workspace has reached its limit',
-    queue_full: 'too many requests wait',
-    deadline_unreachable: 'the request would not be answered within its deadline',
-    deadline_passed: 'the request was not answered within its deadline',
-    no_server: 'no backend server can take the request now',
-    attempts_exhausted: 'all attempts on backend servers failed'
-  } as const
-  return messages[code]
+  /** An attempt that was opened may have been sent, unless its failure says otherwise. */
+  private ranState (): RanState {
+    if (this.chosen !== undefined) return 'yes'
+    const failedUnsent = this.lastError?.failure === 'unsent' && this.attempts.size <= 1
+    return this.mayHaveRun || (this.attempts.size > 0 && !failedUnsent) ? 'unknown' : 'no'
+  }
+
+  private answerHeaders (number: number): AnswerHeaders {
+    return { ...this.work.headers, ...this.attempts.get(number)?.tokens }
+  }
 }
--- a/packages/entry/src/JayfallRequestBook.ts
+++ b/packages/entry/src/JayfallRequestBook.ts
@@ -9,6 +9,8 @@
 export interface DecisionHandler {
   dispatch (decision: Extract<RoutingDecision, { kind: 'dispatch' }>): void
   cancel (attempt: number): void
+  /** The instance stops before the request has ended. */
+  interrupt (): void
   refuse (decision: Extract<RoutingDecision, { kind: 'refuse' }>): void
 }
 
@@ -37,6 +39,11 @@
     this.handlers.delete(requestId)
   }
 
+  /** Ends all requests because the instance stops. */
+  interruptAll (): void {
+    for (const handler of [...this.handlers.values()]) handler.interrupt()
+  }
+
   tick (): void {
     this.carryOut(this.router.tick())
   }
--- a/packages/entry/src/JayfallServiceCall.ts
+++ b/packages/entry/src/JayfallServiceCall.ts
@@ -14,7 +14,7 @@
 import { ControlCallError } from './JayfallControlCalls'
 import { type DataContext } from './JayfallDataContext'
 import { REPLAYED_HEADER, REQUEST_HEADER } from './JayfallEntryConstants'
-import { refusalMessage } from './JayfallModelAnswer'
+import { refusalMessage } from './JayfallRefusalMessage'
 import { type DecisionHandler } from './JayfallRequestBook'
 import { headerValue, pathParameter } from './JayfallRequestFields'
 
@@ -151,6 +151,11 @@
 
   cancel (): void {}
 
+  interrupt (): void {
+    this.context.book.close(this.work.request.id)
+    this.reject(new ApiError('instance_stopping', 'the instance stops before the call was answered', { ran: 'unknown' }))
+  }
+
   refuse ({ code, retryAfter }: Extract<RoutingDecision, { kind: 'refuse' }>): void {
     this.context.book.close(this.work.request.id)
     this.reject(new ApiError(code, refusalMessage(code), { ran: this.mayHaveRun ? 'unknown' : 'no', retryAfter }, this.lastError))
--- a/packages/entry/src/JayfallStreamReader.ts
+++ b/packages/entry/src/JayfallStreamReader.ts
@@ -5,62 +5,57 @@
  * is first compared with the expected identifier; only other chunks are split into events.
  */
 
-import { type IncomingMessage } from 'node:http'
+import { AnswerReader, AnswerReaderFactory, type ReaderOptions, type StreamBreak } from './JayfallAnswerReader'
+import { FIRST_TOKEN_LIMIT_MILLISECONDS, MINIMUM_SILENCE_MILLISECONDS, SILENCE_CHECK_MILLISECONDS, SILENCE_GAP_FACTOR } from './JayfallEntryConstants'
 
 const EVENT_END = Buffer.from('\n\n')
 const DONE_EVENT = 'data: [DONE]'
 
-/** Why a stream ended before its last event. */
-export type StreamBreak = 'closed' | 'mismatch' | 'silent'
-
-/** Takes what a reader reads. */
-export interface StreamReceiver {
-  /** One or more whole events, as they arrived; `index` is that of the last. */
-  onEvents (raw: Buffer, index: number): void
-  /** The events that carry the usage and end the stream, as they arrived. */
-  onFinal (raw: Buffer, index: number): void
-  onBreak (reason: StreamBreak): void
+/** Opens readers that check every event. */
+export class StreamReaderFactory extends AnswerReaderFactory {
+  override open (options: ReaderOptions): AnswerReader {
+    return new StreamReader(options)
+  }
 }
 
 /** Reads one response. */
-export class StreamReader {
+export class StreamReader extends AnswerReader {
   private rest: Buffer = Buffer.alloc(0)
   private final: Buffer = Buffer.alloc(0)
   private ended = false
-  private silenceTimer: NodeJS.Timeout | undefined
+  private nextIndex: number
+  private chunks = 0
+  private chunksAtCheck = 0
+  private silentFor = 0
+  /** Milliseconds between recent chunks; unknown before the first. */
+  private recentGap: number | undefined
+  private readonly silenceTimer: NodeJS.Timeout
   private readonly prefix: string
 
-  /**
-   * @param nextIndex index of the first event that is expected.
-   * @param silenceLimit milliseconds without a byte after which the connection is taken as silent.
-   */
-  constructor (
-    private readonly response: IncomingMessage,
-    streamId: string,
-    private nextIndex: number,
-    private readonly silenceLimit: () => number,
-    private readonly receiver: StreamReceiver
-  ) {
+  constructor (private readonly options: ReaderOptions) {
+    super()
+    const { response, streamId, nextIndex } = options
+    this.nextIndex = nextIndex
     this.prefix = `id: ${streamId}:`
     response.on('data', (chunk: Buffer) => this.take(chunk))
     response.on('end', () => this.finish('closed'))
     response.on('error', () => this.finish('closed'))
     response.on('close', () => this.finish('closed'))
-    this.watchSilence()
+    // One check for many chunks costs less than a timer that each chunk sets back.
+    this.silenceTimer = setInterval(() => this.checkSilence(), SILENCE_CHECK_MILLISECONDS)
   }
 
-  /** Stops reading and closes the connection. */
-  stop (): void {
+  override stop (): void {
     this.ended = true
-    clearTimeout(this.silenceTimer)
-    this.response.destroy()
+    clearInterval(this.silenceTimer)
+    this.options.response.destroy()
   }
 
   private take (chunk: Buffer): void {
     if (this.ended) return
-    this.silenceTimer?.refresh()
+    this.chunks++
     if (this.rest.length === 0 && this.final.length === 0 && this.isSingleExpectedEvent(chunk)) {
-      this.receiver.onEvents(chunk, this.nextIndex++)
+      this.options.receiver.onEvents(chunk, this.nextIndex++)
     } else {
       this.split(this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]))
     }
@@ -84,25 +79,39 @@
   private takeEvent (event: Buffer): void {
     if (event.toString('latin1', 0, DONE_EVENT.length) === DONE_EVENT) {
       this.ended = true
-      clearTimeout(this.silenceTimer)
-      this.receiver.onFinal(Buffer.concat([this.final, event]), this.nextIndex - 1)
+      clearInterval(this.silenceTimer)
+      this.options.receiver.onFinal(Buffer.concat([this.final, event]), this.nextIndex - 1)
       return
     }
     const head = `${this.prefix}${this.nextIndex}\n`
     if (event.toString('latin1', 0, head.length) !== head) return this.finish('mismatch')
     if (isFinalEvent(event)) this.final = Buffer.concat([this.final, event])
-    else this.receiver.onEvents(event, this.nextIndex)
+    else this.options.receiver.onEvents(event, this.nextIndex)
     this.nextIndex++
   }
 
   private finish (reason: StreamBreak): void {
     if (this.ended) return
     this.stop()
-    this.receiver.onBreak(reason)
+    this.options.receiver.onBreak(reason)
+  }
+
+  private checkSilence (): void {
+    const arrived = this.chunks - this.chunksAtCheck
+    this.chunksAtCheck = this.chunks
+    if (arrived > 0) {
+      this.recentGap = SILENCE_CHECK_MILLISECONDS / arrived
+      this.silentFor = 0
+      return
+    }
+    this.silentFor += SILENCE_CHECK_MILLISECONDS
+    if (this.silentFor >= this.silenceLimit() * this.options.patience) this.finish('silent')
   }
 
-  private watchSilence (): void {
-    this.silenceTimer = setTimeout(() => this.finish('silent'), this.silenceLimit())
+  /** Milliseconds without a byte after which the connection is taken as silent. */
+  private silenceLimit (): number {
+    if (this.recentGap === undefined) return FIRST_TOKEN_LIMIT_MILLISECONDS
+    return Math.max(MINIMUM_SILENCE_MILLISECONDS, SILENCE_GAP_FACTOR * this.recentGap)
   }
 }
 
--- /dev/null
+++ b/packages/entry/src/JayfallStreamResumption.ts
@@ -0,0 +1,63 @@
+/** The route by which a caller resumes a streamed answer on any instance. */
+
+import { type Request, type ResponseToolkit } from '@hapi/hapi'
+import { isVersionAllowed, type VersionEntry, type WorkspaceEntry } from '#jayfall/catalogue'
+
+import { StreamedAnswerSink, type AnswerSink } from './JayfallAnswerSink'
+import { ApiError } from './JayfallApiError'
+import { AttemptStream } from './JayfallAttemptStream'
+import { authenticateCaller } from './JayfallAuthentication'
+import { type DataContext } from './JayfallDataContext'
+import { settleDraft } from './JayfallDraftBill'
+import { REQUEST_HEADER, STREAM_HEADER, VERSION_HEADER } from './JayfallEntryConstants'
+import { headerValue } from './JayfallRequestFields'
+import { type StreamToken } from './JayfallTokenSeal'
+
+/** Answers the events after the one that `Last-Event-ID` names, or all of them without it. */
+export async function handleStreamResumption (context: DataContext, request: Request, toolkit: ResponseToolkit): Promise<symbol> {
+  const workspace = authenticateCaller(context.catalogue, headerValue(request, 'authorization'))
+  const sealed = headerValue(request, STREAM_HEADER)
+  if (sealed === undefined) throw new ApiError('stream_token_invalid', `send the stream token in the ${STREAM_HEADER} header`)
+  const token = await context.seal.openStream(sealed, workspace.id)
+  const version = findVersion(context, workspace, token)
+  const nextIndex = readNextIndex(headerValue(request, 'last-event-id'), token.streamId)
+  const address = context.catalogue.get('server', token.server)?.address
+  if (address === undefined) throw new ApiError('stream_incomplete', 'the backend server of the stream is gone', { ran: 'yes' })
+  const sink = new StreamedAnswerSink(request.raw.res, token.requestId)
+  const stream = openStream(context, token, version, address, nextIndex, sink)
+  request.raw.res.once('close', () => stream.stop())
+  await stream.resume().catch((error: unknown) => { throw new ApiError('stream_incomplete', 'the engine no longer has the stream', { ran: 'yes' }, error) })
+  return toolkit.abandon
+}
+
+/** Resuming is not new work, so a withdrawn version may finish; one that was forbidden may not. */
+function findVersion (context: DataContext, workspace: WorkspaceEntry, token: StreamToken): VersionEntry {
+  const version = context.catalogue.get('version', token.version)
+  if (version !== undefined && isVersionAllowed(context.catalogue, workspace, version.id)) return version
+  throw new ApiError('version_forbidden', `the workspace may no longer use ${token.version}`, { ran: 'yes' })
+}
+
+function openStream (context: DataContext, token: StreamToken, version: VersionEntry, address: string, nextIndex: number, sink: AnswerSink): AttemptStream {
+  const headers = { [REQUEST_HEADER]: token.requestId, [VERSION_HEADER]: token.version }
+  const fail = (error: unknown): void => sink.fail(new ApiError('stream_incomplete', 'the answer broke off and could not be resumed', { ran: 'yes' }, error))
+  const finish = async (raw: Buffer): Promise<void> => {
+    await settleDraft(context, { workspace: token.workspace, version, billKey: token.billKey }, raw)
+    sink.finish(raw, headers)
+  }
+  return new AttemptStream(context, { ...token, address }, nextIndex, {
+    onEvents: raw => sink.events(raw, headers),
+    onFinal: raw => { finish(raw).catch(fail) },
+    onFailure: fail
+  })
+}
+
+/** The index after the last event that the caller has. @throws ApiError `stream_token_invalid`. */
+export function readNextIndex (lastEventId: string | undefined, streamId: string): number {
+  if (lastEventId === undefined) return 0
+  const separator = lastEventId.lastIndexOf(':')
+  const index = lastEventId.slice(separator + 1)
+  if (lastEventId.slice(0, separator) !== streamId || !/^\d{1,9}$/.test(index)) {
+    throw new ApiError('stream_token_invalid', 'Last-Event-ID names an event of another stream')
+  }
+  return Number(index) + 1
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,2 +1,6 @@
+export { AnswerReader, AnswerReaderFactory, type ReaderOptions } from './JayfallAnswerReader'
 export { hashKey } from './JayfallAuthentication'
-export { ENTRY_LOG, ENTRY_SETTINGS, EntryInstance } from './JayfallEntryInstance'
+export { createDataParts, type DataParts } from './JayfallDataParts'
+export { ENTRY_LOG, ENTRY_PARTS, ENTRY_SETTINGS, EntryInstance } from './JayfallEntryInstance'
+export { LeavingPolicy } from './JayfallLeavingPolicy'
+export { SessionPolicy } from './JayfallSessionPolicy'
