--- /dev/null
+++ b/packages/command/src/JayfallCommandLine.ts
@@ -0,0 +1,28 @@
+/** The `jayfall` command line. */
+
+import 'reflect-metadata'
+import { binary, run, subcommands } from 'cmd-ts'
+
+import { catalogueCommands } from './JayfallCatalogueCommands'
+import { entryCommand } from './JayfallEntryCommand'
+
+const jayfall = subcommands({
+  name: 'jayfall',
+  description: 'Model-aware router for model versions and cascades.',
+  version: '0.1.0',
+  cmds: { entry: entryCommand, catalogue: catalogueCommands }
+})
+
+/** Runs the subcommand that `argv` names and ends the process. */
+export function runCommandLine (argv: string[]): void {
+  run(binary(jayfall), argv).then(
+    () => {
+      // Open sockets of libraries must not hold a finished command back.
+      process.exit()
+    },
+    (error: Error) => {
+      process.stderr.write(`jayfall: ${error.message}\n`)
+      process.exit(1)
+    }
+  )
+}
--- /dev/null
+++ b/packages/command/src/index.ts
@@ -0,0 +1,1 @@
+export { runCommandLine } from './JayfallCommandLine'
--- a/packages/standins/src/JayfallEngineStandIn.ts
+++ b/packages/standins/src/JayfallEngineStandIn.ts
@@ -34,19 +34,24 @@
   /** How often each stream identifier was started. */
   readonly started: Map<string, number>
   leaving: boolean
+  /** Token events still to be written with another stream's identifier. */
+  crossedEvents: number
+  /** Completion requests, refused ones included. */
+  received: number
 }
 
 /** Starts an engine on a loopback port. */
 export async function startEngineStandIn (settings: EngineStandInSettings): Promise<Server> {
   const server = Hapi.server({ host: '127.0.0.1', port: settings.port, routes: { payload: { maxBytes: 16 * 1024 * 1024 } } })
   const engine: Engine = {
-    scheduler: new EngineScheduler(settings), cache: new PrefixCache(settings.cacheTokens), settings, started: new Map(), leaving: false
+    scheduler: new EngineScheduler(settings), cache: new PrefixCache(settings.cacheTokens), settings, started: new Map(), leaving: false, crossedEvents: 0, received: 0
   }
   server.route([
     { method: 'POST', path: '/v1/chat/completions', handler: (request, toolkit) => complete(engine, request, toolkit) },
     { method: 'GET', path: '/streams/{id}', handler: (request, toolkit) => resume(engine, request, toolkit) },
     { method: 'DELETE', path: '/streams/{id}', handler: request => cancel(engine, pathParameter(request, 'id')) },
     { method: 'GET', path: '/cache-events', handler: request => ({ events: engine.cache.eventsAfter(Number(queryParameter(request, 'after', '0'))) }) },
+    { method: 'GET', path: '/received', handler: () => ({ requests: engine.received }) },
     { method: 'GET', path: '/started', handler: () => Object.fromEntries(engine.started) },
     { method: 'POST', path: '/control', handler: request => control(engine, request.payload as EngineControl) }
   ])
@@ -58,10 +63,12 @@
 
 interface EngineControl {
   readonly slowdown?: number
+  readonly crossedEvents?: number
   readonly leaving?: boolean
 }
 
-function control (engine: Engine, { slowdown, leaving }: EngineControl): object {
+function control (engine: Engine, { slowdown, leaving, crossedEvents }: EngineControl): object {
+  engine.crossedEvents = crossedEvents ?? engine.crossedEvents
   engine.scheduler.slowdown = slowdown ?? engine.scheduler.slowdown
   engine.leaving = leaving ?? engine.leaving
   return { slowdown: engine.scheduler.slowdown, leaving: engine.leaving }
@@ -81,6 +88,7 @@
 }
 
 function complete (engine: Engine, request: Request, toolkit: ResponseToolkit): symbol | object {
+  engine.received++
   if (engine.leaving) return toolkit.response({ error: 'leaving' }).code(503).header('x-leaving', '1')
   const payload = request.payload as CompletionPayload
   const prompt = payload.messages.map(({ content }) => content).join('\n')
@@ -117,7 +125,11 @@
   response.writeHead(200, replyHeaders(engine, stream, 'text/event-stream'))
   // The caller of the engine learns from the head that the stream was accepted.
   response.flushHeaders()
-  const writeToken = (index: number): void => { response.write(tokenEvent(stream, index)) }
+  const writeToken = (index: number): void => {
+    const isCrossed = engine.crossedEvents > 0
+    if (isCrossed) engine.crossedEvents--
+    response.write(tokenEvent(stream, index, isCrossed ? 'another-stream' : stream.id))
+  }
   const finish = (): void => {
     if (stream.state === 'finished') response.end(finalEvents(stream))
     else response.destroy()
@@ -147,8 +159,8 @@
   })
 }
 
-function tokenEvent (stream: EngineStream, index: number): string {
-  return `id: ${stream.id}:${index}\ndata: ${chunk(stream, [{ index: 0, delta: { content: stream.tokens[index] }, finish_reason: null }])}\n\n`
+function tokenEvent (stream: EngineStream, index: number, id: string): string {
+  return `id: ${id}:${index}\ndata: ${chunk(stream, [{ index: 0, delta: { content: stream.tokens[index] }, finish_reason: null }])}\n\n`
 }
 
 function finalEvents (stream: EngineStream): string {
--- a/packages/testbed/src/JayfallTestProcess.ts
+++ b/packages/testbed/src/JayfallTestProcess.ts
@@ -8,17 +8,14 @@
 const BUILD_DIRECTORY = path.resolve(__dirname, '../..')
 const READY_TIMEOUT_MILLISECONDS = 15_000
 
-/** A program of the build. */
-export type Program = 'command' | 'standins'
-
 /** A child process whose output is kept. */
 export class TestProcess {
   private readonly child: ChildProcess
   private text = ''
 
-  constructor (readonly name: string, program: Program, programArguments: readonly string[]) {
-    const script = path.join(BUILD_DIRECTORY, program, 'src/main.js')
-    this.child = spawn(process.execPath, ['--enable-source-maps', script, ...programArguments], { stdio: ['ignore', 'pipe', 'pipe'] })
+  /** @param script path of a compiled program below the build directory. */
+  constructor (readonly name: string, script: string, programArguments: readonly string[]) {
+    this.child = spawn(process.execPath, ['--enable-source-maps', path.join(BUILD_DIRECTORY, script), ...programArguments], { stdio: ['ignore', 'pipe', 'pipe'] })
     this.child.stdout?.on('data', (chunk: Buffer) => { this.text += chunk.toString() })
     this.child.stderr?.on('data', (chunk: Buffer) => { this.text += chunk.toString() })
   }
--- a/packages/testbed/src/JayfallTestSystem.ts
+++ b/packages/testbed/src/JayfallTestSystem.ts
@@ -35,6 +35,8 @@
 export interface TestEntry {
   readonly id: string
   readonly zone: string
+  /** Compiled program and its first arguments, in place of the shipped executable; for counter-proofs. */
+  readonly program?: readonly string[]
   /** Lines of further settings by section. */
   readonly settings?: Readonly<Record<string, Readonly<Record<string, string>>>>
 }
@@ -69,7 +71,8 @@
   readonly callersPort: number
   readonly peersPort: number
   readonly settingsFile: string
-  process: TestProcess
+  /** Absent until the catalogue is written. */
+  process?: TestProcess
 }
 
 /** A running system. */
@@ -105,7 +108,7 @@
   }
 
   entryProcess (entry: string): TestProcess {
-    return this.runningEntry(entry).process
+    return this.found(this.runningEntry(entry).process, entry)
   }
 
   /** A stand-in's process: `platform`, `proxy` or a server's identifier. */
@@ -126,7 +129,7 @@
   /** Starts an instance again after its end, with the same settings. */
   async restartEntry (id: string): Promise<void> {
     const running = this.runningEntry(id)
-    await running.process.stop('SIGKILL')
+    await running.process?.stop('SIGKILL')
     running.process = this.spawnEntry(running)
     await this.waitUntilReady(id)
   }
@@ -172,7 +175,7 @@
 
   /** Ends all processes. */
   async stop (): Promise<void> {
-    await Promise.all([...this.running.values()].map(({ process }) => process.stop('SIGKILL')))
+    await Promise.all([...this.running.values()].map(({ process }) => process?.stop('SIGKILL')))
     await Promise.all([...this.standIns.values()].map(process => process.stop('SIGKILL')))
     fs.rmSync(this.directory, { recursive: true, force: true })
   }
@@ -198,22 +201,22 @@
     const zones = [...new Set(this.settings.entries.map(({ zone }) => zone))]
     for (const [index, entry] of this.settings.entries.entries()) {
       const host = `127.0.${zones.indexOf(entry.zone) + 1}.${index + 1}`
-      const running = { entry, host, callersPort: await findFreePort(host), peersPort: await findFreePort(host), settingsFile: path.join(this.directory, `${entry.id}.ini`) }
-      // The process is started once the catalogue is written.
-      this.running.set(entry.id, { ...running, process: undefined as unknown as TestProcess })
+      this.running.set(entry.id, { entry, host, callersPort: await findFreePort(host), peersPort: await findFreePort(host), settingsFile: path.join(this.directory, `${entry.id}.ini`) })
     }
   }
 
   private async startStandIn (name: string, programArguments: readonly string[]): Promise<void> {
     const [kind, ...rest] = programArguments
-    const standIn = new TestProcess(name, 'standins', [kind, '--port', String(this.ports.get(name)), ...rest])
+    const standIn = new TestProcess(name, 'standins/src/main.js', [kind, '--port', String(this.ports.get(name)), ...rest])
     this.standIns.set(name, standIn)
     await standIn.waitForOutput('state=ready')
   }
 
   private spawnEntry (running: RunningEntry): TestProcess {
     fs.writeFileSync(running.settingsFile, this.formatSettings(running))
-    return new TestProcess(running.entry.id, 'command', ['entry', '--settings', running.settingsFile])
+    const { id, program = ['command/src/main.js'] } = running.entry
+    const [script, ...programArguments] = program
+    return new TestProcess(id, script, [...programArguments, 'entry', '--settings', running.settingsFile])
   }
 
   private formatSettings ({ entry, host, callersPort, peersPort }: RunningEntry): string {
