Run data planes in worker threads on one listening socket

Change: with data-threads = N > 0 an instance starts N worker threads, each with a DataPlane and a control link over a message port. The first thread listens on the callers' address, the others on its descriptor, which gets a number that is not assigned again. A planned stop counts unfinished answers in all threads and ends when every thread reports none after closing its listener and idle connections. A thread that ends unexpectedly makes the instance finish the requests of the others and exit with status 1. A signal during the start now leads to a planned stop.

Result: 24 streams over three threads are whole after SIGTERM and the exit status is 0.

--- a/packages/command/src/JayfallEntryCommand.ts
+++ b/packages/command/src/JayfallEntryCommand.ts
@@ -6,6 +6,7 @@
 import { command, flag, option, string } from 'cmd-ts'
 import { container } from 'tsyringe'
 
+import { EXIT_STATUS } from './JayfallCommandError'
 import { runReporting } from './JayfallCommandOutput'
 
 export const entryCommand = command({
@@ -25,21 +26,26 @@
     container.registerInstance(ENTRY_SETTINGS, settings)
     container.registerInstance(ENTRY_LOG, log)
     const instance = container.resolve(EntryInstance)
-    await instance.start()
-    await stopOnSignal(instance)
+    // A signal during the start must lead to a planned stop too.
+    const started = instance.start()
+    await Promise.all([started, stopOnSignal(instance, started)])
   })
 })
 
-/** Resolves when the instance has stopped. The first signal starts a planned stop, the second ends it. */
-function stopOnSignal (instance: EntryInstance): Promise<void> {
+/** Resolves when the instance has stopped. The first signal, or a failed data thread, starts a planned stop; the next signal ends it. */
+function stopOnSignal (instance: EntryInstance, started: Promise<void>): Promise<void> {
   return new Promise((resolve, reject) => {
     let signals = 0
     const onSignal = (): void => {
       signals++
       if (signals > 2) return
-      const stopped = signals === 1 ? instance.stop() : instance.stopNow()
+      const stopped = signals === 1 ? started.then(() => instance.stop()) : instance.stopNow()
       stopped.then(resolve, reject)
     }
+    instance.failure.then(() => {
+      process.exitCode = EXIT_STATUS.failed
+      onSignal()
+    }, reject)
     process.on('SIGTERM', onSignal)
     process.on('SIGINT', onSignal)
   })
--- a/packages/command/src/main.ts
+++ b/packages/command/src/main.ts
@@ -1,6 +1,8 @@
 #!/usr/bin/env node
 /** The `jayfall` executable. */
 
+import { isMainThread } from 'node:worker_threads'
+
 import 'reflect-metadata'
 import { binary, run, subcommands } from 'cmd-ts'
 
@@ -14,13 +16,16 @@
   cmds: { entry: entryCommand, catalogue: catalogueCommands }
 })
 
-run(binary(jayfall), process.argv).then(
-  () => {
-    // Open sockets of libraries must not hold a finished command back.
+/** Runs the command line and ends the process, as open sockets of libraries must not hold a finished command back. */
+async function main (): Promise<void> {
+  try {
+    await run(binary(jayfall), process.argv)
     process.exit()
-  },
-  (error: Error) => {
-    process.stderr.write(`jayfall: ${error.message}\n`)
+  } catch (error) {
+    process.stderr.write(`jayfall: ${(error as Error).message}\n`)
     process.exit(1)
   }
-)
+}
+
+// In the bundle, data threads load this file as well.
+if (isMainThread) main().catch(() => {})
--- a/packages/entry/src/JayfallDataPlane.ts
+++ b/packages/entry/src/JayfallDataPlane.ts
@@ -4,7 +4,7 @@
  * It learns the catalogue, limit shares and the instance's lifecycle from the control thread.
  */
 
-import { type Server as HttpServer } from 'node:http'
+import { type Server as HttpServer, type ServerResponse } from 'node:http'
 
 import { type Server } from '@hapi/hapi'
 import { InstalledCatalogue, type ServerEntry } from '#jayfall/catalogue'
@@ -31,6 +31,9 @@
   readonly sealPasswords: readonly string[]
 }
 
+/** An address, or the file descriptor of a listening socket. */
+export type ListenTarget = { readonly host: string, readonly port: number } | { readonly fd: number }
+
 /** One data thread's part of the instance. */
 export class DataPlane {
   private readonly clock = new SystemClock()
@@ -41,6 +44,7 @@
   private readonly server: Server
   private readonly listener: HttpServer
   private readonly ticker: NodeJS.Timeout
+  private openAnswers = 0
   private confirmedAt = -Infinity
   private lifecycle: 'serving' | 'leaving' = 'serving'
   private leavingServers: ReadonlySet<string> = new Set()
@@ -67,18 +71,24 @@
     const api = createCallerApi(this.context, settings.limits, () => this.readiness())
     this.server = api.server
     this.listener = api.listener
+    this.listener.prependListener('request', (_request, response) => this.countAnswer(response))
     this.catalogue.registerInstallListener(() => this.updateServers())
     this.ticker = setInterval(() => this.book.tick(), TICK_INTERVAL_MILLISECONDS)
     link.receive(message => this.take(message))
   }
 
-  /** Requests that have not ended. */
+  /** Callers' requests whose answers have not ended, those before and after routing included. */
   get openRequests (): number {
-    return this.book.size
+    return this.openAnswers
+  }
+
+  /** File descriptor of the listening socket. */
+  get descriptor (): number {
+    // The descriptor has no public accessor.
+    return (this.listener as unknown as { readonly _handle: { readonly fd: number } })._handle.fd
   }
 
-  /** Listens on `target`: an address, or the file descriptor of a listening socket. */
-  async listen (target: { readonly host: string, readonly port: number } | { readonly fd: number }): Promise<void> {
+  async listen (target: ListenTarget): Promise<void> {
     await this.server.start()
     await new Promise<void>((resolve, reject) => {
       this.listener.once('error', reject)
@@ -86,9 +96,12 @@
     })
   }
 
-  /** Takes no new connections; open requests go on. */
-  closeListener (): void {
-    this.listener.close()
+  /**
+   * Takes no new connections and closes the idle ones, so that no further request can arrive
+   * once `openRequests` is 0. Called again while requests end, as their connections become idle.
+   */
+  drain (): void {
+    if (this.listener.listening) this.listener.close()
     this.listener.closeIdleConnections()
   }
 
@@ -125,6 +138,13 @@
     }
   }
 
+  private countAnswer (response: ServerResponse): void {
+    this.openAnswers++
+    response.once('close', () => { this.openAnswers-- })
+    // Callers that keep connections open turn to other instances before the listener closes.
+    if (this.lifecycle === 'leaving') response.shouldKeepAlive = false
+  }
+
   private readiness (): Readiness {
     return this.lifecycle === 'leaving' ? 'leaving' : this.catalogue.revision === 0 ? 'starting' : 'serving'
   }
--- /dev/null
+++ b/packages/entry/src/JayfallDataThread.ts
@@ -0,0 +1,90 @@
+/**
+ * The program of a data thread.
+ *
+ * The worker is started from this file when the compiled packages run, and from the whole
+ * program when that is one bundled file; in both cases the last statement starts the thread.
+ */
+
+import { isMainThread, parentPort, workerData, type MessagePort } from 'node:worker_threads'
+
+import { invariant } from '#jayfall/shared'
+import { type Log, type LogFields, type LogLevel } from '#jayfall/telemetry'
+
+import { type ControlMessage, type DataMessage } from './JayfallControlLink'
+import { DataPlane, type DataPlaneSettings, type ListenTarget } from './JayfallDataPlane'
+import { STATE_INTERVAL_MILLISECONDS } from './JayfallEntryConstants'
+import { listenOnHighDescriptor } from './JayfallListeningDescriptor'
+import { PortLink } from './JayfallPortLink'
+
+/** What a data thread is started with. */
+export interface DataThreadStart {
+  readonly role: 'jayfall-data-thread'
+  readonly settings: DataPlaneSettings
+  readonly logLevel: LogLevel
+  /** The data thread's end of the control link. */
+  readonly controlPort: MessagePort
+}
+
+/** From the thread that owns the data threads. */
+export type ThreadCommand =
+  | { readonly kind: 'listen', readonly target: ListenTarget }
+  | { readonly kind: 'drain' }
+  | { readonly kind: 'stop' }
+
+/** From a data thread to its owner. */
+export type ThreadReport =
+  | { readonly kind: 'listening', readonly descriptor: number }
+  | { readonly kind: 'listen-failed', readonly message: string }
+  | { readonly kind: 'log', readonly level: Exclude<LogLevel, 'silent'>, readonly event: string, readonly fields?: LogFields }
+  | Extract<DataMessage, { kind: 'state' }>
+  /** The answer to `drain`: the open requests after the listener and the idle connections were closed. */
+  | { readonly kind: 'drained', readonly openRequests: number }
+  | { readonly kind: 'stopped' }
+
+const LOG_LEVELS: readonly LogLevel[] = ['debug', 'info', 'warn', 'error', 'silent']
+
+/** A log whose events are written by the thread that owns the data threads. */
+function createThreadLog (lowest: LogLevel, report: (report: ThreadReport) => void): Log {
+  const writer = (level: Exclude<LogLevel, 'silent'>) => {
+    const isWritten = LOG_LEVELS.indexOf(level) >= LOG_LEVELS.indexOf(lowest)
+    return (event: string, fields?: LogFields): void => { if (isWritten) report({ kind: 'log', level, event, fields }) }
+  }
+  return { debug: writer('debug'), info: writer('info'), warn: writer('warn'), error: writer('error') }
+}
+
+function runDataThread ({ settings, logLevel, controlPort }: DataThreadStart): void {
+  const owner = parentPort
+  invariant(owner !== null, 'a data thread runs in a worker thread')
+  const report = (message: ThreadReport): void => owner.postMessage(message)
+  const plane = new DataPlane(settings, new PortLink<DataMessage, ControlMessage>(controlPort), createThreadLog(logLevel, report))
+  let reportedRequests = 0
+  setInterval(() => {
+    const { openRequests } = plane
+    if (openRequests !== reportedRequests) report({ kind: 'state', openRequests })
+    reportedRequests = openRequests
+  }, STATE_INTERVAL_MILLISECONDS)
+  owner.on('message', (command: ThreadCommand) => {
+    carryOut(plane, command, report).catch((error: Error) => report({ kind: 'listen-failed', message: error.message }))
+  })
+}
+
+async function carryOut (plane: DataPlane, command: ThreadCommand, report: (report: ThreadReport) => void): Promise<void> {
+  switch (command.kind) {
+    case 'listen': {
+      const { target } = command
+      if ('fd' in target) await plane.listen(target)
+      else await listenOnHighDescriptor(() => plane.listen(target))
+      report({ kind: 'listening', descriptor: plane.descriptor })
+      break
+    }
+    case 'drain':
+      plane.drain()
+      report({ kind: 'drained', openRequests: plane.openRequests })
+      break
+    case 'stop':
+      await plane.stop()
+      report({ kind: 'stopped' })
+  }
+}
+
+if (!isMainThread && (workerData as Partial<DataThreadStart> | null)?.role === 'jayfall-data-thread') runDataThread(workerData as DataThreadStart)
--- a/packages/entry/src/JayfallEntryConstants.ts
+++ b/packages/entry/src/JayfallEntryConstants.ts
@@ -28,3 +28,12 @@
 /** Characters of a prompt that are estimated as one token. */
 export const CHARACTERS_PER_TOKEN = 4
 export const DEFAULT_MAXIMUM_OUTPUT_TOKENS = 512
+
+/** Name of the executable's asset that holds the bundled program. */
+export const BUNDLE_ASSET = 'jayfall.cjs'
+/** The shared listening socket gets a descriptor of at least this number, or the highest that the process may use. */
+export const RESERVED_DESCRIPTORS = 16_000
+/** A data thread reports its open requests at this interval when they have changed. */
+export const STATE_INTERVAL_MILLISECONDS = 50
+/** A data thread that does not stop within this time is terminated. */
+export const THREAD_STOP_LIMIT_MILLISECONDS = 2000
--- a/packages/entry/src/JayfallEntryInstance.ts
+++ b/packages/entry/src/JayfallEntryInstance.ts
@@ -6,9 +6,10 @@
 import 'reflect-metadata'
 import { inject, injectable } from 'tsyringe'
 
-import { createLocalLink } from './JayfallControlLink'
 import { ControlPlane } from './JayfallControlPlane'
-import { DataPlane } from './JayfallDataPlane'
+import { LocalDataHost, type DataHost } from './JayfallDataHost'
+import { type DataPlaneSettings } from './JayfallDataPlane'
+import { ThreadedDataHost } from './JayfallThreadedDataHost'
 
 /** Names under which the container holds what an instance is made of. */
 export const ENTRY_SETTINGS = Symbol('EntrySettings')
@@ -21,7 +22,7 @@
 @injectable()
 export class EntryInstance {
   private readonly controlPlane: ControlPlane
-  private readonly dataPlane: DataPlane
+  private readonly dataHost: DataHost
 
   constructor (@inject(ENTRY_SETTINGS) private readonly settings: EntrySettings, @inject(ENTRY_LOG) private readonly log: Log) {
     const { instance, callers, peers, platform, keys, ledger } = settings
@@ -29,39 +30,46 @@
     this.controlPlane = new ControlPlane({
       instanceId: instance.id, localAddress, platformAddress: platform.address, platformTimeout: platform.timeout, batchInterval: ledger['batch-interval']
     }, log)
-    const link = createLocalLink()
-    this.controlPlane.attach(link.control)
-    this.dataPlane = new DataPlane({
+    const dataSettings: DataPlaneSettings = {
       instanceId: instance.id,
       localAddress,
       limits: { bodyLimit: callers['body-limit'], headerTimeout: callers['header-timeout'], connectionLimit: callers['connection-limit'] },
       requestDeadline: callers['request-deadline'],
       sealPasswords: keys['seal-passwords']
-    }, link.data, log)
+    }
+    const attach: ControlPlane['attach'] = link => this.controlPlane.attach(link)
+    const threads = settings.threads['data-threads']
+    this.dataHost = threads === 0
+      ? new LocalDataHost(dataSettings, attach, log)
+      : new ThreadedDataHost(threads, dataSettings, settings.telemetry['log-level'], attach, log)
+  }
+
+  /** Resolves with the cause when the instance cannot go on and is to be stopped. */
+  get failure (): Promise<Error> {
+    return this.dataHost.failure
   }
 
   async start (): Promise<void> {
     const [host, port] = this.settings.callers.address.split(':')
     this.controlPlane.start()
-    await this.dataPlane.listen({ host, port: Number(port) })
+    await this.dataHost.listen({ host, port: Number(port) })
     this.log.info('instance_started', { zone: this.settings.instance.zone, callers: this.settings.callers.address })
   }
 
   /** Reports itself unready, waits until the balancer has seen it, and finishes what is open. */
   async stop (): Promise<void> {
     const { 'drain-notice': notice, 'stop-limit': limit } = this.settings.stop
-    this.log.info('instance_stopping', { open_requests: this.dataPlane.openRequests })
+    this.log.info('instance_stopping', { open_requests: this.dataHost.openRequests })
     this.controlPlane.announceLeaving()
     await delay(notice)
-    this.dataPlane.closeListener()
-    for (let waited = 0; waited < limit && this.dataPlane.openRequests > 0; waited += DRAIN_POLL_MILLISECONDS) await delay(DRAIN_POLL_MILLISECONDS)
+    for (let waited = 0; waited < limit && await this.dataHost.drain() > 0; waited += DRAIN_POLL_MILLISECONDS) await delay(DRAIN_POLL_MILLISECONDS)
     await this.stopNow()
   }
 
   /** Writes the bills and closes everything. */
   async stopNow (): Promise<void> {
     await this.controlPlane.stop()
-    await this.dataPlane.stop()
+    await this.dataHost.stop()
     this.log.info('instance_stopped')
   }
 }
--- /dev/null
+++ b/packages/entry/src/__tests__/integration/JayfallDataThreads.test.ts
@@ -0,0 +1,68 @@
+import assert from 'node:assert/strict'
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
+import * as fs from 'node:fs'
+import * as os from 'node:os'
+import * as path from 'node:path'
+import { after, before, describe, it } from 'node:test'
+
+import OpenAI from 'openai'
+import { findFreePort, TestSystem, testCallerKey, testEngineService, testVersion, testWorkspace } from '#jayfall/testbed'
+
+const WORKSPACE = 'taller-uno'
+const STREAMS = 24
+
+describe('an instance with three data threads', () => {
+  let system: TestSystem
+
+  before(async () => {
+    system = await TestSystem.start({
+      servers: [{ id: 'engine-1', zone: 'valdivia', service: 'asistente-tallado', type: 'engine', options: ['--slots', '64', '--token-interval', '20', '--batch-slowdown', '0'] }],
+      entries: [{ id: 'entry-1', zone: 'valdivia', settings: { threads: { 'data-threads': '3' } } }],
+      catalogue: [testVersion('guide-1'), testEngineService('asistente-tallado', ['guide-1']), testWorkspace(WORKSPACE, ['guide-1'])]
+    })
+  })
+
+  after(async () => { await system.stop() })
+
+  it('guards against a planned stop that cuts off the streams of one of the threads', async () => {
+    const client = new OpenAI({ baseURL: `http://${system.callersAddress('entry-1')}/v1`, apiKey: testCallerKey(WORKSPACE), maxRetries: 0 })
+    const tokens = 60
+    const readStream = async (): Promise<number> => {
+      let count = 0
+      const stream = await client.chat.completions.create({ model: 'guide', messages: [{ role: 'user', content: 'draft' }], max_tokens: tokens, stream: true })
+      for await (const chunk of stream) count += chunk.choices[0]?.delta.content === undefined ? 0 : 1
+      return count
+    }
+    const answers = Array.from({ length: STREAMS }, readStream)
+    await new Promise(resolve => setTimeout(resolve, 300))
+    const process = system.entryProcess('entry-1')
+    assert.equal(await process.stop(), 0)
+    assert.deepEqual(await Promise.all(answers), Array.from({ length: STREAMS }, () => tokens))
+    assert.match(process.output, new RegExp(`event=instance_stopping instance=entry-1 open_requests=${STREAMS}`))
+  })
+})
+
+describe('the bundled program', () => {
+  it('guards against a bundle that lacks the program of the data threads', async () => {
+    const directory = fs.mkdtempSync(path.join(os.tmpdir(), 'jayfall-bundle-'))
+    const [callers, peers] = [await findFreePort(), await findFreePort()]
+    const example = fs.readFileSync('examples/entry.ini', 'utf8').replace(':8080', `:${callers}`).replace(':8081', `:${peers}`)
+    const settings = path.join(directory, 'entry.ini')
+    fs.writeFileSync(settings, `${example}\n[threads]\ndata-threads = 2\n[stop]\ndrain-notice = 10ms\n`)
+    const child = spawn(process.execPath, ['dist/jayfall.cjs', 'entry', '--settings', settings], { stdio: ['ignore', 'pipe', 'inherit'] })
+    try {
+      let output = ''
+      for await (const chunk of child.stdout) {
+        output += String(chunk)
+        if (output.includes('event=instance_started')) child.kill('SIGTERM')
+      }
+      if (child.exitCode === null) await once(child, 'exit')
+      assert.equal(child.exitCode, 0, output)
+      assert.match(output, /event=instance_stopped/)
+    } finally {
+      child.kill('SIGKILL')
+      fs.rmSync(directory, { recursive: true })
+    }
+  })
+})
--- /dev/null
+++ b/packages/entry/src/__tests__/unit/JayfallThreadedDataHost.test.ts
@@ -0,0 +1,77 @@
+import assert from 'node:assert/strict'
+import * as fs from 'node:fs'
+import * as path from 'node:path'
+import { afterEach, beforeEach, describe, it } from 'node:test'
+import { Worker } from 'node:worker_threads'
+
+import Wreck from '@hapi/wreck'
+import { createLog } from '#jayfall/telemetry'
+import { findFreePort } from '#jayfall/testbed'
+
+import { ThreadedDataHost } from '../../JayfallThreadedDataHost'
+
+const THREADS = 3
+const SETTINGS = {
+  instanceId: 'entry-1',
+  localAddress: '127.0.0.1',
+  limits: { bodyLimit: 1024, headerTimeout: 1000, connectionLimit: 300 },
+  requestDeadline: 1000,
+  sealPasswords: ['first:a-password-for-tests-of-more-than-32-characters']
+}
+
+describe('ThreadedDataHost', () => {
+  let host: ThreadedDataHost
+  let workers: Worker[]
+  let port: number
+  const lines: string[] = []
+
+  beforeEach(async () => {
+    workers = []
+    port = await findFreePort()
+    host = new ThreadedDataHost(THREADS, SETTINGS, 'info', () => {}, createLog('info', {}, line => lines.push(line)), options => {
+      const worker = new Worker(path.join(__dirname, '../../JayfallDataThread.js'), options)
+      workers.push(worker)
+      return worker
+    })
+    await host.listen({ host: '127.0.0.1', port })
+  })
+
+  afterEach(async () => { await host.stop() })
+
+  const request = () => Wreck.request('GET', `http://127.0.0.1:${port}/healthz`, { agent: false as never })
+
+  it('guards against a thread that does not share the listening socket', async () => {
+    for (let count = 0; count < 50; count++) assert.equal((await request()).statusCode, 200)
+  })
+
+  it('guards against a listening socket that stays open after a planned stop of all threads', async () => {
+    assert.equal(await host.drain(), 0)
+    await assert.rejects(request(), { code: 'ECONNREFUSED' })
+  })
+
+  it('guards against a reused descriptor: the shared number is above those of connections', () => {
+    const sockets = fs.readdirSync('/proc/self/fd').filter(descriptor => Number(descriptor) > 1000)
+      .filter(descriptor => fs.readlinkSync(`/proc/self/fd/${descriptor}`).startsWith('socket:'))
+    assert.equal(sockets.length, 1)
+  })
+
+  it('guards against an instance that goes on after the loss of a thread', async () => {
+    await workers[1].terminate()
+    const error = await host.failure
+    assert.match(error.message, /a data thread ended with status/)
+    assert.ok(lines.some(line => line.includes('event=data_thread_failed')))
+  })
+
+  it('guards against a planned stop that is taken for a failure', async () => {
+    let failed = false
+    host.failure.then(() => { failed = true }, () => {})
+    await host.stop()
+    assert.equal(failed, false)
+  })
+
+  it('reports an address that is taken', async () => {
+    const second = new ThreadedDataHost(1, SETTINGS, 'info', () => {}, createLog('silent'))
+    await assert.rejects(second.listen({ host: '127.0.0.1', port }), /EADDRINUSE/)
+    await second.stop()
+  })
+})
