Merge the data threads

Conflict: the callers' server had moved into CallerApi, and open requests are interrupted at the stop limit; the thread host passes that on.

--- a/packages/entry/src/JayfallCallerApi.ts
+++ b/packages/entry/src/JayfallCallerApi.ts
@@ -36,7 +36,7 @@
   constructor (context: DataContext, limits: CallerApiLimits, private readonly readiness: () => Readiness) {
     this.listener = http.createServer({ headersTimeout: limits.headerTimeout, requestTimeout: 0, connectionsCheckingInterval: 1000 })
     this.listener.maxConnections = limits.connectionLimit
-    this.listener.on('request', (_request, response) => this.track(response))
+    this.listener.prependListener('request', (_request, response) => this.track(response))
     this.server = Hapi.server({
       listener: this.listener,
       autoListen: false,
@@ -59,9 +59,15 @@
     })
   }
 
-  /** Takes no new connections and closes those that are idle. */
-  close (): void {
-    this.listener.close()
+  /** File descriptor of the listening socket. */
+  get descriptor (): number {
+    // The descriptor has no public accessor.
+    return (this.listener as unknown as { readonly _handle: { readonly fd: number } })._handle.fd
+  }
+
+  /** Takes no new connections and closes those that are idle; may be called again. */
+  drain (): void {
+    if (this.listener.listening) this.listener.close()
     this.listener.closeIdleConnections()
   }
 
--- a/packages/entry/src/JayfallDataPlane.ts
+++ b/packages/entry/src/JayfallDataPlane.ts
@@ -68,19 +68,26 @@
     link.receive(message => this.take(message))
   }
 
-  /** Callers' requests that have not been answered whole. */
+  /** Callers' requests whose answers have not ended, those before and after routing included. */
   get openRequests (): number {
     return this.api.openExchanges
   }
 
-  /** Listens on `target`: an address, or the file descriptor of a listening socket. */
+  /** File descriptor of the listening socket. */
+  get descriptor (): number {
+    return this.api.descriptor
+  }
+
   async listen (target: ListenTarget): Promise<void> {
     await this.api.listen(target)
   }
 
-  /** Takes no new connections; open requests go on. */
-  closeListener (): void {
-    this.api.close()
+  /**
+   * Takes no new connections and closes the idle ones, so that no further request can arrive
+   * once `openRequests` is 0. Called again while requests end, as their connections become idle.
+   */
+  drain (): void {
+    this.api.drain()
   }
 
   /** Ends open requests with an error that says how to go on. */
