Complete the claims of non-idempotent calls

Cause: a claim whose reply was lost could stay dispatched for ever, a conflict had no retry, each row took a transaction of its own, an outcome was lost when the store went down after the call ran, and nothing recovered rows of dead owners.

Claims with an unknown result are withdrawn, and outcomes without an answer written, in the background with backoff and bounded memory. The price is recorded with the claim.

--- a/packages/entry/src/JayfallControlCalls.ts
+++ b/packages/entry/src/JayfallControlCalls.ts
@@ -1,6 +1,6 @@
 /** Calls from a data thread to the control thread, and the types of their arguments and results. */
 
-import { type Bill, type CallClaim, type CallOutcome, type CallRow, type ClaimResult } from '#jayfall/ledger'
+import { type Bill, type CallClaim, type CallOutcome, type CallRow, type ClaimResult, type CompletionResult } from '#jayfall/ledger'
 import { JayfallError } from '#jayfall/shared'
 
 import { type ControlMessage, type DataLinkEnd } from './JayfallControlLink'
@@ -8,8 +8,8 @@
 /** Names of the calls with their arguments and results. */
 export interface ControlCalls {
   readonly claim: { readonly argument: CallClaim, readonly result: ClaimResult }
-  readonly complete: { readonly argument: { readonly claim: CallClaim, readonly outcome: CallOutcome, readonly bill: Bill }, readonly result: undefined }
-  readonly withdraw: { readonly argument: CallClaim, readonly result: undefined }
+  readonly complete: { readonly argument: { readonly claim: CallClaim, readonly revision: number, readonly outcome: CallOutcome }, readonly result: CompletionResult }
+  readonly withdraw: { readonly argument: { readonly claim: CallClaim, readonly revision: number }, readonly result: undefined }
   readonly find: { readonly argument: { readonly workspace: string, readonly key: string }, readonly result: CallRow | undefined }
   /** Resolves when the bill survives the death of this instance. */
   readonly bill: { readonly argument: Bill, readonly result: undefined }
@@ -17,6 +17,11 @@
 
 export type ControlCallName = keyof ControlCalls
 
+/** What the control thread does for each call. */
+export type CallHandlers = {
+  readonly [Name in ControlCallName]: (argument: ControlCalls[Name]['argument']) => Promise<ControlCalls[Name]['result']>
+}
+
 /** A call to the control thread failed; `code` is that of the error below. */
 export class ControlCallError extends JayfallError {
   constructor (code: string, message: string) {
--- a/packages/entry/src/JayfallControlPlane.ts
+++ b/packages/entry/src/JayfallControlPlane.ts
@@ -5,21 +5,17 @@
  */
 
 import { InstalledCatalogue } from '#jayfall/catalogue'
-import { BillBatches, CallClaims } from '#jayfall/ledger'
-import { CatalogueStore, HttpObjectStore, HttpTableStore, PlatformHttp } from '#jayfall/platform'
+import { CatalogueStore, HttpTableStore, PlatformHttp } from '#jayfall/platform'
 import { JayfallError, SystemClock } from '#jayfall/shared'
 import { type Log } from '#jayfall/telemetry'
 
-import { type ControlCallName, type ControlCalls } from './JayfallControlCalls'
+import { type ControlCallName } from './JayfallControlCalls'
 import { type ControlLinkEnd, type DataMessage } from './JayfallControlLink'
+import { InstanceLedger } from './JayfallInstanceLedger'
 
 /** Interval at which the store's head row is read. */
 const HEAD_INTERVAL_MILLISECONDS = 1000
 
-type CallHandlers = {
-  readonly [Name in ControlCallName]: (argument: ControlCalls[Name]['argument']) => Promise<ControlCalls[Name]['result']>
-}
-
 export interface ControlPlaneSettings {
   readonly instanceId: string
   /** IP address that connections are made from. */
@@ -36,24 +32,14 @@
   private readonly clock = new SystemClock()
   private readonly http: PlatformHttp
   private readonly catalogueStore: CatalogueStore
-  private readonly bills: BillBatches
-  private readonly handlers: CallHandlers
+  private readonly ledger: InstanceLedger
   private links: readonly ControlLinkEnd[] = []
   private timers: readonly NodeJS.Timeout[] = []
 
-  constructor (private readonly settings: ControlPlaneSettings, private readonly log: Log) {
+  constructor (settings: ControlPlaneSettings, private readonly log: Log) {
     this.http = new PlatformHttp({ address: settings.platformAddress, timeout: settings.platformTimeout, localAddress: settings.localAddress })
-    const tables = new HttpTableStore(this.http)
-    const claims = new CallClaims(tables)
-    this.catalogueStore = new CatalogueStore(tables)
-    this.bills = new BillBatches(new HttpObjectStore(this.http), settings.instanceId)
-    this.handlers = {
-      claim: argument => claims.claim(argument),
-      complete: async ({ claim, outcome, bill }) => { await claims.complete(claim, outcome, bill) },
-      withdraw: async claim => { await claims.withdraw(claim) },
-      find: ({ workspace, key }) => claims.find(workspace, key),
-      bill: async bill => { this.bills.record(bill) }
-    }
+    this.catalogueStore = new CatalogueStore(new HttpTableStore(this.http))
+    this.ledger = new InstanceLedger(settings, this.catalogue, log)
   }
 
   /** Connects a data thread. */
@@ -64,10 +50,8 @@
   }
 
   start (): void {
-    this.timers = [
-      this.every(HEAD_INTERVAL_MILLISECONDS, () => this.readCatalogue()),
-      this.every(this.settings.batchInterval, () => this.bills.flush())
-    ]
+    this.ledger.start()
+    this.timers = [this.every(HEAD_INTERVAL_MILLISECONDS, () => this.readCatalogue())]
   }
 
   /** Tells the data threads that the instance is leaving. */
@@ -77,7 +61,7 @@
 
   async stop (): Promise<void> {
     for (const timer of this.timers) clearInterval(timer)
-    await this.bills.flush().catch((error: Error) => this.log.error('bills_not_written', { message: error.message }))
+    await this.ledger.stop()
     this.http.close()
   }
 
@@ -111,7 +95,7 @@
 
   private take (link: ControlLinkEnd, message: DataMessage): void {
     if (message.kind !== 'call') return
-    const handler = this.handlers[message.name as ControlCallName] as (argument: unknown) => Promise<unknown>
+    const handler = this.ledger.handlers[message.name as ControlCallName] as (argument: unknown) => Promise<unknown>
     handler(message.argument).then(
       result => link.post({ kind: 'reply', id: message.id, result }),
       (error: Error) => link.post({ kind: 'reply', id: message.id, error: { code: error instanceof JayfallError ? error.code : 'internal', message: error.message } })
--- a/packages/entry/src/JayfallServiceCall.ts
+++ b/packages/entry/src/JayfallServiceCall.ts
@@ -4,7 +4,7 @@
 
 import { type Request, type ResponseObject, type ResponseToolkit } from '@hapi/hapi'
 import { type ServiceCall, type ServiceEntry, type WorkspaceEntry } from '#jayfall/catalogue'
-import { type Bill, type CallClaim, type CallOutcome, type CallRow } from '#jayfall/ledger'
+import { type CallClaim, type CallOutcome, type CallRow } from '#jayfall/ledger'
 import { type RoutedRequest, type RoutingDecision } from '#jayfall/routing'
 
 import { ApiError } from './JayfallApiError'
@@ -18,6 +18,9 @@
 import { type DecisionHandler } from './JayfallRequestBook'
 import { headerValue, pathParameter } from './JayfallRequestFields'
 
+/** After this time another question for an outcome has a prospect. */
+const OUTCOME_RETRY_MILLISECONDS = 1000
+
 type Dispatch = Extract<RoutingDecision, { kind: 'dispatch' }>
 
 interface PlainWork {
@@ -44,6 +47,7 @@
     bodyHash: hashBody([request.method, service.id, call.name, request.payload]),
     service: service.id,
     call: call.name,
+    price: call.price,
     claimedAt: context.clock.wall()
   })
 }
@@ -90,23 +94,28 @@
 async function callOnce (context: DataContext, toolkit: ResponseToolkit, work: PlainWork, claim: CallClaim): Promise<ResponseObject> {
   const result = await context.control.call('claim', claim).catch(throwStoreUnavailable)
   if (result.kind === 'present') return replay(toolkit, work.request.id, claim, result.row)
-  const bill: Bill = { key: `${claim.workspace}/${claim.key}`, workspace: claim.workspace, source: `${claim.service}/${claim.call}`, promptTokens: 0, outputTokens: 0, amount: work.call.price }
+  const { revision } = result
   try {
     const outcome = await sendThroughRouter(context, work)
-    await context.control.call('complete', { claim, outcome, bill })
+    const completion = await context.control.call('complete', { claim, revision, outcome })
+    if (completion === 'deferred') context.log.warn('outcome_deferred', { request: claim.requestId, workspace: claim.workspace })
     return toResponse(toolkit, work.request.id, outcome)
   } catch (error) {
     if (error instanceof ApiError && error.ran === 'no') {
-      context.control.call('withdraw', claim).catch((cause: Error) => context.log.warn('withdraw_failed', { request: claim.requestId, message: cause.message }))
+      context.control.call('withdraw', { claim, revision }).catch((cause: Error) => context.log.warn('withdraw_failed', { request: claim.requestId, message: cause.message }))
       throw error
     }
-    throw new ApiError('outcome_unknown', 'the call was sent and its outcome is not known yet', { ran: 'unknown', ask: askPath(claim) }, error)
+    throw new ApiError('outcome_unknown', 'the call was sent and its outcome is not known yet', { ran: 'unknown', retryAfter: OUTCOME_RETRY_MILLISECONDS, ask: askPath(claim) }, error)
   }
 }
 
+/** Answers a repeated call with what the earlier attempt's row tells. */
 function replay (toolkit: ResponseToolkit, requestId: string, claim: CallClaim, row: CallRow): ResponseObject {
   if (row.state === 'done') return toResponse(toolkit, requestId, row.outcome).header(REPLAYED_HEADER, '1')
-  throw new ApiError('outcome_unknown', 'an earlier attempt with this key has no recorded outcome yet', { ran: 'unknown', retryAfter: 1000, ask: askPath(claim) })
+  if (row.state === 'unknown') {
+    throw new ApiError('outcome_unknown', 'the outcome of an earlier attempt with this key cannot be found out; operators have been told', { ran: 'unknown', ask: askPath(claim) })
+  }
+  throw new ApiError('outcome_unknown', 'an earlier attempt with this key has no recorded outcome yet', { ran: 'unknown', retryAfter: OUTCOME_RETRY_MILLISECONDS, ask: askPath(claim) })
 }
 
 function askPath (claim: CallClaim): string {
