Add the proof that non-idempotent calls run at most once

Change: a proof over three real instances under kills, pauses (one of 37 s, longer than the age at which recovery acts), lost, slow and late store replies, a silent and a refusing store. It compares the callers' answers with the plain services' own counts. Its counter-proof starts instances whose claims always grant. Errors of plain calls now carry the request identifier that the backend servers see, so that a refusal can be checked against them.

--- a/packages/entry/src/JayfallApiError.ts
+++ b/packages/entry/src/JayfallApiError.ts
@@ -60,6 +60,8 @@
   /** Milliseconds after which another try has a prospect. */
   readonly retryAfter?: number
   readonly ask?: string
+  /** The identifier that the backend servers know the request by. */
+  readonly requestId?: string
   readonly info?: ErrorInfo
 }
 
@@ -70,6 +72,7 @@
   readonly ran: RanState
   readonly retryAfter?: number
   readonly ask?: string
+  readonly requestId?: string
 
   constructor (code: ApiErrorCode, message: string, details: ApiErrorDetails = {}, cause?: unknown) {
     super('ApiError', code, message, cause, details.info)
@@ -78,6 +81,7 @@
     this.ran = details.ran ?? 'no'
     this.retryAfter = details.retryAfter
     this.ask = details.ask
+    this.requestId = details.requestId
   }
 
   /** The body that the caller receives. */
@@ -89,7 +93,7 @@
         type: this.status < 500 ? 'invalid_request_error' : 'server_error',
         ran: this.ran,
         ...(this.retryAfter === undefined ? {} : { retryAfterMs: Math.ceil(this.retryAfter) }),
-        requestId,
+        requestId: this.requestId ?? requestId,
         ...(this.ask === undefined ? {} : { ask: this.ask })
       }
     }
--- a/packages/entry/src/JayfallServiceCall.ts
+++ b/packages/entry/src/JayfallServiceCall.ts
@@ -105,7 +105,7 @@
       context.control.call('withdraw', { claim, revision }).catch((cause: Error) => context.log.warn('withdraw_failed', { request: claim.requestId, message: cause.message }))
       throw error
     }
-    throw new ApiError('outcome_unknown', 'the call was sent and its outcome is not known yet', { ran: 'unknown', retryAfter: OUTCOME_RETRY_MILLISECONDS, ask: askPath(claim) }, error)
+    throw new ApiError('outcome_unknown', 'the call was sent and its outcome is not known yet', { ran: 'unknown', retryAfter: OUTCOME_RETRY_MILLISECONDS, ask: askPath(claim), requestId: claim.requestId }, error)
   }
 }
 
@@ -162,7 +162,7 @@
 
   refuse ({ code, retryAfter }: Extract<RoutingDecision, { kind: 'refuse' }>): void {
     this.context.book.close(this.work.request.id)
-    this.reject(new ApiError(code, refusalMessage(code), { ran: this.mayHaveRun ? 'unknown' : 'no', retryAfter }, this.lastError))
+    this.reject(new ApiError(code, refusalMessage(code), { ran: this.mayHaveRun ? 'unknown' : 'no', retryAfter, requestId: this.work.request.id }, this.lastError))
   }
 
   private async send (decision: Dispatch): Promise<CallOutcome> {
--- a/packages/ledger/src/__tests__/unit/JayfallCallClaims.test.ts
+++ b/packages/ledger/src/__tests__/unit/JayfallCallClaims.test.ts
@@ -70,6 +70,17 @@
       assert.equal(stored()?.state, 'not-run')
     })
 
+    it('guards against a late claim on top of a row that another attempt gave up', async () => {
+      const granted = await claims.claim(makeClaim('a'))
+      assert.ok(granted.kind === 'granted')
+      await claims.withdraw(makeClaim('a'), granted.revision)
+      failWith('none', 'late', 'down')
+      await assert.rejects(claims.claim(makeClaim('b')))
+      await retryUntilDone()
+      store.faults.deliverLate()
+      assert.equal(stored()?.state, 'not-run')
+    })
+
     it('guards against a lost outcome: it is written once the store is back', async () => {
       const granted = await claims.claim(makeClaim('a'))
       assert.ok(granted.kind === 'granted')
--- /dev/null
+++ b/packages/proofs/src/JayfallCounterEntry.ts
@@ -0,0 +1,28 @@
+/**
+ * An entry instance with one mechanism of the ledger replaced, for counter-proofs.
+ *
+ * The replacement is made in this program's wiring only; no setting of the product reaches it.
+ */
+
+import 'reflect-metadata'
+import { EntryInstance } from '#jayfall/entry'
+import { CallClaims } from '#jayfall/ledger'
+import { readEntrySettings } from '#jayfall/settings'
+import { createLog } from '#jayfall/telemetry'
+
+/** What can be replaced, by the last word of the script's name. */
+const REPLACEMENTS: Readonly<Record<string, () => void>> = {
+  /** Every attempt may send, whatever the row says. */
+  claims: () => { CallClaims.prototype.claim = async () => ({ kind: 'granted', revision: 0 }) }
+}
+
+/** Runs an instance with `name` replaced until SIGTERM. */
+export async function runCounterEntry (name: string): Promise<void> {
+  REPLACEMENTS[name]()
+  const settings = readEntrySettings(process.argv[process.argv.indexOf('--settings') + 1])
+  const instance = new EntryInstance(settings, createLog('error'))
+  await instance.start()
+  process.once('SIGTERM', () => {
+    instance.stop().then(() => process.exit(0), () => process.exit(1))
+  })
+}
--- a/packages/proofs/src/JayfallProofRegistry.ts
+++ b/packages/proofs/src/JayfallProofRegistry.ts
@@ -1,5 +1,6 @@
 /** All proofs by name. */
 
+import { AtMostOnceProof } from './JayfallAtMostOnceProof'
 import { type Proof } from './JayfallProof'
 
-export const PROOFS: readonly Proof[] = []
+export const PROOFS: readonly Proof[] = [new AtMostOnceProof()]
--- a/packages/testbed/src/JayfallTestProcess.ts
+++ b/packages/testbed/src/JayfallTestProcess.ts
@@ -8,8 +8,8 @@
 const BUILD_DIRECTORY = path.resolve(__dirname, '../..')
 const READY_TIMEOUT_MILLISECONDS = 15_000
 
-/** A program of the build. */
-export type Program = 'command' | 'standins'
+/** A program of the build: a package with a `main`, or the path of a compiled script below the build directory. */
+export type Program = 'command' | 'standins' | `${string}.js`
 
 /** A child process whose output is kept. */
 export class TestProcess {
@@ -17,7 +17,7 @@
   private text = ''
 
   constructor (readonly name: string, program: Program, programArguments: readonly string[]) {
-    const script = path.join(BUILD_DIRECTORY, program, 'src/main.js')
+    const script = path.join(BUILD_DIRECTORY, program.endsWith('.js') ? program : `${program}/src/main.js`)
     this.child = spawn(process.execPath, ['--enable-source-maps', script, ...programArguments], { stdio: ['ignore', 'pipe', 'pipe'] })
     this.child.stdout?.on('data', (chunk: Buffer) => { this.text += chunk.toString() })
     this.child.stderr?.on('data', (chunk: Buffer) => { this.text += chunk.toString() })
--- a/packages/testbed/src/JayfallTestSystem.ts
+++ b/packages/testbed/src/JayfallTestSystem.ts
@@ -18,7 +18,7 @@
 import { delay } from '#jayfall/shared'
 import { type LinkFaultChange, type PlatformFaults } from '#jayfall/standins'
 
-import { findFreePort, TestProcess } from './JayfallTestProcess'
+import { findFreePort, TestProcess, type Program } from './JayfallTestProcess'
 
 /** A backend server of the system. */
 export interface TestServer {
@@ -45,6 +45,8 @@
   /** Catalogue entries besides those of the servers. */
   readonly catalogue: readonly CatalogueEntry[]
   readonly seed?: number
+  /** The program of the entry instances; a counter-proof starts one with a mechanism replaced. */
+  readonly entryProgram?: Program
 }
 
 /** The caller key of a workspace in tests. */
@@ -213,7 +215,7 @@
 
   private spawnEntry (running: RunningEntry): TestProcess {
     fs.writeFileSync(running.settingsFile, this.formatSettings(running))
-    return new TestProcess(running.entry.id, 'command', ['entry', '--settings', running.settingsFile])
+    return new TestProcess(running.entry.id, this.settings.entryProgram ?? 'command', ['entry', '--settings', running.settingsFile])
   }
 
   private formatSettings ({ entry, host, callersPort, peersPort }: RunningEntry): string {
