--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -3,7 +3,8 @@
 import OpenAI from 'openai'
 
 import { type VersionEntry } from '#jayfall/catalogue'
-import { type BillBatch, type CallRow } from '#jayfall/ledger'
+import { readLedger } from '#jayfall/ledger'
+import { HttpObjectStore, HttpTableStore, PlatformHttp } from '#jayfall/platform'
 import { TestSystem, testCallerKey } from '#jayfall/testbed'
 
 import { DEPLOYMENTS, type Deployment } from './JayfallDeployment'
@@ -71,13 +72,14 @@
 }
 
 async function printBills (system: TestSystem): Promise<void> {
-  const { names } = await system.readStandIn<{ names: readonly string[] }>('platform', '/objects?prefix=bills/')
-  const batches = await Promise.all(names.map(name => system.readStandIn<BillBatch>('platform', `/objects/${encodeURIComponent(name)}`)))
-  const { rows } = await system.readStandIn<{ rows: readonly { readonly value: CallRow }[] }>('platform', '/tables/calls')
-  const callBills = rows.flatMap(({ value }) => value.state === 'done' ? [value.bill] : [])
-  const bills = new Map([...batches.flatMap(batch => batch.bills), ...callBills].map(bill => [bill.key, bill]))
-  for (const { source, amount, key } of bills.values()) write(`billed ${source} amount ${amount.toFixed(6)} key ${key}`)
-  write(`billed in all: ${bills.size} bills, amount ${[...bills.values()].reduce((sum, { amount }) => sum + amount, 0).toFixed(6)}`)
+  const http = new PlatformHttp({ address: system.directAddress('platform') })
+  try {
+    const bills = await readLedger(new HttpTableStore(http), new HttpObjectStore(http))
+    for (const { source, amount, key } of bills) write(`billed ${source} amount ${amount.toFixed(6)} key ${key}`)
+    write(`billed in all: ${bills.length} bills, amount ${bills.reduce((sum, { amount }) => sum + amount, 0).toFixed(6)}`)
+  } finally {
+    http.close()
+  }
 }
 
 async function main (): Promise<void> {
--- a/packages/entry/src/JayfallDataPlane.ts
+++ b/packages/entry/src/JayfallDataPlane.ts
@@ -39,6 +39,7 @@
   private readonly api: CallerApi
   private readonly ticker: NodeJS.Timeout
   private confirmedAt = -Infinity
+  private backlogFull = false
   private lifecycle: 'serving' | 'leaving' = 'serving'
   private leavingServers: ReadonlySet<string> = new Set()
 
@@ -60,7 +61,8 @@
       log,
       instanceId: settings.instanceId,
       requestDeadline: settings.requestDeadline,
-      confirmedAt: () => this.confirmedAt
+      confirmedAt: () => this.confirmedAt,
+      isBacklogFull: () => this.backlogFull
     }
     this.api = new CallerApi(this.context, settings.limits, () => this.readiness())
     this.catalogue.registerInstallListener(() => this.updateServers())
@@ -119,6 +121,9 @@
         if (this.parts.leaving.honoursMarks) this.leavingServers = new Set(message.servers)
         this.updateServers()
         break
+      case 'billing-backlog':
+        this.backlogFull = message.full
+        break
       case 'lifecycle':
         this.lifecycle = message.state
         break
--- a/packages/entry/src/__tests__/integration/JayfallDataThreads.test.ts
+++ b/packages/entry/src/__tests__/integration/JayfallDataThreads.test.ts
@@ -28,17 +28,17 @@
   it('guards against a planned stop that cuts off the streams of one of the threads', async () => {
     const client = new OpenAI({ baseURL: `http://${system.callersAddress('entry-1')}/v1`, apiKey: testCallerKey(WORKSPACE), maxRetries: 0 })
     const tokens = 150
-    let started = 0
-    const readStream = async (): Promise<number> => {
+    const started = new Set<number>()
+    const readStream = async (number: number): Promise<number> => {
       let count = 0
       const stream = await client.chat.completions.create({ model: 'guide', messages: [{ role: 'user', content: 'draft' }], max_tokens: tokens, stream: true })
-      started++
+      started.add(number)
       for await (const chunk of stream) count += chunk.choices[0]?.delta.content === undefined ? 0 : 1
       return count
     }
-    const answers = Array.from({ length: STREAMS }, readStream)
+    const answers = Array.from({ length: STREAMS }, (_, number) => readStream(number))
     // Every stream must be open, and the threads' counts reported, before the stop.
-    while (started < STREAMS) await new Promise(resolve => setTimeout(resolve, 20))
+    while (started.size < STREAMS) await new Promise(resolve => setTimeout(resolve, 20))
     await new Promise(resolve => setTimeout(resolve, 300))
     const process = system.entryProcess('entry-1')
     assert.equal(await process.stop(), 0)
--- a/packages/proofs/src/JayfallProofRegistry.ts
+++ b/packages/proofs/src/JayfallProofRegistry.ts
@@ -1,6 +1,8 @@
 /** All proofs by name. */
 
 import { AnswersProof } from './JayfallAnswersProof'
+import { AtMostOnceProof } from './JayfallAtMostOnceProof'
+import { BillingProof } from './JayfallBillingProof'
 import { LeavingProof } from './JayfallLeavingProof'
 import { PlannedStopProof } from './JayfallPlannedStopProof'
 import { type Proof } from './JayfallProof'
@@ -8,6 +10,8 @@
 import { SilentProof } from './JayfallSilentProof'
 
 export const PROOFS: readonly Proof[] = [
+  new AtMostOnceProof(),
+  new BillingProof(),
   new AnswersProof(),
   new PlannedStopProof(),
   new LeavingProof(),
