--- a/packages/proofs/src/JayfallBillingProof.ts
+++ b/packages/proofs/src/JayfallBillingProof.ts
@@ -145,7 +145,7 @@
 
 /** The ledger as an operator sees it. */
 async function exportBills (system: TestSystem): Promise<readonly Bill[]> {
-  const command = new TestProcess('bill export', 'command', ['bill', 'export', '--json', '--platform', system.directAddress('platform')])
+  const command = new TestProcess('bill export', 'command/src/main.js', ['bill', 'export', '--json', '--platform', system.directAddress('platform')])
   while (command.isRunning) await delay(20)
   // The end of the process can be seen before its last output.
   await delay(200)
