--- a/packages/proofs/src/JayfallProofRegistry.ts
+++ b/packages/proofs/src/JayfallProofRegistry.ts
@@ -4,6 +4,7 @@
 import { AtMostOnceProof } from './JayfallAtMostOnceProof'
 import { BillingProof } from './JayfallBillingProof'
 import { LeavingProof } from './JayfallLeavingProof'
+import { OutageProof } from './JayfallOutageProof'
 import { PlannedStopProof } from './JayfallPlannedStopProof'
 import { type Proof } from './JayfallProof'
 import { SessionsProof } from './JayfallSessionsProof'
@@ -16,5 +17,6 @@
   new PlannedStopProof(),
   new LeavingProof(),
   new SessionsProof(),
-  new SilentProof()
+  new SilentProof(),
+  new OutageProof()
 ]
