Propagate catalogue revisions between entry instances by gossip

Cause: each instance polled the store for the head revision, which at the target size is 890 reads/s, and nothing knew the other instances.

Change: the new package control holds membership, confirmation, limit shares and the merging of exchange messages; the control thread runs it, answers other instances on [peers] address and passes changes, confirmations, shares and leaving servers to the data threads. Two readers per zone, or an instance without peers, read the store.

--- a/packages/entry/src/JayfallControlPlane.ts
+++ b/packages/entry/src/JayfallControlPlane.ts
@@ -4,26 +4,26 @@
  * Data threads receive what it installs, and their calls to the store pass through it.
  */
 
-import { InstalledCatalogue } from '#jayfall/catalogue'
+import { type ReadonlyCatalogue } from '#jayfall/catalogue'
 import { BillBatches, CallClaims } from '#jayfall/ledger'
-import { CatalogueStore, HttpObjectStore, HttpTableStore, PlatformHttp } from '#jayfall/platform'
+import { CatalogueStore, HttpObjectStore, HttpTableStore, PlatformHttp, PlatformServices } from '#jayfall/platform'
 import { JayfallError, SystemClock } from '#jayfall/shared'
 import { type Log } from '#jayfall/telemetry'
 
 import { type ControlCallName, type ControlCalls } from './JayfallControlCalls'
-import { type ControlLinkEnd, type DataMessage } from './JayfallControlLink'
+import { type ControlLinkEnd, type ControlMessage, type DataMessage } from './JayfallControlLink'
+import { LeavingServers } from './JayfallLeavingServers'
+import { PeerControl, type PeerControlSettings } from './JayfallPeerControl'
 
-/** Interval at which the store's head row is read. */
-const HEAD_INTERVAL_MILLISECONDS = 1000
+/** Interval at which a new confirmation is passed on. */
+const CONFIRMATION_INTERVAL_MILLISECONDS = 250
+const SHARES_INTERVAL_MILLISECONDS = 1000
 
 type CallHandlers = {
   readonly [Name in ControlCallName]: (argument: ControlCalls[Name]['argument']) => Promise<ControlCalls[Name]['result']>
 }
 
-export interface ControlPlaneSettings {
-  readonly instanceId: string
-  /** IP address that connections are made from. */
-  readonly localAddress: string
+export interface ControlPlaneSettings extends PeerControlSettings {
   readonly platformAddress: string
   readonly platformTimeout: number
   /** Milliseconds between writes of bills. */
@@ -32,20 +32,28 @@
 
 /** The control thread's part of the instance. */
 export class ControlPlane {
-  readonly catalogue = new InstalledCatalogue()
   private readonly clock = new SystemClock()
   private readonly http: PlatformHttp
-  private readonly catalogueStore: CatalogueStore
+  private readonly peers: PeerControl
   private readonly bills: BillBatches
   private readonly handlers: CallHandlers
+  private readonly leavingServers = new LeavingServers(this.clock)
   private links: readonly ControlLinkEnd[] = []
   private timers: readonly NodeJS.Timeout[] = []
+  private isStopping = false
+  private isMarked = false
+  /** Highest revision that the data threads were sent. */
+  private sentRevision = 0
+  private sentConfirmation = -Infinity
 
   constructor (private readonly settings: ControlPlaneSettings, private readonly log: Log) {
-    this.http = new PlatformHttp({ address: settings.platformAddress, timeout: settings.platformTimeout, localAddress: settings.localAddress })
+    const localAddress = settings.peersAddress.split(':')[0]
+    this.http = new PlatformHttp({ address: settings.platformAddress, timeout: settings.platformTimeout, localAddress })
     const tables = new HttpTableStore(this.http)
     const claims = new CallClaims(tables)
-    this.catalogueStore = new CatalogueStore(tables)
+    this.peers = new PeerControl(settings, {
+      catalogueStore: new CatalogueStore(tables), tables, services: new PlatformServices(this.http), clock: this.clock, log
+    })
     this.bills = new BillBatches(new HttpObjectStore(this.http), settings.instanceId)
     this.handlers = {
       claim: argument => claims.claim(argument),
@@ -54,6 +62,11 @@
       find: ({ workspace, key }) => claims.find(workspace, key),
       bill: async bill => { this.bills.record(bill) }
     }
+    this.catalogue.registerInstallListener(() => this.passInstallation())
+  }
+
+  get catalogue (): ReadonlyCatalogue {
+    return this.peers.node.catalogue
   }
 
   /** Connects a data thread. */
@@ -63,21 +76,28 @@
     if (this.catalogue.revision > 0) link.post({ kind: 'catalogue-snapshot', snapshot: this.catalogue.snapshot() })
   }
 
-  start (): void {
+  /** Resolves when the listener for other instances is open. */
+  async start (): Promise<void> {
     this.timers = [
-      this.every(HEAD_INTERVAL_MILLISECONDS, () => this.readCatalogue()),
+      setInterval(() => this.passConfirmation(), CONFIRMATION_INTERVAL_MILLISECONDS),
+      setInterval(() => this.passShares(), SHARES_INTERVAL_MILLISECONDS),
       this.every(this.settings.batchInterval, () => this.bills.flush())
     ]
+    await this.peers.start()
+    this.passConfirmation()
+    this.passShares()
   }
 
-  /** Tells the data threads that the instance is leaving. */
+  /** Tells the data threads, the other instances and the platform that the instance is leaving for good. */
   announceLeaving (): void {
-    for (const link of this.links) link.post({ kind: 'lifecycle', state: 'leaving' })
+    this.isStopping = true
+    this.changeLifecycle()
   }
 
   async stop (): Promise<void> {
     for (const timer of this.timers) clearInterval(timer)
     await this.bills.flush().catch((error: Error) => this.log.error('bills_not_written', { message: error.message }))
+    await this.peers.stop()
     this.http.close()
   }
 
@@ -87,30 +107,66 @@
     return setInterval(run, interval)
   }
 
-  private async readCatalogue (): Promise<void> {
-    const startedAt = this.clock.monotonic()
-    const before = this.catalogue.revision
-    const head = await this.catalogueStore.readHead()
-    if (head > before) await this.install(before)
-    if (this.catalogue.revision < head) return
-    for (const link of this.links) link.post({ kind: 'confirmation', confirmedAt: startedAt })
+  private post (message: ControlMessage): void {
+    for (const link of this.links) link.post(message)
   }
 
-  private async install (before: number): Promise<void> {
-    if (before === 0) {
-      const snapshot = await this.catalogueStore.readSnapshot()
-      this.catalogue.installSnapshot(snapshot)
-      for (const link of this.links) link.post({ kind: 'catalogue-snapshot', snapshot })
-    } else {
-      const changes = await this.catalogueStore.readChanges(before)
-      this.catalogue.installChanges(changes)
-      for (const link of this.links) link.post({ kind: 'catalogue-changes', changes })
-    }
-    this.log.info('catalogue_installed', { revision: this.catalogue.revision })
+  private passInstallation (): void {
+    const { catalogue, sentRevision } = this
+    const changes = sentRevision === 0 ? undefined : catalogue.changesAfter(sentRevision)
+    this.post(changes === undefined ? { kind: 'catalogue-snapshot', snapshot: catalogue.snapshot() } : { kind: 'catalogue-changes', changes })
+    this.sentRevision = catalogue.revision
+    this.log.info('catalogue_installed', { revision: catalogue.revision })
+    const isMarked = catalogue.get('instance-mark', this.settings.instanceId)?.leaving === true
+    if (isMarked === this.isMarked) return
+    this.isMarked = isMarked
+    this.changeLifecycle()
+  }
+
+  private passConfirmation (): void {
+    const { confirmedAt } = this.peers.node.confirmation
+    if (confirmedAt === this.sentConfirmation) return
+    this.sentConfirmation = confirmedAt
+    this.post({ kind: 'confirmation', confirmedAt })
+  }
+
+  /** Each data thread admits an equal part of the instance's shares. */
+  private passShares (): void {
+    const parts = Math.max(this.links.length, 1)
+    const shares = this.peers.node.updateShares().map(share => ({
+      workspace: share.workspace,
+      requestsPerSecond: share.requestsPerSecond / parts,
+      tokensPerSecond: share.tokensPerSecond / parts,
+      concurrentRequests: share.concurrentRequests / parts
+    }))
+    this.post({ kind: 'limit-shares', shares })
+    const servers = this.leavingServers.update(this.peers.node.leavingServersOfAllZones())
+    if (servers !== undefined) this.post({ kind: 'leaving-servers', servers })
+  }
+
+  private changeLifecycle (): void {
+    const isLeaving = this.isStopping || this.isMarked
+    this.log.info('lifecycle_changed', { state: isLeaving ? 'leaving' : 'serving', marked: this.isMarked })
+    this.post({ kind: 'lifecycle', state: isLeaving ? 'leaving' : 'serving' })
+    this.peers.changeLeaving(isLeaving)
   }
 
   private take (link: ControlLinkEnd, message: DataMessage): void {
-    if (message.kind !== 'call') return
+    switch (message.kind) {
+      case 'call':
+        this.answer(link, message)
+        break
+      case 'demand':
+        for (const { workspace, requests, tokens } of message.demands) this.peers.node.meter.count(workspace, { requests, tokens })
+        break
+      case 'server-leaving':
+        this.leavingServers.report(message.server)
+        break
+      case 'state':
+    }
+  }
+
+  private answer (link: ControlLinkEnd, message: Extract<DataMessage, { kind: 'call' }>): void {
     const handler = this.handlers[message.name as ControlCallName] as (argument: unknown) => Promise<unknown>
     handler(message.argument).then(
       result => link.post({ kind: 'reply', id: message.id, result }),
--- a/packages/entry/src/JayfallDataPlane.ts
+++ b/packages/entry/src/JayfallDataPlane.ts
@@ -20,6 +20,9 @@
 import { RequestBook } from './JayfallRequestBook'
 import { TokenSeal } from './JayfallTokenSeal'
 
+/** Interval at which the control thread is told what the workspaces asked for. */
+const DEMAND_INTERVAL_MILLISECONDS = 1000
+
 /** Settings of a data thread; structured-clonable. */
 export interface DataPlaneSettings {
   readonly instanceId: string
@@ -41,6 +44,7 @@
   private readonly server: Server
   private readonly listener: HttpServer
   private readonly ticker: NodeJS.Timeout
+  private readonly demandTimer: NodeJS.Timeout
   private confirmedAt = -Infinity
   private lifecycle: 'serving' | 'leaving' = 'serving'
   private leavingServers: ReadonlySet<string> = new Set()
@@ -69,6 +73,7 @@
     this.listener = api.listener
     this.catalogue.registerInstallListener(() => this.updateServers())
     this.ticker = setInterval(() => this.book.tick(), TICK_INTERVAL_MILLISECONDS)
+    this.demandTimer = setInterval(() => this.reportDemands(), DEMAND_INTERVAL_MILLISECONDS)
     link.receive(message => this.take(message))
   }
 
@@ -94,6 +99,7 @@
 
   async stop (): Promise<void> {
     clearInterval(this.ticker)
+    clearInterval(this.demandTimer)
     this.context.backend.close()
     this.listener.closeAllConnections()
     await this.server.stop({ timeout: 0 })
@@ -125,6 +131,11 @@
     }
   }
 
+  private reportDemands (): void {
+    const demands = this.book.takeDemands()
+    if (demands.length > 0) this.link.post({ kind: 'demand', demands })
+  }
+
   private readiness (): Readiness {
     return this.lifecycle === 'leaving' ? 'leaving' : this.catalogue.revision === 0 ? 'starting' : 'serving'
   }
--- a/packages/entry/src/JayfallEntryInstance.ts
+++ b/packages/entry/src/JayfallEntryInstance.ts
@@ -27,7 +27,14 @@
     const { instance, callers, peers, platform, keys, ledger } = settings
     const localAddress = peers.address.split(':')[0]
     this.controlPlane = new ControlPlane({
-      instanceId: instance.id, localAddress, platformAddress: platform.address, platformTimeout: platform.timeout, batchInterval: ledger['batch-interval']
+      instanceId: instance.id,
+      zone: instance.zone,
+      peersAddress: peers.address,
+      announcedAddress: peers.announce ?? peers.address,
+      seeds: peers.seeds,
+      platformAddress: platform.address,
+      platformTimeout: platform.timeout,
+      batchInterval: ledger['batch-interval']
     }, log)
     const link = createLocalLink()
     this.controlPlane.attach(link.control)
@@ -42,7 +49,7 @@
 
   async start (): Promise<void> {
     const [host, port] = this.settings.callers.address.split(':')
-    this.controlPlane.start()
+    await this.controlPlane.start()
     await this.dataPlane.listen({ host, port: Number(port) })
     this.log.info('instance_started', { zone: this.settings.instance.zone, callers: this.settings.callers.address })
   }
--- /dev/null
+++ b/packages/entry/src/JayfallPeerControl.ts
@@ -0,0 +1,132 @@
+/**
+ * The instance's part in membership and propagation: the listener for other instances,
+ * the exchanges, the platform's list of instances and the zone's status row.
+ */
+
+import { type Server } from '@hapi/hapi'
+import { ANNOUNCE_MILLISECONDS, ControlNode, ControlService, INSTANCE_LIST_BYTES_PER_SECOND, INSTANCE_LIST_MILLISECONDS, LISTED_INSTANCE_BYTES, ZONE_STATUS_MILLISECONDS, ZONE_STATUS_TABLE, createControlRouter, createPeerSender, createZoneStatus, type KnownAddress } from '#jayfall/control'
+import { createPeerRouter, startPeerServer, type PeerDirectory } from '#jayfall/peers'
+import { type CatalogueStore, type ListedInstance, type PlatformServices, type TableStore } from '#jayfall/platform'
+import { createRandomSource, type Clock } from '#jayfall/shared'
+import { type Log } from '#jayfall/telemetry'
+
+export interface PeerControlSettings {
+  readonly instanceId: string
+  readonly zone: string
+  /** IP address and port of the listener for other instances. */
+  readonly peersAddress: string
+  /** Where others reach it. */
+  readonly announcedAddress: string
+  readonly seeds: readonly string[]
+}
+
+export interface PeerControlParts {
+  readonly catalogueStore: CatalogueStore
+  readonly tables: TableStore
+  readonly services: PlatformServices
+  readonly clock: Clock
+  readonly log: Log
+}
+
+/** Runs the control part of one instance. */
+export class PeerControl {
+  readonly node: ControlNode
+  private readonly service: ControlService
+  private readonly sender: ReturnType<typeof createPeerSender>
+  private server: Server | undefined
+  private listed: readonly ListedInstance[] = []
+  private nextListReadAt = -Infinity
+  private timers: readonly NodeJS.Timeout[] = []
+
+  constructor (private readonly settings: PeerControlSettings, private readonly parts: PeerControlParts) {
+    const { instanceId, zone, announcedAddress, peersAddress } = settings
+    const { clock, catalogueStore, log } = parts
+    const random = createRandomSource()
+    this.sender = createPeerSender(peersAddress.split(':')[0])
+    this.node = new ControlNode({ instanceId, zone, address: announcedAddress, incarnation: clock.wall() }, clock, random)
+    this.service = new ControlService({
+      node: this.node,
+      source: catalogueStore,
+      send: this.sender.send,
+      knownAddresses: () => this.knownAddresses(),
+      clock,
+      random,
+      onFailure: (work, address, error) => log.debug('exchange_failed', { work, address, message: error.message })
+    })
+  }
+
+  get directory (): PeerDirectory {
+    return this.node.membership
+  }
+
+  /** Starts the listener, joins the other instances and installs a catalogue if one is within reach. */
+  async start (): Promise<void> {
+    const router = createPeerRouter({
+      control: createControlRouter(request => this.service.answer(request))
+      // Routers of further packages are added here, such as `ledger`.
+    })
+    this.server = await startPeerServer(this.settings.peersAddress, router)
+    await this.readList().catch((error: Error) => this.parts.log.warn('instance_list_unread', { message: error.message }))
+    await this.service.start()
+    this.timers = [
+      this.every(ANNOUNCE_MILLISECONDS, () => this.announce()),
+      this.every(ZONE_STATUS_MILLISECONDS, () => this.writeStatus()),
+      this.every(INSTANCE_LIST_MILLISECONDS, () => this.readListWhenDue())
+    ]
+  }
+
+  /** Tells the other instances and the platform whether this instance is leaving. */
+  changeLeaving (leaving: boolean): void {
+    this.node.membership.changeDetails({ leaving })
+    this.announce().catch((error: Error) => this.parts.log.warn('announcement_failed', { message: error.message }))
+  }
+
+  async stop (): Promise<void> {
+    for (const timer of this.timers) clearInterval(timer)
+    this.service.stop()
+    this.sender.close()
+    this.server?.listener.closeAllConnections()
+    await this.server?.stop({ timeout: 0 })
+  }
+
+  private every (interval: number, work: () => Promise<void>): NodeJS.Timeout {
+    const run = () => { work().catch((error: Error) => this.parts.log.debug('control_work_failed', { message: error.message })) }
+    run()
+    return setInterval(run, interval)
+  }
+
+  private knownAddresses (): readonly KnownAddress[] {
+    const { seeds, announcedAddress } = this.settings
+    const listed = this.listed.filter(({ role, state }) => role === 'entry' && state === 'live')
+    const zones = new Map(listed.map(({ address, zone }) => [address, zone]))
+    return [...new Set([...seeds, ...zones.keys()])]
+      .filter(address => address !== announcedAddress)
+      .map(address => ({ address, zone: zones.get(address) }))
+  }
+
+  private async announce (): Promise<void> {
+    const { instanceId: id, zone, announcedAddress: address } = this.settings
+    const state = this.node.membership.self.details.leaving ? 'leaving' : 'live'
+    await this.parts.services.announceInstance({ id, role: 'entry', zone, address, state })
+  }
+
+  private async writeStatus (): Promise<void> {
+    if (!this.node.isZoneWriter) return
+    const { clock, tables } = this.parts
+    await tables.transact([{ table: ZONE_STATUS_TABLE, key: this.settings.zone, value: createZoneStatus(this.node, clock.monotonic(), clock.wall()) }])
+  }
+
+  private async readListWhenDue (): Promise<void> {
+    const isNeeded = this.node.isZoneWriter || this.node.membership.livePeersOfZone().length === 0
+    if (isNeeded && this.parts.clock.monotonic() >= this.nextListReadAt) await this.readList()
+  }
+
+  private async readList (): Promise<void> {
+    this.listed = await this.parts.services.listInstances()
+    const cost = this.listed.length * LISTED_INSTANCE_BYTES / INSTANCE_LIST_BYTES_PER_SECOND * 1000
+    this.nextListReadAt = this.parts.clock.monotonic() + Math.max(cost, INSTANCE_LIST_MILLISECONDS / 2)
+    this.node.reportLeavingServers(this.listed
+      .filter(({ role, state, zone }) => role === 'backend' && state === 'leaving' && zone === this.settings.zone)
+      .map(({ id }) => id))
+  }
+}
--- a/packages/entry/src/JayfallRequestBook.ts
+++ b/packages/entry/src/JayfallRequestBook.ts
@@ -5,6 +5,8 @@
 
 import { type AttemptEvent, type RoutedRequest, type Router, type RoutingDecision } from '#jayfall/routing'
 
+import { type WorkspaceDemand } from './JayfallControlLink'
+
 /** Carries out the decisions about one request. */
 export interface DecisionHandler {
   dispatch (decision: Extract<RoutingDecision, { kind: 'dispatch' }>): void
@@ -15,6 +17,8 @@
 /** Passes requests and events to the router and its decisions to the handlers. */
 export class RequestBook {
   private readonly handlers = new Map<string, DecisionHandler>()
+  /** Work asked for since the last call of `takeDemands`, whether the router admits or refuses it. */
+  private readonly demands = new Map<string, WorkspaceDemand>()
 
   constructor (readonly router: Router) {}
 
@@ -25,6 +29,7 @@
 
   open (request: RoutedRequest, handler: DecisionHandler): void {
     this.handlers.set(request.id, handler)
+    this.countDemand(request)
     this.carryOut(this.router.submit(request))
   }
 
@@ -41,6 +46,18 @@
     this.carryOut(this.router.tick())
   }
 
+  /** Returns the demands counted since the last call. */
+  takeDemands (): readonly WorkspaceDemand[] {
+    const demands = [...this.demands.values()]
+    this.demands.clear()
+    return demands
+  }
+
+  private countDemand ({ workspace, promptTokens, maximumOutputTokens }: RoutedRequest): void {
+    const before = this.demands.get(workspace) ?? { workspace, requests: 0, tokens: 0 }
+    this.demands.set(workspace, { workspace, requests: before.requests + 1, tokens: before.tokens + promptTokens + maximumOutputTokens })
+  }
+
   private carryOut (decisions: readonly RoutingDecision[]): void {
     for (const decision of decisions) {
       const handler = this.handlers.get(decision.requestId)
