--- a/packages/command/src/main.ts
+++ b/packages/command/src/main.ts
@@ -6,12 +6,15 @@
 
 import { catalogueCommands } from './JayfallCatalogueCommands'
 import { entryCommand } from './JayfallEntryCommand'
+import { statusCommand, versionStatusCommand } from './JayfallStatusCommands'
+
+const versionCommands = subcommands({ name: 'version', description: 'Roll versions in and out.', cmds: { status: versionStatusCommand } })
 
 const jayfall = subcommands({
   name: 'jayfall',
   description: 'Model-aware router for model versions and cascades.',
   version: '0.1.0',
-  cmds: { entry: entryCommand, catalogue: catalogueCommands }
+  cmds: { entry: entryCommand, catalogue: catalogueCommands, version: versionCommands, status: statusCommand }
 })
 
 run(binary(jayfall), process.argv).then(
--- a/packages/control/src/JayfallControlConstants.ts
+++ b/packages/control/src/JayfallControlConstants.ts
@@ -40,6 +40,12 @@
 
 export const ZONE_STATUS_MILLISECONDS = 5000
 export const ZONE_STATUS_TABLE = 'zone-status'
+/** An older row tells nothing about the zone's present state. */
+export const STATUS_STALE_AFTER_MILLISECONDS = 15_000
+/** Rows that are this old are of zones that no longer exist. */
+export const STATUS_FORGOTTEN_AFTER_MILLISECONDS = 600_000
+/** Above this confirmation age an instance gives versions with `whenCutOff: stop` no new work. */
+export const CONFIRMATION_LIMIT_MILLISECONDS = 9000
 
 /** A zone's summary is renewed at this interval. */
 export const SUMMARY_MILLISECONDS = 4000
--- a/packages/control/src/JayfallControlService.ts
+++ b/packages/control/src/JayfallControlService.ts
@@ -46,7 +46,6 @@
   private readonly clock: Clock
   private readonly random: RandomSource
   private timer: NodeJS.Timeout | undefined
-  private triggerTimer: NodeJS.Timeout | undefined
   private nextZoneExchangeAt = 0
   private nextOtherZoneExchangeAt = 0
   private lastTriggerAt = -Infinity
@@ -64,7 +63,7 @@
   async start (): Promise<void> {
     let timer: NodeJS.Timeout | undefined
     const limit = new Promise(resolve => { timer = setTimeout(resolve, START_WAIT_MILLISECONDS) })
-    await Promise.race([this.installHighest(), limit])
+    await Promise.race([this.join(), limit])
     clearTimeout(timer)
     const now = this.clock.monotonic()
     // Instances that start together must not act in step.
@@ -73,9 +72,16 @@
     this.timer = setInterval(() => this.tick(), TICK_MILLISECONDS)
   }
 
+  /** Asks some peers for their revisions, takes the catalogue from the best one and what is newer from the store. */
+  async join (): Promise<void> {
+    const offers = await Promise.all(this.choice.startPeers(START_PEERS).map(async address => ({ address, revision: await this.exchange('join', address) })))
+    const best = offers.reduce((highest, offer) => offer.revision > highest.revision ? offer : highest, { address: '', revision: 0 })
+    if (best.revision > this.node.catalogue.revision) await this.exchange('zone', best.address)
+    await this.reader.read().catch(() => {})
+  }
+
   stop (): void {
     clearInterval(this.timer)
-    clearTimeout(this.triggerTimer)
   }
 
   /** Answers another instance's request. */
@@ -90,6 +96,7 @@
   tick (): void {
     const now = this.clock.monotonic()
     if (this.node.tick() > 0) this.nextZoneExchangeAt = now
+    this.triggerWhenDue(now)
     if (now >= this.nextZoneExchangeAt) {
       this.nextZoneExchangeAt = now + this.jitter(ZONE_EXCHANGE_MILLISECONDS)
       this.exchangeWith('zone', this.choice.zonePeer())
@@ -105,27 +112,17 @@
   private tell (changes: readonly CatalogueChange[]): void {
     if (changes.length === 0) return
     this.untold = [...this.untold, ...changes]
-    if (this.triggerTimer !== undefined) return
-    const wait = Math.max(0, this.lastTriggerAt + TRIGGER_COALESCING_MILLISECONDS - this.clock.monotonic())
-    this.triggerTimer = setTimeout(() => this.trigger(), wait)
+    this.triggerWhenDue(this.clock.monotonic())
   }
 
-  private trigger (): void {
-    this.triggerTimer = undefined
-    this.lastTriggerAt = this.clock.monotonic()
+  private triggerWhenDue (now: number): void {
+    if (this.untold.length === 0 || now < this.lastTriggerAt + TRIGGER_COALESCING_MILLISECONDS) return
+    this.lastTriggerAt = now
     const changes = this.untold
     this.untold = []
     for (const address of this.choice.triggeredPeers(TRIGGERED_PEERS)) this.exchange('triggered', address, changes)
   }
 
-  /** Asks some peers for their revisions, takes the catalogue from the best one and what is newer from the store. */
-  private async installHighest (): Promise<void> {
-    const offers = await Promise.all(this.choice.startPeers(START_PEERS).map(async address => ({ address, revision: await this.exchange('join', address) })))
-    const best = offers.reduce((highest, offer) => offer.revision > highest.revision ? offer : highest, { address: '', revision: 0 })
-    if (best.revision > this.node.catalogue.revision) await this.exchange('zone', best.address)
-    await this.reader.read().catch(() => {})
-  }
-
   private exchangeWith (kind: ExchangeKind, address: string | undefined): void {
     if (address !== undefined) this.exchange(kind, address)
   }
--- a/packages/entry/src/JayfallDataContext.ts
+++ b/packages/entry/src/JayfallDataContext.ts
@@ -1,12 +1,12 @@
 /** What the handlers of one data thread share. */
 
 import { findVersionRefusal, type InstalledCatalogue, type VersionRefusal } from '#jayfall/catalogue'
+import { CONFIRMATION_LIMIT_MILLISECONDS } from '#jayfall/control'
 import { type Clock, type RandomSource } from '#jayfall/shared'
 import { type Log } from '#jayfall/telemetry'
 
 import { type BackendClient } from './JayfallBackendClient'
 import { type ControlCaller } from './JayfallControlCalls'
-import { CONFIRMATION_LIMIT_MILLISECONDS } from './JayfallEntryConstants'
 import { type RequestBook } from './JayfallRequestBook'
 import { type TokenSeal } from './JayfallTokenSeal'
 
--- a/packages/entry/src/JayfallEntryConstants.ts
+++ b/packages/entry/src/JayfallEntryConstants.ts
@@ -11,9 +11,6 @@
 
 export const SESSION_LIFETIME_MILLISECONDS = 24 * 3600 * 1000
 
-/** An instance gives versions with `whenCutOff: stop` no new work above this confirmation age. */
-export const CONFIRMATION_LIMIT_MILLISECONDS = 9000
-
 /** A streaming answer whose head has not arrived within this time is taken as silent. */
 export const FIRST_TOKEN_LIMIT_MILLISECONDS = 5000
 /** The shortest time without a byte after which a streaming answer is taken as silent. */
