Follow demand slowly in limit shares

Cause: with fast averages a surge of all instances at once left each with its floor until its own rise counted; the admitted part was below half the limit.

Change: members average their demand over 120 s and zones over 300 s, and the zone's split uses the demand that its summary states to the others.

--- a/packages/control/src/JayfallAllocation.ts
+++ b/packages/control/src/JayfallAllocation.ts
@@ -20,8 +20,13 @@
   readonly reserve: number
 }
 
-/** The part of the limit that `participants[self]` may admit. */
-export function allocate (participants: readonly Participant[], self: number, { floor, reserve }: AllocationRules): number {
+/** A smaller part of a limit counts as none. */
+const SMALLEST_DEMAND = 1e-9
+
+/** The part of the limit that `reported[self]` may admit. */
+export function allocate (reported: readonly Participant[], self: number, { floor, reserve }: AllocationRules): number {
+  // Dividing by the smallest numbers overflows.
+  const participants = reported.map(({ demand, size }) => ({ demand: demand < SMALLEST_DEMAND ? 0 : demand, size }))
   const sizes = participants.reduce((sum, { size }) => sum + size, 0)
   const own = participants[self]
   if (participants.every(({ demand }) => demand <= 0)) return own.size / sizes
--- a/packages/control/src/JayfallControlConstants.ts
+++ b/packages/control/src/JayfallControlConstants.ts
@@ -62,9 +62,14 @@
 /** Demands are rounded to this many steps for each doubling. */
 export const DEMAND_STEPS_PER_DOUBLING = 4
 /** A reported demand is replaced when it is off by this many steps, so that noise causes no messages. */
-export const DEMAND_HYSTERESIS_STEPS = 2
-/** Time constant of the average of demand. */
-export const DEMAND_AVERAGE_MILLISECONDS = 5000
+export const DEMAND_HYSTERESIS_STEPS = 0.75
+/**
+ * Time constants of the averages of demand of a member and of a zone. The split follows slow
+ * shifts between members and zones; a surge of all of them at once changes it little, while
+ * fast averages would lower everyone's share until the rises count (see the delays below).
+ */
+export const MEMBER_AVERAGE_MILLISECONDS = 120_000
+export const ZONE_AVERAGE_MILLISECONDS = 300_000
 /**
  * A risen demand counts in the own share only after this time, when the members of the
  * zone have learnt of it and have lowered theirs. It bounds the propagation in the zone.
--- a/packages/control/src/JayfallControlNode.ts
+++ b/packages/control/src/JayfallControlNode.ts
@@ -10,7 +10,7 @@
 
 import { Confirmation } from './JayfallConfirmation'
 import { CUT_OFF_AFTER_MILLISECONDS, HEARTBEAT_MILLISECONDS, PAUSE_MILLISECONDS, STORE_READERS_PER_ZONE, SUMMARY_CONTACTS } from './JayfallControlConstants'
-import { DemandMeter, packDemands, sumDemands, unpackDemands } from './JayfallDemand'
+import { createZoneAverage, DemandMeter, packDemands, sumDemands, unpackDemands, type Demands } from './JayfallDemand'
 import { type ExchangeKind, type ExchangeMessage } from './JayfallExchangeMessage'
 import { LimitShares, type LimitShare } from './JayfallLimitShares'
 import { packBeats, unpackBeats, type MemberEntry } from './JayfallMember'
@@ -34,6 +34,8 @@
   readonly meter = new DemandMeter()
   private readonly installed = new InstalledCatalogue()
   private readonly limitShares: LimitShares
+  private readonly zoneAverage = createZoneAverage()
+  private zoneDemands: Demands = new Map()
   private lastTickAt: number
   private lastBeatAt: number
   private lastExchangeAt = -Infinity
@@ -97,6 +99,7 @@
     return this.limitShares.update(this.installed.all('workspace'), {
       ownDemands: unpackDemands(membership.self.details.demands),
       otherMembers: this.others().map(({ details }) => unpackDemands(details.demands)),
+      zoneDemands: unpackDemands(summaries.own?.demands ?? ''),
       otherZones: summaries.others().map(({ summary, silence }) => ({ zone: summary.zone, members: summary.members, demands: unpackDemands(summary.demands), silence }))
     })
   }
@@ -182,6 +185,8 @@
     const { membership } = this
     membership.changeDetails({ demands: this.meter.roll(now - this.lastBeatAt) })
     membership.beat(this.installed.revision, Math.max(0, this.confirmation.age))
+    const members = [membership.self, ...this.others()].map(({ details }) => unpackDemands(details.demands))
+    this.zoneDemands = this.zoneAverage.update(sumDemands(members), now - this.lastBeatAt)
     membership.removeSilent()
     this.summaries.forgetSilent()
     this.lastBeatAt = now
@@ -236,13 +241,12 @@
 
   private renewSummary (): void {
     const peers = this.membership.livePeersOfZone().map(({ address }) => address)
-    const demands = sumDemands([this.membership.self, ...this.others()].map(({ details }) => unpackDemands(details.demands)))
     // Another member's reading stands until this one, as the zone's writer, has read the list itself.
     const leavingServers = (this.isZoneWriter ? this.leavingServers : undefined) ?? this.summaries.own?.leavingServers ?? []
     this.summaries.renew({
       members: this.others().length + 1,
       contacts: this.random.sample([this.settings.address, ...peers], SUMMARY_CONTACTS),
-      demands: packDemands(demands),
+      demands: packDemands(this.zoneDemands),
       leavingServers
     })
   }
--- a/packages/control/src/JayfallDemand.ts
+++ b/packages/control/src/JayfallDemand.ts
@@ -1,6 +1,6 @@
 /** Demands of workspaces: their averages, and their rounded form in messages. */
 
-import { DEMAND_AVERAGE_MILLISECONDS, DEMAND_HYSTERESIS_STEPS, DEMAND_STEPS_PER_DOUBLING, REPORTED_DEMANDS } from './JayfallControlConstants'
+import { DEMAND_HYSTERESIS_STEPS, DEMAND_STEPS_PER_DOUBLING, MEMBER_AVERAGE_MILLISECONDS, REPORTED_DEMANDS, ZONE_AVERAGE_MILLISECONDS } from './JayfallControlConstants'
 
 /** What a workspace asked for in a second. */
 export interface Demand {
@@ -48,9 +48,36 @@
   return sum
 }
 
+/** An exponential average of demands. */
+export class DemandAverage {
+  private averages: Demands | undefined
+
+  constructor (private readonly timeConstant: number, private readonly startsAtFirst: boolean) {}
+
+  /** Takes the demand over the last `milliseconds` and returns the average. */
+  update (current: Demands, milliseconds: number): Demands {
+    const before = this.averages ?? (this.startsAtFirst ? current : new Map<string, Demand>())
+    const weight = 1 - Math.exp(-milliseconds / this.timeConstant)
+    const averages = new Map<string, Demand>()
+    for (const workspace of new Set([...before.keys(), ...current.keys()])) {
+      const old = before.get(workspace) ?? { requests: 0, tokens: 0 }
+      const now = current.get(workspace) ?? { requests: 0, tokens: 0 }
+      const average = { requests: old.requests + weight * (now.requests - old.requests), tokens: old.tokens + weight * (now.tokens - old.tokens) }
+      if (average.requests >= 0.01 || average.tokens >= 0.01) averages.set(workspace, average)
+    }
+    this.averages = averages
+    return averages
+  }
+}
+
+/** The average of a zone's demand; a member that has just started begins at what it first sees. */
+export function createZoneAverage (): DemandAverage {
+  return new DemandAverage(ZONE_AVERAGE_MILLISECONDS, true)
+}
+
 /** Averages the own demand and decides when its reported form changes. */
 export class DemandMeter {
-  private averages = new Map<string, Demand>()
+  private readonly average = new DemandAverage(MEMBER_AVERAGE_MILLISECONDS, false)
   private counts = new Map<string, Demand>()
   private reported = ''
 
@@ -62,17 +89,10 @@
 
   /** Ends a period of `milliseconds` and returns the demands to report. */
   roll (milliseconds: number): string {
-    const weight = 1 - Math.exp(-milliseconds / DEMAND_AVERAGE_MILLISECONDS)
-    const averages = new Map<string, Demand>()
-    for (const workspace of new Set([...this.averages.keys(), ...this.counts.keys()])) {
-      const before = this.averages.get(workspace) ?? { requests: 0, tokens: 0 }
-      const counted = this.counts.get(workspace) ?? { requests: 0, tokens: 0 }
-      const mean = (old: number, count: number) => old + weight * (count * 1000 / milliseconds - old)
-      const average = { requests: mean(before.requests, counted.requests), tokens: mean(before.tokens, counted.tokens) }
-      if (average.requests >= 0.01 || average.tokens >= 0.01) averages.set(workspace, average)
-    }
-    this.averages = averages
+    const perSecond = 1000 / milliseconds
+    const rates = new Map([...this.counts].map(([workspace, { requests, tokens }]) => [workspace, { requests: requests * perSecond, tokens: tokens * perSecond }]))
     this.counts = new Map()
+    const averages = this.average.update(rates, milliseconds)
     const largest = new Map([...averages].sort(([, left], [, right]) => right.tokens - left.tokens || right.requests - left.requests).slice(0, REPORTED_DEMANDS))
     if (this.isOff(largest)) this.reported = packDemands(largest)
     return this.reported
@@ -88,7 +108,8 @@
   }
 }
 
+/** Compares the rate itself with the reported step, as the rounded rate would flicker between two steps. */
 function isStepOff (now: number, told: number): boolean {
-  const difference = Math.abs(toStep(now) - toStep(told))
-  return difference >= DEMAND_HYSTERESIS_STEPS || (difference > 0 && (toStep(now) === 0 || toStep(told) === 0))
+  if ((toStep(now) === 0) !== (told === 0)) return true
+  return told > 0 && Math.abs(Math.log2(now / told)) * DEMAND_STEPS_PER_DOUBLING >= DEMAND_HYSTERESIS_STEPS
 }
--- a/packages/control/src/JayfallLimitShares.ts
+++ b/packages/control/src/JayfallLimitShares.ts
@@ -11,7 +11,7 @@
 
 import { allocate, type Participant } from './JayfallAllocation'
 import { MEMBER_FLOOR, MEMBER_RESERVE, MEMBER_RISE_DELAY_MILLISECONDS, SPLIT_KEPT_MILLISECONDS, ZONE_FLOOR, ZONE_LOST_AFTER_MILLISECONDS, ZONE_RISE_DELAY_MILLISECONDS } from './JayfallControlConstants'
-import { sumDemands, type Demand, type Demands } from './JayfallDemand'
+import { type Demand, type Demands } from './JayfallDemand'
 
 /** What the instance may admit of one workspace. */
 export interface LimitShare {
@@ -34,6 +34,8 @@
   /** As reported to the others. */
   readonly ownDemands: Demands
   readonly otherMembers: readonly Demands[]
+  /** As the own zone's summary states them to the other zones. */
+  readonly zoneDemands: Demands
   readonly otherZones: readonly ZoneView[]
 }
 
@@ -73,9 +75,8 @@
 
   update (workspaces: readonly WorkspaceEntry[], view: ShareView): readonly LimitShare[] {
     const now = this.clock.monotonic()
-    const zoneDemands = sumDemands([view.ownDemands, ...view.otherMembers])
     this.own.add(now, view.ownDemands)
-    this.zone.add(now, zoneDemands)
+    this.zone.add(now, view.zoneDemands)
     const isSplit = view.otherZones.some(({ silence }) => silence >= ZONE_LOST_AFTER_MILLISECONDS)
     this.splitSince = isSplit ? this.splitSince ?? now : undefined
     const shares = workspaces.map(workspace => this.share(workspace, view, now))
