--- a/packages/entry/src/JayfallDataPlane.ts
+++ b/packages/entry/src/JayfallDataPlane.ts
@@ -18,6 +18,9 @@
 import { RequestBook } from './JayfallRequestBook'
 import { TokenSeal } from './JayfallTokenSeal'
 
+/** Interval at which the control thread is told what the workspaces asked for. */
+const DEMAND_INTERVAL_MILLISECONDS = 1000
+
 /** Settings of a data thread; structured-clonable. */
 export interface DataPlaneSettings {
   readonly instanceId: string
@@ -38,6 +41,7 @@
   private readonly context: DataContext
   private readonly api: CallerApi
   private readonly ticker: NodeJS.Timeout
+  private readonly demandTimer: NodeJS.Timeout
   private confirmedAt = -Infinity
   private backlogFull = false
   private lifecycle: 'serving' | 'leaving' = 'serving'
@@ -67,6 +71,7 @@
     this.api = new CallerApi(this.context, settings.limits, () => this.readiness())
     this.catalogue.registerInstallListener(() => this.updateServers())
     this.ticker = setInterval(() => this.book.tick(), TICK_INTERVAL_MILLISECONDS)
+    this.demandTimer = setInterval(() => this.reportDemands(), DEMAND_INTERVAL_MILLISECONDS)
     link.receive(message => this.take(message))
   }
 
@@ -99,6 +104,7 @@
 
   async stop (): Promise<void> {
     clearInterval(this.ticker)
+    clearInterval(this.demandTimer)
     await this.api.stop()
     this.context.backend.close()
   }
@@ -132,6 +138,11 @@
     }
   }
 
+  private reportDemands (): void {
+    const demands = this.book.takeDemands()
+    if (demands.length > 0) this.link.post({ kind: 'demand', demands })
+  }
+
   private readiness (): Readiness {
     return this.lifecycle === 'leaving' ? 'leaving' : this.catalogue.revision === 0 ? 'starting' : 'serving'
   }
--- a/packages/entry/src/JayfallEntryInstance.ts
+++ b/packages/entry/src/JayfallEntryInstance.ts
@@ -34,6 +34,7 @@
       zone: instance.zone,
       localAddress,
       peersAddress: peers.address,
+      announcedAddress: peers.announce ?? peers.address,
       seeds: peers.seeds,
       platformAddress: platform.address,
       platformTimeout: platform.timeout,
--- a/packages/entry/src/JayfallInstanceLedger.ts
+++ b/packages/entry/src/JayfallInstanceLedger.ts
@@ -1,8 +1,8 @@
 /** The ledger of one instance: claims of calls, their recovery, bills, and copies of other instances' bills. */
 
 import { type ReadonlyCatalogue } from '#jayfall/catalogue'
-import { BillBatches, BillMemory, BillWitness, CallClaims, CallRecovery, createLedgerRouter, PeerWitnessClient, REPLICATION_INTERVAL_MILLISECONDS, RowCommitter, SharedRecoveryRight, StoreGate } from '#jayfall/ledger'
-import { createPeerRouter, startPeerServer } from '#jayfall/peers'
+import { BillBatches, BillMemory, BillWitness, CallClaims, CallRecovery, createLedgerRouter, PeerWitnessClient, REPLICATION_INTERVAL_MILLISECONDS, RowCommitter, SharedRecoveryRight, StoreGate, type LedgerRouter } from '#jayfall/ledger'
+import { type PeerDirectory } from '#jayfall/peers'
 import { HttpObjectStore, HttpTableStore, PlatformHttp } from '#jayfall/platform'
 import { createRandomSource, delay, SystemClock } from '#jayfall/shared'
 import { type Log } from '#jayfall/telemetry'
@@ -11,14 +11,12 @@
 import { type CallHandlers } from './JayfallControlCalls'
 import { HttpOutcomeLookup } from './JayfallHttpOutcomeLookup'
 import { EarliestLeavingPolicy } from './JayfallLeavingPolicy'
-import { createSeedRouter, SeedPeerDirectory } from './JayfallSeedPeerDirectory'
 
 const RETRY_INTERVAL_MILLISECONDS = 100
 const WITNESS_INTERVAL_MILLISECONDS = 250
 const RECOVERY_INTERVAL_MILLISECONDS = 5000
 /** A stopping instance waits this long for outcomes that the store does not take. */
 const FLUSH_LIMIT_MILLISECONDS = 5000
-const SEED_INTERVAL_MILLISECONDS = 1000
 const FLUSH_POLL_MILLISECONDS = 50
 
 export interface InstanceLedgerSettings {
@@ -31,32 +29,26 @@
   readonly batchInterval: number
   /** Bytes of bills that are not stored yet, above which no new billable work is taken. */
   readonly billMemory: number
-  readonly zone: string
-  /** Where other instances call this one. */
-  readonly peersAddress: string
-  readonly seeds: readonly string[]
+  /** Wall-clock milliseconds of the start of this process. */
+  readonly incarnation: number
 }
 
 /** Wires the ledger to the platform and the backend servers. */
 export class InstanceLedger {
   readonly handlers: CallHandlers
   private readonly clock = new SystemClock()
-  private readonly startedAt = this.clock.wall()
   private readonly http: PlatformHttp
   private readonly backend: BackendClient
   private readonly claims: CallClaims
   private readonly recovery: CallRecovery
-  private readonly directory: SeedPeerDirectory
   private readonly memory: BillMemory
   private readonly witnessClient: PeerWitnessClient
   private readonly bills: BillBatches
   private readonly witness: BillWitness
-  private server: Awaited<ReturnType<typeof startPeerServer>> | undefined
-  private leaving = false
   private unreplicated = 0
   private timers: readonly NodeJS.Timeout[] = []
 
-  constructor (private readonly settings: InstanceLedgerSettings, catalogue: ReadonlyCatalogue, private readonly log: Log) {
+  constructor (settings: InstanceLedgerSettings, catalogue: ReadonlyCatalogue, directory: PeerDirectory, private readonly log: Log) {
     const { platformAddress: address, platformTimeout: timeout, localAddress } = settings
     const random = createRandomSource()
     // The ledger has connections of its own, so that slow readers of the catalogue do not delay claims.
@@ -67,12 +59,11 @@
     this.claims = new CallClaims(gate, committer, this.clock, random)
     this.recovery = new CallRecovery(gate, committer, new HttpOutcomeLookup(catalogue, this.backend), new SharedRecoveryRight(), this.clock)
     const objects = new HttpObjectStore(this.http)
-    this.directory = new SeedPeerDirectory(settings.seeds, settings.zone, localAddress, this.clock)
     this.memory = new BillMemory(settings.billMemory)
     this.witnessClient = new PeerWitnessClient(localAddress)
-    this.witness = new BillWitness(objects, this.directory, this.memory, this.clock, random)
-    this.bills = new BillBatches({ instance: settings.instanceId, startedAt: this.startedAt }, settings.batchInterval,
-      objects, this.witnessClient, this.directory, this.memory, this.clock, random)
+    this.witness = new BillWitness(objects, directory, this.memory, this.clock, random)
+    this.bills = new BillBatches({ instance: settings.instanceId, startedAt: settings.incarnation }, settings.batchInterval,
+      objects, this.witnessClient, directory, this.memory, this.clock, random)
     this.handlers = {
       claim: argument => this.claims.claim(argument),
       complete: ({ claim, revision, outcome }) => this.claims.complete(claim, revision, outcome),
@@ -82,30 +73,23 @@
     }
   }
 
+  /** The procedures by which other instances leave copies of their bills here. */
+  get router (): LedgerRouter {
+    return createLedgerRouter(this.witness)
+  }
+
   /** Whether new billable work must be refused. */
   get isBacklogFull (): boolean {
     return this.memory.isFull
   }
 
-  async start (): Promise<void> {
-    const router = createPeerRouter({
-      ledger: createLedgerRouter(this.witness),
-      seeds: createSeedRouter({ id: this.settings.instanceId, zone: this.settings.zone, startedAt: this.startedAt }, () => this.leaving)
-    })
-    this.server = await startPeerServer(this.settings.peersAddress, router)
+  start (): void {
     this.timers = [
       this.every(RETRY_INTERVAL_MILLISECONDS, () => this.claims.retryPending()),
       this.every(RECOVERY_INTERVAL_MILLISECONDS, () => this.recover()),
       this.every(REPLICATION_INTERVAL_MILLISECONDS, () => this.copyBills()),
-      this.every(WITNESS_INTERVAL_MILLISECONDS, () => this.witness.tick()),
-      this.every(SEED_INTERVAL_MILLISECONDS, () => this.directory.refresh())
+      this.every(WITNESS_INTERVAL_MILLISECONDS, () => this.witness.tick())
     ]
-    await this.directory.refresh()
-  }
-
-  /** Other instances choose this one as a witness no longer. */
-  announceLeaving (): void {
-    this.leaving = true
   }
 
   /** Writes what waits for the store, as far as the store takes it in time. */
@@ -117,9 +101,7 @@
     if (!this.bills.isEmpty || this.witness.heldBatches > 0) this.log.error('bills_not_written', { held_batches: this.witness.heldBatches, own: !this.bills.isEmpty })
     this.http.close()
     this.backend.close()
-    this.directory.close()
     this.witnessClient.close()
-    await this.server?.stop({ timeout: 0 })
   }
 
   private async flush (): Promise<boolean> {
--- a/packages/ledger/src/JayfallLedgerPeers.ts
+++ b/packages/ledger/src/JayfallLedgerPeers.ts
@@ -38,8 +38,10 @@
   })
 }
 
+export type LedgerRouter = ReturnType<typeof createLedgerRouter>
+
 /** The routers of other instances, as far as the ledger calls them. */
-type RootRouter = ReturnType<typeof createPeerRouter<{ ledger: ReturnType<typeof createLedgerRouter> }>>
+type RootRouter = ReturnType<typeof createPeerRouter<{ ledger: LedgerRouter }>>
 
 /** Calls witnesses. */
 export abstract class WitnessClient {
--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -8,7 +8,7 @@
 export { callKey, type CallClaim, type CallOutcome, type CallRow, type OpenCall } from './JayfallCallRow'
 export { BILLS_PREFIX, CALLS_TABLE, OPEN_CALLS_TABLE, REPLICATION_INTERVAL_MILLISECONDS } from './JayfallLedgerConstants'
 export { LedgerError, type LedgerErrorCode } from './JayfallLedgerError'
-export { createLedgerRouter, PeerWitnessClient, WitnessClient } from './JayfallLedgerPeers'
+export { createLedgerRouter, PeerWitnessClient, WitnessClient, type LedgerRouter } from './JayfallLedgerPeers'
 export { readLedger } from './JayfallLedgerReader'
 export { RowCommitter } from './JayfallRowCommitter'
 export { StoreGate } from './JayfallStoreGate'
--- a/packages/proofs/src/JayfallProofRegistry.ts
+++ b/packages/proofs/src/JayfallProofRegistry.ts
@@ -7,12 +7,14 @@
 import { OutageProof } from './JayfallOutageProof'
 import { PlannedStopProof } from './JayfallPlannedStopProof'
 import { type Proof } from './JayfallProof'
+import { RevisionsProof } from './JayfallRevisionsProof'
 import { SessionsProof } from './JayfallSessionsProof'
 import { SilentProof } from './JayfallSilentProof'
 
 export const PROOFS: readonly Proof[] = [
   new AtMostOnceProof(),
   new BillingProof(),
+  new RevisionsProof(),
   new AnswersProof(),
   new PlannedStopProof(),
   new LeavingProof(),
