Decide on servers, queues, hedges and admission by own observations

Cause: the data path sent each request to the server with the fewest own requests, without admission, queues, deadlines or hedges. Change: ModelAwareRouter with tables of requests, attempts and servers and systems over them; fake servers, a discrete-event driver, five baselines, and the benches blocking, crest, slowed, affinity and herd. LeastOutstandingRouter moves to bench as a baseline, with ties broken at random.

--- a/packages/bench/src/JayfallBenchRegistry.ts
+++ b/packages/bench/src/JayfallBenchRegistry.ts
@@ -1,5 +1,16 @@
 /** All benches by name. */
 
+import { AffinityBench } from './JayfallAffinityBench'
 import { type Bench } from './JayfallBench'
+import { BlockingBench } from './JayfallBlockingBench'
+import { CrestBench } from './JayfallCrestBench'
+import { HerdBench } from './JayfallHerdBench'
+import { SlowedBench } from './JayfallSlowedBench'
 
-export const BENCHES: readonly Bench[] = []
+export const BENCHES: readonly Bench[] = [
+  new BlockingBench(),
+  new CrestBench(),
+  new SlowedBench(),
+  new AffinityBench(),
+  new HerdBench()
+]
--- a/packages/entry/src/JayfallDataPlane.ts
+++ b/packages/entry/src/JayfallDataPlane.ts
@@ -8,7 +8,7 @@
 
 import { type Server } from '@hapi/hapi'
 import { InstalledCatalogue, type ServerEntry } from '#jayfall/catalogue'
-import { LeastOutstandingRouter, TICK_INTERVAL_MILLISECONDS, type RoutedServer } from '#jayfall/routing'
+import { ModelAwareRouter, TICK_INTERVAL_MILLISECONDS, type RoutedServer } from '#jayfall/routing'
 import { createRandomSource, SystemClock } from '#jayfall/shared'
 import { type Log } from '#jayfall/telemetry'
 
@@ -35,7 +35,7 @@
 export class DataPlane {
   private readonly clock = new SystemClock()
   private readonly catalogue = new InstalledCatalogue()
-  private readonly book = new RequestBook(new LeastOutstandingRouter())
+  private readonly book = new RequestBook(new ModelAwareRouter({ clock: this.clock, random: createRandomSource() }))
   private readonly control: ControlCaller
   private readonly context: DataContext
   private readonly server: Server
--- /dev/null
+++ b/packages/routing/src/JayfallWorkEstimates.ts
@@ -0,0 +1,88 @@
+/**
+ * Estimates of a request's work from its body and from the router's own observations.
+ *
+ * For each target, class and size of the asked maximum the last observations are kept. A
+ * prediction averages them, weighted by how near their prompts' lengths are and whether they
+ * are of the same workspace, as most callers leave the asked maximum at its default.
+ */
+
+import { LRUCache } from 'lru-cache'
+
+import {
+  DEFAULT_TYPICAL_WORK, ESTIMATE_PRIOR_WEIGHT, ESTIMATE_SAMPLES, LONG_WORK_FACTOR, MAXIMUM_ESTIMATES, PROMPT_DISTANCE_SCALE, PROMPT_TOKEN_WORK, SAME_WORKSPACE_WEIGHT,
+  TYPICAL_WORK_WEIGHT
+} from './JayfallRoutingConstants'
+import { type RoutedRequest } from './JayfallRouter'
+import { poolId, type Lane } from './JayfallRoutingTables'
+
+interface Observation {
+  readonly workspace: string
+  /** Natural logarithm of the prompt's length. */
+  readonly promptSize: number
+  readonly outputTokens: number
+}
+
+interface ObservationRing {
+  readonly observations: Observation[]
+  next: number
+}
+
+export interface WorkEstimate {
+  readonly lane: Lane
+  /** In output tokens. */
+  readonly work: number
+}
+
+/** Learns output lengths and predicts work. */
+export class WorkEstimates {
+  private readonly rings = new LRUCache<string, ObservationRing>({ max: MAXIMUM_ESTIMATES })
+  /** Mean logarithm of observed work, for each pool. */
+  private readonly typicalWork = new Map<string, number>()
+
+  estimate (request: RoutedRequest): WorkEstimate {
+    const typical = Math.exp(this.typicalWork.get(poolId(request)) ?? Math.log(DEFAULT_TYPICAL_WORK))
+    const outputTokens = Math.min(this.predictOutput(request, typical), Math.max(1, request.maximumOutputTokens))
+    const work = workOf(request.promptTokens, outputTokens)
+    return { lane: work > typical * LONG_WORK_FACTOR ? 'long' : 'short', work }
+  }
+
+  /** Takes the length of a finished answer. */
+  observe (request: RoutedRequest, outputTokens: number): void {
+    const key = ringKey(request)
+    const ring = this.rings.get(key) ?? { observations: [], next: 0 }
+    this.rings.set(key, ring)
+    ring.observations[ring.next] = { workspace: request.workspace, promptSize: promptSizeOf(request), outputTokens }
+    ring.next = (ring.next + 1) % ESTIMATE_SAMPLES
+    const pool = poolId(request)
+    const logarithm = Math.log(workOf(request.promptTokens, outputTokens))
+    const typical = this.typicalWork.get(pool)
+    this.typicalWork.set(pool, typical === undefined ? logarithm : typical + (logarithm - typical) * TYPICAL_WORK_WEIGHT)
+  }
+
+  /** Without near observations the target's typical work, so that unknown requests are not set back. */
+  private predictOutput (request: RoutedRequest, typical: number): number {
+    const promptSize = promptSizeOf(request)
+    let weights = ESTIMATE_PRIOR_WEIGHT
+    let sum = ESTIMATE_PRIOR_WEIGHT * typical
+    for (const observation of this.rings.get(ringKey(request))?.observations ?? []) {
+      const distance = (observation.promptSize - promptSize) / PROMPT_DISTANCE_SCALE
+      const weight = Math.exp(-distance * distance / 2) * (observation.workspace === request.workspace ? SAME_WORKSPACE_WEIGHT : 1)
+      weights += weight
+      sum += weight * observation.outputTokens
+    }
+    return sum / weights
+  }
+}
+
+/** Work in output tokens. */
+export function workOf (promptTokens: number, outputTokens: number): number {
+  return Math.max(1, outputTokens + promptTokens * PROMPT_TOKEN_WORK)
+}
+
+function ringKey ({ target, workClass, maximumOutputTokens }: RoutedRequest): string {
+  return `${target.kind}/${target.id}/${workClass}/${Math.floor(Math.log2(maximumOutputTokens + 1))}`
+}
+
+function promptSizeOf ({ promptTokens }: RoutedRequest): number {
+  return Math.log(promptTokens + 1)
+}
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,6 +1,7 @@
 export { Clock, ManualClock, SystemClock, delay } from './JayfallClock'
 export { JayfallError, type ErrorInfo } from './JayfallError'
 export { invariant } from './JayfallInvariant'
+export { meanOf, quantileOf, quantileOfSorted } from './JayfallQuantile'
 export { RandomSource, createRandomSource } from './JayfallRandom'
 export { rendezvousRank, rendezvousWeight } from './JayfallRendezvous'
 export { System, Table, TickScheduler, type ReadonlyTable } from './JayfallTable'
