--- a/packages/entry/src/JayfallDataPlane.ts
+++ b/packages/entry/src/JayfallDataPlane.ts
@@ -5,7 +5,7 @@
  */
 
 import { InstalledCatalogue, type ServerEntry } from '#jayfall/catalogue'
-import { LeastOutstandingRouter, TICK_INTERVAL_MILLISECONDS, type RoutedServer } from '#jayfall/routing'
+import { ModelAwareRouter, TICK_INTERVAL_MILLISECONDS, type RoutedServer } from '#jayfall/routing'
 import { createRandomSource, SystemClock } from '#jayfall/shared'
 import { type Log } from '#jayfall/telemetry'
 
@@ -36,7 +36,7 @@
 export class DataPlane {
   private readonly clock = new SystemClock()
   private readonly catalogue = new InstalledCatalogue()
-  private readonly book = new RequestBook(new LeastOutstandingRouter())
+  private readonly book = new RequestBook(new ModelAwareRouter({ clock: this.clock, random: createRandomSource() }))
   private readonly control: ControlCaller
   private readonly context: DataContext
   private readonly api: CallerApi
