Measure what control costs a node and lower it

Cause: no figure showed whether control fits its budgets. Trials on a busy machine showed limit shares at 1.0 to 1.7 ms an update, a new connection for almost each call, and reports of demand that kept changing.

Change: the bench control runs the real code in several processes over loopback, fits slopes and prints the cost at the target size. Shares are computed without sorting, demands are unpacked once, reported demands keep their step and place while they are close, and peers keep connections for 90 s.

--- a/packages/bench/src/JayfallBenchRegistry.ts
+++ b/packages/bench/src/JayfallBenchRegistry.ts
@@ -1,5 +1,6 @@
 /** All benches by name. */
 
 import { type Bench } from './JayfallBench'
+import { ControlBench } from './JayfallControlBench'
 
-export const BENCHES: readonly Bench[] = []
+export const BENCHES: readonly Bench[] = [new ControlBench()]
--- a/packages/control/src/JayfallAllocation.ts
+++ b/packages/control/src/JayfallAllocation.ts
@@ -7,7 +7,7 @@
  * by the part of the floors that is not reserved.
  */
 
-/** Demands are parts of the limit; sizes count instances. */
+/** A demand as a part of the limit, and how many instances it stands for. */
 export interface Participant {
   readonly demand: number
   readonly size: number
@@ -20,41 +20,37 @@
   readonly reserve: number
 }
 
-/** A smaller part of a limit counts as none. */
+/** A smaller part of a limit counts as none, as dividing by the smallest numbers overflows. */
 const SMALLEST_DEMAND = 1e-9
 
-/** The part of the limit that `reported[self]` may admit. */
-export function allocate (reported: readonly Participant[], self: number, { floor, reserve }: AllocationRules): number {
-  // Dividing by the smallest numbers overflows.
-  const participants = reported.map(({ demand, size }) => ({ demand: demand < SMALLEST_DEMAND ? 0 : demand, size }))
-  const sizes = participants.reduce((sum, { size }) => sum + size, 0)
+/** The part of the limit that `participants[self]` may admit. */
+export function allocate (participants: readonly Participant[], self: number, { floor, reserve }: AllocationRules): number {
+  let sizes = 0
+  let highest = 0
+  for (const { demand, size } of participants) {
+    sizes += size
+    highest = Math.max(highest, demand)
+  }
   const own = participants[self]
-  if (participants.every(({ demand }) => demand <= 0)) return own.size / sizes
-  const parts = participants.map(({ demand, size }) => ({
-    demand,
-    fixed: Math.max(Math.min(demand, floor * size / sizes), reserve * size / sizes)
-  }))
-  return Math.max(own.demand * findFactor(parts), floor * own.size / sizes)
-}
-
-interface Part {
-  readonly demand: number
-  /** Used whatever the factor is. */
-  readonly fixed: number
+  if (highest < SMALLEST_DEMAND) return own.size / sizes
+  return Math.max(own.demand * findFactor(participants, floor / sizes, reserve / sizes), floor * own.size / sizes)
 }
 
-/** The factor for which the sum of max(factor × demand, fixed) is 1. */
-function findFactor (parts: readonly Part[]): number {
-  // Above its threshold a part grows with the factor, below it is fixed; the sum is piecewise linear.
-  const rising = parts.filter(({ demand }) => demand > 0).sort((left, right) => left.fixed / left.demand - right.fixed / right.demand)
-  let fixed = parts.reduce((sum, part) => sum + part.fixed, 0)
-  let demand = 0
-  for (const [index, part] of rising.entries()) {
-    fixed -= part.fixed
-    demand += part.demand
-    const factor = (1 - fixed) / demand
-    const next = rising[index + 1]
-    if (next === undefined || factor <= next.fixed / next.demand) return Math.max(factor, 0)
+/**
+ * The factor for which the sum of max(factor × demand, fixed use) is 1. A participant whose part
+ * would fall below its fixed use takes that, which lowers the factor for the others.
+ */
+function findFactor (participants: readonly Participant[], floor: number, reserve: number): number {
+  for (let factor = Infinity; ;) {
+    let fixed = 0
+    let demands = 0
+    for (const { demand, size } of participants) {
+      const used = Math.max(Math.min(demand, floor * size), reserve * size)
+      if (demand < SMALLEST_DEMAND || demand * factor < used) fixed += used
+      else demands += demand
+    }
+    const next = demands === 0 ? 0 : Math.max(0, (1 - fixed) / demands)
+    if (next >= factor || demands === 0) return next
+    factor = next
   }
-  return 0
 }
--- a/packages/control/src/JayfallControlConstants.ts
+++ b/packages/control/src/JayfallControlConstants.ts
@@ -59,10 +59,12 @@
 
 /** Largest demands that a member reports. */
 export const REPORTED_DEMANDS = 8
+/** A reported demand gives way to another that is larger by this factor. */
+export const REPORTED_PREFERENCE = 1.5
 /** Demands are rounded to this many steps for each doubling. */
-export const DEMAND_STEPS_PER_DOUBLING = 4
+export const DEMAND_STEPS_PER_DOUBLING = 8
 /** A reported demand is replaced when it is off by this many steps, so that noise causes no messages. */
-export const DEMAND_HYSTERESIS_STEPS = 0.75
+export const DEMAND_HYSTERESIS_STEPS = 1
 /**
  * Time constants of the averages of demand of a member and of a zone. The split follows slow
  * shifts between members and zones; a surge of all of them at once changes it little, while
--- a/packages/control/src/JayfallControlNode.ts
+++ b/packages/control/src/JayfallControlNode.ts
@@ -9,8 +9,8 @@
 import { type Clock, type RandomSource } from '#jayfall/shared'
 
 import { Confirmation } from './JayfallConfirmation'
-import { CUT_OFF_AFTER_MILLISECONDS, HEARTBEAT_MILLISECONDS, PAUSE_MILLISECONDS, STORE_READERS_PER_ZONE, SUMMARY_CONTACTS } from './JayfallControlConstants'
-import { createZoneAverage, DemandMeter, packDemands, sumDemands, unpackDemands, type Demands } from './JayfallDemand'
+import { CUT_OFF_AFTER_MILLISECONDS, HEARTBEAT_MILLISECONDS, PAUSE_MILLISECONDS, STORE_READERS_PER_ZONE, SUMMARY_CONTACTS, ZONE_AVERAGE_MILLISECONDS } from './JayfallControlConstants'
+import { DemandAverage, DemandMeter, demandsOf, packDemands, sumDemands, type Demands } from './JayfallDemand'
 import { type ExchangeKind, type ExchangeMessage } from './JayfallExchangeMessage'
 import { LimitShares, type LimitShare } from './JayfallLimitShares'
 import { packBeats, unpackBeats, type MemberEntry } from './JayfallMember'
@@ -34,7 +34,7 @@
   readonly meter = new DemandMeter()
   private readonly installed = new InstalledCatalogue()
   private readonly limitShares: LimitShares
-  private readonly zoneAverage = createZoneAverage()
+  private readonly zoneAverage = new DemandAverage(ZONE_AVERAGE_MILLISECONDS)
   private zoneDemands: Demands = new Map()
   private lastTickAt: number
   private lastBeatAt: number
@@ -97,10 +97,10 @@
   updateShares (): readonly LimitShare[] {
     const { membership, summaries } = this
     return this.limitShares.update(this.installed.all('workspace'), {
-      ownDemands: unpackDemands(membership.self.details.demands),
-      otherMembers: this.others().map(({ details }) => unpackDemands(details.demands)),
-      zoneDemands: unpackDemands(summaries.own?.demands ?? ''),
-      otherZones: summaries.others().map(({ summary, silence }) => ({ zone: summary.zone, members: summary.members, demands: unpackDemands(summary.demands), silence }))
+      ownDemands: demandsOf(membership.self.details),
+      otherMembers: this.others().map(({ details }) => demandsOf(details)),
+      zoneDemands: summaries.own === undefined ? new Map() : demandsOf(summaries.own),
+      otherZones: summaries.others().map(({ summary, silence }) => ({ zone: summary.zone, members: summary.members, demands: demandsOf(summary), silence }))
     })
   }
 
@@ -185,7 +185,7 @@
     const { membership } = this
     membership.changeDetails({ demands: this.meter.roll(now - this.lastBeatAt) })
     membership.beat(this.installed.revision, Math.max(0, this.confirmation.age))
-    const members = [membership.self, ...this.others()].map(({ details }) => unpackDemands(details.demands))
+    const members = [membership.self, ...this.others()].map(({ details }) => demandsOf(details))
     this.zoneDemands = this.zoneAverage.update(sumDemands(members), now - this.lastBeatAt)
     membership.removeSilent()
     this.summaries.forgetSilent()
@@ -242,11 +242,12 @@
   private renewSummary (): void {
     const peers = this.membership.livePeersOfZone().map(({ address }) => address)
     // Another member's reading stands until this one, as the zone's writer, has read the list itself.
-    const leavingServers = (this.isZoneWriter ? this.leavingServers : undefined) ?? this.summaries.own?.leavingServers ?? []
+    const { own } = this.summaries
+    const leavingServers = (this.isZoneWriter ? this.leavingServers : undefined) ?? own?.leavingServers ?? []
     this.summaries.renew({
       members: this.others().length + 1,
       contacts: this.random.sample([this.settings.address, ...peers], SUMMARY_CONTACTS),
-      demands: packDemands(this.zoneDemands),
+      demands: packDemands(this.zoneDemands, own === undefined ? undefined : demandsOf(own)),
       leavingServers
     })
   }
--- a/packages/control/src/JayfallDemand.ts
+++ b/packages/control/src/JayfallDemand.ts
@@ -1,6 +1,6 @@
 /** Demands of workspaces: their averages, and their rounded form in messages. */
 
-import { DEMAND_HYSTERESIS_STEPS, DEMAND_STEPS_PER_DOUBLING, MEMBER_AVERAGE_MILLISECONDS, REPORTED_DEMANDS, ZONE_AVERAGE_MILLISECONDS } from './JayfallControlConstants'
+import { DEMAND_HYSTERESIS_STEPS, DEMAND_STEPS_PER_DOUBLING, MEMBER_AVERAGE_MILLISECONDS, REPORTED_DEMANDS, REPORTED_PREFERENCE } from './JayfallControlConstants'
 
 /** What a workspace asked for in a second. */
 export interface Demand {
@@ -19,13 +19,24 @@
   return step === 0 ? 0 : 2 ** (step / DEMAND_STEPS_PER_DOUBLING) / 16
 }
 
-/** `workspace:requests:tokens` with steps in base 36, joined by commas. */
-export function packDemands (demands: Demands): string {
-  return [...demands]
-    .filter(([, { requests, tokens }]) => toStep(requests) > 0 || toStep(tokens) > 0)
-    .sort(([left], [right]) => left < right ? -1 : 1)
-    .map(([workspace, { requests, tokens }]) => `${workspace}:${toStep(requests).toString(36)}:${toStep(tokens).toString(36)}`)
-    .join(',')
+/**
+ * `workspace:requests:tokens` with steps in base 36, joined by commas. A rate that is still close
+ * to what `earlier` says keeps its step, as a rounded rate would flicker between two steps.
+ */
+export function packDemands (demands: Demands, earlier: Demands = new Map()): string {
+  const parts: string[] = []
+  for (const [workspace, { requests, tokens }] of [...demands].sort(([left], [right]) => left < right ? -1 : 1)) {
+    const told = earlier.get(workspace)
+    const steps = [settledStep(requests, told?.requests ?? 0), settledStep(tokens, told?.tokens ?? 0)]
+    if (steps.some(step => step > 0)) parts.push(`${workspace}:${steps.map(step => step.toString(36)).join(':')}`)
+  }
+  return parts.join(',')
+}
+
+function settledStep (rate: number, told: number): number {
+  const step = toStep(rate)
+  if (step === 0 || told === 0) return step
+  return Math.abs(Math.log2(rate / told)) * DEMAND_STEPS_PER_DOUBLING < DEMAND_HYSTERESIS_STEPS ? toStep(told) : step
 }
 
 export function unpackDemands (packed: string): Demands {
@@ -36,6 +47,17 @@
   }))
 }
 
+const unpacked = new WeakMap<object, Demands>()
+
+/** The demands that a member's details or a zone's summary hold, read once for each. */
+export function demandsOf (holder: { readonly demands: string }): Demands {
+  const known = unpacked.get(holder)
+  if (known !== undefined) return known
+  const demands = unpackDemands(holder.demands)
+  unpacked.set(holder, demands)
+  return demands
+}
+
 /** Adds up demands by workspace. */
 export function sumDemands (all: Iterable<Demands>): Demands {
   const sum = new Map<string, Demand>()
@@ -50,14 +72,17 @@
 
 /** An exponential average of demands. */
 export class DemandAverage {
-  private averages: Demands | undefined
+  private averages: Demands = new Map()
+  private age = 0
 
-  constructor (private readonly timeConstant: number, private readonly startsAtFirst: boolean) {}
+  constructor (private readonly timeConstant: number) {}
 
   /** Takes the demand over the last `milliseconds` and returns the average. */
   update (current: Demands, milliseconds: number): Demands {
-    const before = this.averages ?? (this.startsAtFirst ? current : new Map<string, Demand>())
-    const weight = 1 - Math.exp(-milliseconds / this.timeConstant)
+    const before = this.averages
+    this.age += milliseconds
+    // The plain mean at first, so that a new instance does not take minutes to show its demand.
+    const weight = Math.max(milliseconds / this.age, 1 - Math.exp(-milliseconds / this.timeConstant))
     const averages = new Map<string, Demand>()
     for (const workspace of new Set([...before.keys(), ...current.keys()])) {
       const old = before.get(workspace) ?? { requests: 0, tokens: 0 }
@@ -70,14 +95,9 @@
   }
 }
 
-/** The average of a zone's demand; a member that has just started begins at what it first sees. */
-export function createZoneAverage (): DemandAverage {
-  return new DemandAverage(ZONE_AVERAGE_MILLISECONDS, true)
-}
-
 /** Averages the own demand and decides when its reported form changes. */
 export class DemandMeter {
-  private readonly average = new DemandAverage(MEMBER_AVERAGE_MILLISECONDS, false)
+  private readonly average = new DemandAverage(MEMBER_AVERAGE_MILLISECONDS)
   private counts = new Map<string, Demand>()
   private reported = ''
 
@@ -93,23 +113,11 @@
     const rates = new Map([...this.counts].map(([workspace, { requests, tokens }]) => [workspace, { requests: requests * perSecond, tokens: tokens * perSecond }]))
     this.counts = new Map()
     const averages = this.average.update(rates, milliseconds)
-    const largest = new Map([...averages].sort(([, left], [, right]) => right.tokens - left.tokens || right.requests - left.requests).slice(0, REPORTED_DEMANDS))
-    if (this.isOff(largest)) this.reported = packDemands(largest)
+    const told = unpackDemands(this.reported)
+    // Demands of about the same size would otherwise take each other's place in every report.
+    const rank = ([workspace, { requests, tokens }]: [string, Demand]): number => (tokens + requests) * (told.has(workspace) ? REPORTED_PREFERENCE : 1)
+    const largest = new Map([...averages].sort((left, right) => rank(right) - rank(left)).slice(0, REPORTED_DEMANDS))
+    this.reported = packDemands(largest, told)
     return this.reported
   }
-
-  private isOff (current: Demands): boolean {
-    const reported = unpackDemands(this.reported)
-    return [...new Set([...current.keys(), ...reported.keys()])].some(workspace => {
-      const now = current.get(workspace)
-      const told = reported.get(workspace)
-      return isStepOff(now?.requests ?? 0, told?.requests ?? 0) || isStepOff(now?.tokens ?? 0, told?.tokens ?? 0)
-    })
-  }
-}
-
-/** Compares the rate itself with the reported step, as the rounded rate would flicker between two steps. */
-function isStepOff (now: number, told: number): boolean {
-  if ((toStep(now) === 0) !== (told === 0)) return true
-  return told > 0 && Math.abs(Math.log2(now / told)) * DEMAND_STEPS_PER_DOUBLING >= DEMAND_HYSTERESIS_STEPS
 }
--- a/packages/peers/src/JayfallPeerConstants.ts
+++ b/packages/peers/src/JayfallPeerConstants.ts
@@ -5,3 +5,5 @@
 export const DEFAULT_PEER_TIMEOUT_MILLISECONDS = 1000
 /** Idle connections to one instance that are kept. */
 export const MAXIMUM_FREE_PEER_CONNECTIONS = 2
+/** Random peers of a zone of 56 meet about twice a minute; a shorter time would open a connection for almost each call. */
+export const PEER_KEEP_ALIVE_MILLISECONDS = 90_000
--- a/packages/peers/src/JayfallPeerServer.ts
+++ b/packages/peers/src/JayfallPeerServer.ts
@@ -3,13 +3,14 @@
 import Hapi, { type Server } from '@hapi/hapi'
 import { createHTTPHandler } from '@trpc/server/adapters/standalone'
 
-import { MAXIMUM_PEER_BODY_BYTES, PEER_PATH } from './JayfallPeerConstants'
+import { MAXIMUM_PEER_BODY_BYTES, PEER_KEEP_ALIVE_MILLISECONDS, PEER_PATH } from './JayfallPeerConstants'
 import { type PeerRouter } from './JayfallPeerRouter'
 
 /** Starts the listener at `address` (IP address and port). */
 export async function startPeerServer (address: string, router: PeerRouter): Promise<Server> {
   const [host, port] = address.split(':')
   const server = Hapi.server({ host, port: Number(port) })
+  server.listener.keepAliveTimeout = PEER_KEEP_ALIVE_MILLISECONDS
   const handler = createHTTPHandler({ router, basePath: PEER_PATH, maxBodySize: MAXIMUM_PEER_BODY_BYTES })
   server.route({
     method: 'POST',
