--- /dev/null
+++ b/packages/entry/src/__tests__/integration/JayfallLeaving.test.ts
@@ -0,0 +1,60 @@
+import assert from 'node:assert/strict'
+import { after, before, describe, it } from 'node:test'
+
+import { delay } from '#jayfall/shared'
+import { TestSystem, testCallerKey, testEngineService, testVersion, testWorkspace } from '#jayfall/testbed'
+
+const WORKSPACE = 'taller-uno'
+const TIMEOUT_MILLISECONDS = 25_000
+
+describe('instances and servers that are leaving', () => {
+  let system: TestSystem
+
+  before(async () => {
+    system = await TestSystem.start({
+      servers: [{ id: 'engine-1', zone: 'valdivia', service: 'asistente', type: 'engine' }],
+      entries: [{ id: 'entry-1', zone: 'valdivia' }, { id: 'entry-2', zone: 'valdivia' }, { id: 'entry-3', zone: 'osorno' }],
+      catalogue: [testVersion('guide-1'), testEngineService('asistente', ['guide-1']), testWorkspace(WORKSPACE, ['guide-1'])]
+    })
+  })
+
+  after(async () => { await system.stop() })
+
+  async function waitFor (what: string, holds: () => Promise<boolean>): Promise<void> {
+    for (const deadline = Date.now() + TIMEOUT_MILLISECONDS; !await holds(); await delay(100)) {
+      assert.ok(Date.now() < deadline, `${what} did not come about`)
+    }
+  }
+
+  async function readiness (entry: string): Promise<number> {
+    return (await fetch(`http://${system.callersAddress(entry)}/readyz`)).status
+  }
+
+  async function ask (entry: string): Promise<number> {
+    const response = await fetch(`http://${system.callersAddress(entry)}/v1/chat/completions`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${testCallerKey(WORKSPACE)}`, 'content-type': 'application/json' },
+      body: JSON.stringify({ model: 'guide', messages: [{ role: 'user', content: 'x' }], max_tokens: 1 })
+    })
+    await response.text()
+    return response.status
+  }
+
+  it('guards against marks without effect: a marked instance becomes unready, and ready again without the mark', async () => {
+    await system.putEntry({ kind: 'instance-mark', id: 'entry-1', leaving: true })
+    await waitFor('unreadiness', async () => await readiness('entry-1') === 503)
+    assert.equal(await readiness('entry-2'), 200)
+    await system.putEntry({ kind: 'instance-mark', id: 'entry-1', leaving: false })
+    await waitFor('readiness', async () => await readiness('entry-1') === 200)
+  })
+
+  it('guards against new work for servers that the platform lists as leaving, also in zones that do not read the list of theirs', async () => {
+    for (const entry of ['entry-1', 'entry-2', 'entry-3']) assert.equal(await ask(entry), 200)
+    await fetch(`http://${system.directAddress('platform')}/instances/engine-1`, {
+      method: 'PUT',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ id: 'engine-1', role: 'backend', zone: 'valdivia', address: '127.0.0.1:1', state: 'leaving' })
+    })
+    await waitFor('refusals', async () => (await Promise.all(['entry-1', 'entry-2', 'entry-3'].map(ask))).every(status => status === 503))
+  })
+})
