--- a/packages/bench/src/JayfallBenchRegistry.ts
+++ b/packages/bench/src/JayfallBenchRegistry.ts
@@ -3,6 +3,7 @@
 import { AffinityBench } from './JayfallAffinityBench'
 import { type Bench } from './JayfallBench'
 import { BlockingBench } from './JayfallBlockingBench'
+import { ControlBench } from './JayfallControlBench'
 import { CrestBench } from './JayfallCrestBench'
 import { HerdBench } from './JayfallHerdBench'
 import { OverheadBench } from './JayfallOverheadBench'
@@ -16,5 +17,6 @@
   new AffinityBench(),
   new HerdBench(),
   new RelayBench(),
-  new OverheadBench()
+  new OverheadBench(),
+  new ControlBench()
 ]
--- a/packages/entry/src/JayfallControlPlane.ts
+++ b/packages/entry/src/JayfallControlPlane.ts
@@ -70,7 +70,7 @@
       setInterval(() => this.passBacklog(), BACKLOG_INTERVAL_MILLISECONDS)
     ]
     this.ledger.start()
-    await this.peers.start(this.ledger.router)
+    await this.peers.start({ ledger: this.ledger.router })
     this.passConfirmation()
     this.passShares()
   }
--- a/packages/entry/src/JayfallPeerControl.ts
+++ b/packages/entry/src/JayfallPeerControl.ts
@@ -5,8 +5,7 @@
 
 import { type Server } from '@hapi/hapi'
 import { ANNOUNCE_MILLISECONDS, ControlNode, ControlService, INSTANCE_LIST_BYTES_PER_SECOND, INSTANCE_LIST_MILLISECONDS, LISTED_INSTANCE_BYTES, ZONE_STATUS_MILLISECONDS, ZONE_STATUS_TABLE, createControlRouter, createPeerSender, createZoneStatus, type KnownAddress } from '#jayfall/control'
-import { type LedgerRouter } from '#jayfall/ledger'
-import { createPeerRouter, startPeerServer, type PeerDirectory } from '#jayfall/peers'
+import { createPeerRouter, startPeerServer, type PeerDirectory, type PeerRouter } from '#jayfall/peers'
 import { type CatalogueStore, type ListedInstance, type PlatformServices, type TableStore } from '#jayfall/platform'
 import { createRandomSource, type Clock } from '#jayfall/shared'
 import { type Log } from '#jayfall/telemetry'
@@ -63,10 +62,10 @@
   }
 
   /** Starts the listener, joins the other instances and installs a catalogue if one is within reach. */
-  async start (ledger: LedgerRouter): Promise<void> {
+  async start (furtherRouters: Readonly<Record<string, PeerRouter>> = {}): Promise<void> {
     const router = createPeerRouter({
       control: createControlRouter(request => this.service.answer(request)),
-      ledger
+      ...furtherRouters
     })
     this.server = await startPeerServer(this.settings.peersAddress, router)
     await this.readList().catch((error: Error) => this.parts.log.warn('instance_list_unread', { message: error.message }))
