Write each relayed event with one buffer

Cause: ServerResponse writes the frame and the data of a chunk as four buffers, and the answer's headers were assembled again for each event. In a CPU profile of a data thread with 860 streams, writev took 25 to 30 % and the headers 4 %.

Change: the sink frames the chunk itself, with one write per event; the headers are assembled once for each attempt.

--- a/packages/entry/src/JayfallAnswerSink.ts
+++ b/packages/entry/src/JayfallAnswerSink.ts
@@ -48,7 +48,11 @@
   protected abstract writeFinal (raw: Buffer, headers: AnswerHeaders): void
 
   protected writeLateError (error: ApiError): void {
-    this.response.end(`event: error\ndata: ${JSON.stringify(error.toBody(this.requestId))}\n\n`)
+    this.endLate(`event: error\ndata: ${JSON.stringify(error.toBody(this.requestId))}\n\n`)
+  }
+
+  protected endLate (text: string): void {
+    this.response.end(text)
   }
 }
 
@@ -60,24 +64,48 @@
   response.end(JSON.stringify(error.toBody(requestId)))
 }
 
-/** Passes the engine's events on unmodified. */
+/**
+ * Passes the engine's events on unmodified.
+ *
+ * Each write becomes one chunk of the body. The chunk's frame is written here, because
+ * `ServerResponse` writes the frame and the data as four buffers, which costs a third of
+ * the time of the whole path of an event.
+ */
 export class StreamedAnswerSink extends AnswerSink {
   override events (raw: Buffer, headers: AnswerHeaders): void {
     this.start(headers)
-    this.response.write(raw)
+    this.response.write(frameChunk(raw))
   }
 
   protected override writeFinal (raw: Buffer, headers: AnswerHeaders): void {
     this.start(headers)
-    this.response.end(raw)
+    this.response.end(Buffer.concat([frameChunk(raw), LAST_CHUNK]))
+  }
+
+  protected override endLate (text: string): void {
+    this.response.end(Buffer.concat([frameChunk(Buffer.from(text)), LAST_CHUNK]))
   }
 
   private start (headers: AnswerHeaders): void {
     if (this.response.headersSent) return
-    this.response.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache', ...headers })
+    this.response.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache', 'transfer-encoding': 'chunked', ...headers })
+    this.response.flushHeaders()
+    this.response.chunkedEncoding = false
   }
 }
 
+const LAST_CHUNK = Buffer.from('0\r\n\r\n')
+
+/** One chunk of HTTP/1.1's chunked transfer coding. */
+function frameChunk (data: Buffer): Buffer {
+  const size = `${data.length.toString(16)}\r\n`
+  const frame = Buffer.allocUnsafe(size.length + data.length + 2)
+  frame.write(size, 0, 'latin1')
+  data.copy(frame, size.length)
+  frame.write('\r\n', size.length + data.length, 'latin1')
+  return frame
+}
+
 interface CompletionChunk {
   readonly id: string
   readonly created: number
--- a/packages/entry/src/JayfallModelAnswer.ts
+++ b/packages/entry/src/JayfallModelAnswer.ts
@@ -37,7 +37,8 @@
   readonly decision: Dispatch
   readonly address: string
   readonly streamId: string
-  readonly tokens: AnswerHeaders
+  /** Headers of the caller's answer when it comes from this attempt. */
+  readonly answerHeaders: AnswerHeaders
   /** Index of the next event that is expected. */
   nextIndex: number
   resumptions: number
@@ -109,7 +110,8 @@
       decision,
       address,
       streamId,
-      tokens: {
+      answerHeaders: {
+        ...this.work.headers,
         [SESSION_HEADER]: await this.context.seal.seal({ kind: 'session', model, ...common }),
         [STREAM_HEADER]: await this.context.seal.seal({ kind: 'stream', requestId: request.id, streamId, billKey, ...common })
       },
@@ -136,7 +138,7 @@
   private passOn (attempt: Attempt, raw: Buffer, index: number): void {
     if (!this.choose(attempt)) return
     attempt.nextIndex = index + 1
-    this.sink.events(raw, this.answerHeaders(attempt))
+    this.sink.events(raw, attempt.answerHeaders)
   }
 
   /** Makes the first attempt that delivers the answer's; false for the others. */
@@ -155,7 +157,7 @@
     await this.context.control.call('bill', bill)
     this.context.book.observe({ kind: 'finished', requestId: this.work.request.id, attempt: attempt.decision.attempt, outputTokens: usage.outputTokens })
     this.context.book.close(this.work.request.id)
-    this.sink.finish(raw, this.answerHeaders(attempt))
+    this.sink.finish(raw, attempt.answerHeaders)
     this.context.log.info('request_finished', {
       request: this.work.request.id, workspace: bill.workspace, version: bill.source, server: attempt.decision.server, output_tokens: usage.outputTokens, amount: bill.amount
     })
@@ -198,10 +200,6 @@
     this.context.log.warn('request_refused', { request: this.work.request.id, workspace: this.work.request.workspace, code: error.code, ran: error.ran })
   }
 
-  private answerHeaders (attempt: Attempt): AnswerHeaders {
-    return { ...this.work.headers, ...attempt.tokens }
-  }
-
   private cancelStream (attempt: Attempt): void {
     this.context.backend.send({
       method: 'DELETE', address: attempt.address, path: `/streams/${encodeURIComponent(attempt.streamId)}`, headers: {}, headTimeout: FIRST_TOKEN_LIMIT_MILLISECONDS
