--- a/packages/entry/src/JayfallModelAnswer.ts
+++ b/packages/entry/src/JayfallModelAnswer.ts
@@ -37,7 +37,8 @@
 
 interface Attempt {
   readonly decision: Dispatch
-  readonly tokens: AnswerHeaders
+  /** Headers of the caller's answer when it comes from this attempt. */
+  readonly answerHeaders: AnswerHeaders
   readonly stream: AttemptStream
 }
 
@@ -110,7 +111,8 @@
     const { request, version, model, billKey } = this.work
     const streamId = `${request.id}.${decision.attempt}`
     const common = { workspace: request.workspace, version: version.id, server: decision.server, issuedAt: this.context.clock.wall() }
-    const tokens = {
+    const answerHeaders = {
+      ...this.work.headers,
       [SESSION_HEADER]: await this.context.seal.seal({ kind: 'session', model, ...common }),
       [STREAM_HEADER]: await this.context.seal.seal({ kind: 'stream', requestId: request.id, streamId, billKey, ...common })
     }
@@ -120,7 +122,7 @@
       onFinal: raw => { this.complete(decision.attempt, raw).catch((error: unknown) => this.failAttempt(decision.attempt, error)) },
       onFailure: error => this.failAttempt(decision.attempt, error)
     })
-    const attempt = { decision, tokens, stream }
+    const attempt = { decision, answerHeaders, stream }
     this.attempts.set(decision.attempt, attempt)
     return attempt
   }
@@ -198,6 +200,6 @@
   }
 
   private answerHeaders (number: number): AnswerHeaders {
-    return { ...this.work.headers, ...this.attempts.get(number)?.tokens }
+    return this.attempts.get(number)?.answerHeaders ?? this.work.headers
   }
 }
