Add leases with fencing numbers over conditional writes

Change: Lease in packages/platform. The holder counts its term from before its write was sent and asks for the remaining term before each order; a candidate takes over after it has seen one revision for a full term on its own monotonic clock; own writes are recognised by identifier.

--- a/packages/platform/src/JayfallPlatformConstants.ts
+++ b/packages/platform/src/JayfallPlatformConstants.ts
@@ -14,3 +14,7 @@
 
 /** Attempts of a catalogue write that lose only the race for the head row. */
 export const MAXIMUM_HEAD_ATTEMPTS = 20
+
+export const DEFAULT_LEASE_TERM_MILLISECONDS = 15_000
+/** Own writes of a lease that are recognised when they take effect late. */
+export const MAXIMUM_PENDING_LEASE_WRITES = 32
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,6 +1,7 @@
 export { CatalogueStore, type CatalogueEdit } from './JayfallCatalogueStore'
 export { HttpObjectStore, ObjectStore } from './JayfallObjectStore'
-export { LEASES_TABLE } from './JayfallPlatformConstants'
+export { Lease, type LeaseRow, type LeaseSettings } from './JayfallLease'
+export { DEFAULT_LEASE_TERM_MILLISECONDS, LEASES_TABLE } from './JayfallPlatformConstants'
 export { PlatformError, isPlatformError, type PlatformErrorCode } from './JayfallPlatformError'
 export { PlatformHttp, type PlatformSettings } from './JayfallPlatformHttp'
 export { PlatformServices, type AnswerRating, type ListedInstance, type RatingPage } from './JayfallPlatformServices'
