Drive roll-outs and engine orders under leases; add version and instance commands

Cause: steps decided by the sequential test, loaded versions and operators' roll-outs need one instance that acts for all and a successor that goes on.

Change: RolloutRunner writes evidence and the position in the ratings in one transaction and brings the catalogue to what its rows say; OrderRunner compares GET /state with the wanted state on each round, waits one order timeout before a first order to an engine that ignores fencing numbers, and stops a round at the weight store's rate. `jayfall version roll-out`, `version withdraw [--hard]` and `instance leave`.

--- a/packages/bench/src/JayfallBenchRegistry.ts
+++ b/packages/bench/src/JayfallBenchRegistry.ts
@@ -2,7 +2,9 @@
 
 import { BadVersionBench } from './JayfallBadVersionBench'
 import { type Bench } from './JayfallBench'
+import { CostBench } from './JayfallCostBench'
 
 export const BENCHES: readonly Bench[] = [
-  new BadVersionBench()
+  new BadVersionBench(),
+  new CostBench()
 ]
--- a/packages/entry/src/JayfallControlCalls.ts
+++ b/packages/entry/src/JayfallControlCalls.ts
@@ -13,6 +13,8 @@
   readonly find: { readonly argument: { readonly workspace: string, readonly key: string }, readonly result: CallRow | undefined }
   /** Resolves when the bill survives the death of this instance. */
   readonly bill: { readonly argument: Bill, readonly result: undefined }
+  /** Offers an answer for rating. */
+  readonly offer: { readonly argument: { readonly offeredId: string, readonly version: string }, readonly result: undefined }
 }
 
 export type ControlCallName = keyof ControlCalls
--- a/packages/entry/src/JayfallControlLink.ts
+++ b/packages/entry/src/JayfallControlLink.ts
@@ -5,6 +5,7 @@
  */
 
 import { type CatalogueChange, type CatalogueSnapshot } from '#jayfall/catalogue'
+import { type QualitySnapshot } from '#jayfall/rollout'
 import { type WorkspaceShare } from '#jayfall/routing'
 
 /** From the control thread to a data thread. */
@@ -14,6 +15,8 @@
   /** `confirmedAt`: monotonic milliseconds, see `findVersionRefusal`. */
   | { readonly kind: 'confirmation', readonly confirmedAt: number }
   | { readonly kind: 'limit-shares', readonly shares: readonly WorkspaceShare[] }
+  /** Ratings of all cascades, by cascade. */
+  | { readonly kind: 'cascade-quality', readonly quality: Readonly<Record<string, QualitySnapshot>> }
   | { readonly kind: 'leaving-servers', readonly servers: readonly string[] }
   | { readonly kind: 'lifecycle', readonly state: 'serving' | 'leaving' }
   | { readonly kind: 'reply', readonly id: number, readonly result?: unknown, readonly error?: { readonly code: string, readonly message: string } }
--- a/packages/entry/src/JayfallControlPlane.ts
+++ b/packages/entry/src/JayfallControlPlane.ts
@@ -11,6 +11,7 @@
 import { type Log } from '#jayfall/telemetry'
 
 import { type ControlCallName, type ControlCalls } from './JayfallControlCalls'
+import { ControlDuties } from './JayfallControlDuties'
 import { type ControlLinkEnd, type DataMessage } from './JayfallControlLink'
 
 /** Interval at which the store's head row is read. */
@@ -37,6 +38,7 @@
   private readonly http: PlatformHttp
   private readonly catalogueStore: CatalogueStore
   private readonly bills: BillBatches
+  private readonly duties: ControlDuties
   private readonly handlers: CallHandlers
   private links: readonly ControlLinkEnd[] = []
   private timers: readonly NodeJS.Timeout[] = []
@@ -47,12 +49,23 @@
     const claims = new CallClaims(tables)
     this.catalogueStore = new CatalogueStore(tables)
     this.bills = new BillBatches(new HttpObjectStore(this.http), settings.instanceId)
+    this.duties = new ControlDuties({
+      ...settings,
+      http: this.http,
+      tables,
+      catalogueStore: this.catalogueStore,
+      catalogue: this.catalogue,
+      clock: this.clock,
+      log,
+      onQuality: quality => this.links.forEach(link => link.post({ kind: 'cascade-quality', quality }))
+    })
     this.handlers = {
       claim: argument => claims.claim(argument),
       complete: async ({ claim, outcome, bill }) => { await claims.complete(claim, outcome, bill) },
       withdraw: async claim => { await claims.withdraw(claim) },
       find: ({ workspace, key }) => claims.find(workspace, key),
-      bill: async bill => { this.bills.record(bill) }
+      bill: async bill => { this.bills.record(bill) },
+      offer: async offer => { await this.duties.offerRating(offer) }
     }
   }
 
@@ -64,6 +77,7 @@
   }
 
   start (): void {
+    this.duties.start()
     this.timers = [
       this.every(HEAD_INTERVAL_MILLISECONDS, () => this.readCatalogue()),
       this.every(this.settings.batchInterval, () => this.bills.flush())
@@ -77,6 +91,7 @@
 
   async stop (): Promise<void> {
     for (const timer of this.timers) clearInterval(timer)
+    await this.duties.stop()
     await this.bills.flush().catch((error: Error) => this.log.error('bills_not_written', { message: error.message }))
     this.http.close()
   }
--- a/packages/rollout/src/JayfallRollout.ts
+++ b/packages/rollout/src/JayfallRollout.ts
@@ -62,9 +62,9 @@
   return state.outcome === 'stopped' ? 0 : state.outcome === 'finished' ? 100 : ROLLOUT_STEPS[state.step]
 }
 
-/** The step whose share is the highest that does not exceed `share`. */
-export function stepOfShare (share: number): number {
-  return Math.max(0, ROLLOUT_STEPS.findLastIndex(step => step <= share))
+/** The traffic share that makes up `share` hundredths of the traffic next to versions with `others` together. */
+export function shareAgainst (share: number, others: number): number {
+  return share >= 100 ? 100 : Math.min(100, others * share / (100 - share))
 }
 
 /** What a roll-out decision needs besides the ratings. */
--- a/packages/rollout/src/JayfallRolloutConstants.ts
+++ b/packages/rollout/src/JayfallRolloutConstants.ts
@@ -37,3 +37,23 @@
 
 /** The part of a model's ratings that goes to its version in roll-out; the rest go to the old version. */
 export const NEW_VERSION_RATING_PART = 2 / 3
+
+/** Ratings that the fitted model counts for, against the ratings of one kind, step and signal. */
+export const MODEL_PRIOR_RATINGS = 10
+/** Ratings that the mean over all kinds counts for, against one kind's answers. */
+export const KIND_PRIOR_RATINGS = 5
+/** Ratings that the catalogue's `quality` counts for, against the ratings of all kinds. */
+export const CATALOGUE_PRIOR_RATINGS = 20
+/** Ratings that all answers of a kind without a rating count for at most. */
+export const UNRATED_ANSWERS = 30
+export const MODEL_ITERATIONS = 30
+/** Answers that the pooled frequency of a signal counts for, against a kind's own answers. */
+export const SIGNAL_PRIOR_ANSWERS = 20
+/** Standard errors by which the estimated quality of a plan must exceed the target. */
+export const PLAN_MARGIN_ERRORS = 1.6
+/** The part of requests whose first step is drawn at random, so that ratings of each step go on. */
+export const EXPLORED_PART = 0.02
+/** A request may cost at most this many times its dearest step, all steps together. */
+export const REQUEST_BUDGET_FACTOR = 1.5
+/** Bounds on how much more often than the average an answer with few ratings is offered. */
+export const HIGHEST_OFFER_BOOST = 30
