--- a/packages/command/src/JayfallCommandLine.ts
+++ b/packages/command/src/JayfallCommandLine.ts
@@ -6,15 +6,15 @@
 import { billCommands } from './JayfallBillCommands'
 import { catalogueCommands } from './JayfallCatalogueCommands'
 import { entryCommand } from './JayfallEntryCommand'
-import { statusCommand, versionStatusCommand } from './JayfallStatusCommands'
-
-const versionCommands = subcommands({ name: 'version', description: 'Roll versions in and out.', cmds: { status: versionStatusCommand } })
+import { instanceCommands } from './JayfallInstanceCommands'
+import { statusCommand } from './JayfallStatusCommands'
+import { versionCommands } from './JayfallVersionCommands'
 
 const jayfall = subcommands({
   name: 'jayfall',
   description: 'Model-aware router for model versions and cascades.',
   version: '0.1.0',
-  cmds: { entry: entryCommand, catalogue: catalogueCommands, version: versionCommands, bill: billCommands, status: statusCommand }
+  cmds: { entry: entryCommand, catalogue: catalogueCommands, version: versionCommands, instance: instanceCommands, bill: billCommands, status: statusCommand }
 })
 
 /** Runs the subcommand that `argv` names and ends the process. */
--- a/packages/entry/src/JayfallControlPlane.ts
+++ b/packages/entry/src/JayfallControlPlane.ts
@@ -9,7 +9,8 @@
 import { JayfallError, SystemClock } from '#jayfall/shared'
 import { type Log } from '#jayfall/telemetry'
 
-import { type ControlCallName } from './JayfallControlCalls'
+import { type CallHandlers, type ControlCallName } from './JayfallControlCalls'
+import { ControlDuties } from './JayfallControlDuties'
 import { type ControlLinkEnd, type ControlMessage, type DataMessage } from './JayfallControlLink'
 import { InstanceLedger, type InstanceLedgerSettings } from './JayfallInstanceLedger'
 import { LeavingServers } from './JayfallLeavingServers'
@@ -29,7 +30,9 @@
   private readonly clock = new SystemClock()
   private readonly http: PlatformHttp
   private readonly peers: PeerControl
+  private readonly duties: ControlDuties
   private readonly ledger: InstanceLedger
+  private readonly handlers: CallHandlers
   private readonly leavingServers = new LeavingServers(this.clock)
   private links: readonly ControlLinkEnd[] = []
   private timers: readonly NodeJS.Timeout[] = []
@@ -44,10 +47,23 @@
     const incarnation = this.clock.wall()
     this.http = new PlatformHttp({ address: settings.platformAddress, timeout: settings.platformTimeout, localAddress: settings.localAddress })
     const tables = new HttpTableStore(this.http)
+    const catalogueStore = new CatalogueStore(tables)
     this.peers = new PeerControl({ ...settings, incarnation }, {
-      catalogueStore: new CatalogueStore(tables), tables, services: new PlatformServices(this.http), clock: this.clock, log
+      catalogueStore, tables, services: new PlatformServices(this.http), clock: this.clock, log
     })
-    this.ledger = new InstanceLedger({ ...settings, incarnation }, this.catalogue, this.peers.directory, log)
+    this.duties = new ControlDuties({
+      ...settings,
+      http: this.http,
+      tables,
+      catalogueStore,
+      catalogue: this.catalogue,
+      clock: this.clock,
+      log,
+      isCandidate: () => this.peers.node.isZoneWriter,
+      onQuality: quality => this.post({ kind: 'cascade-quality', quality })
+    })
+    this.ledger = new InstanceLedger({ ...settings, incarnation }, this.catalogue, this.peers.directory, this.duties.recoveryRight, log)
+    this.handlers = { ...this.ledger.handlers, offer: async offer => { await this.duties.offerRating(offer) } }
     this.catalogue.registerInstallListener(() => this.passInstallation())
   }
 
@@ -71,6 +87,7 @@
     ]
     this.ledger.start()
     await this.peers.start({ ledger: this.ledger.router })
+    this.duties.start()
     this.passConfirmation()
     this.passShares()
   }
@@ -83,6 +100,7 @@
 
   async stop (): Promise<void> {
     for (const timer of this.timers) clearInterval(timer)
+    await this.duties.stop()
     await this.ledger.stop()
     await this.peers.stop()
     this.http.close()
@@ -155,7 +173,7 @@
   }
 
   private answer (link: ControlLinkEnd, message: Extract<DataMessage, { kind: 'call' }>): void {
-    const handler = this.ledger.handlers[message.name as ControlCallName] as (argument: unknown) => Promise<unknown>
+    const handler = this.handlers[message.name as ControlCallName] as (argument: unknown) => Promise<unknown>
     handler(message.argument).then(
       result => link.post({ kind: 'reply', id: message.id, result }),
       (error: Error) => link.post({ kind: 'reply', id: message.id, error: { code: error instanceof JayfallError ? error.code : 'internal', message: error.message } })
--- a/packages/entry/src/JayfallInstanceLedger.ts
+++ b/packages/entry/src/JayfallInstanceLedger.ts
@@ -1,7 +1,7 @@
 /** The ledger of one instance: claims of calls, their recovery, bills, and copies of other instances' bills. */
 
 import { type ReadonlyCatalogue } from '#jayfall/catalogue'
-import { BillBatches, BillMemory, BillWitness, CallClaims, CallRecovery, createLedgerRouter, PeerWitnessClient, REPLICATION_INTERVAL_MILLISECONDS, RowCommitter, SharedRecoveryRight, StoreGate, type LedgerRouter } from '#jayfall/ledger'
+import { BillBatches, BillMemory, BillWitness, CallClaims, CallRecovery, createLedgerRouter, PeerWitnessClient, REPLICATION_INTERVAL_MILLISECONDS, RowCommitter, StoreGate, type LedgerRouter, type RecoveryRight } from '#jayfall/ledger'
 import { type PeerDirectory } from '#jayfall/peers'
 import { HttpObjectStore, HttpTableStore, PlatformHttp } from '#jayfall/platform'
 import { createRandomSource, delay, SystemClock } from '#jayfall/shared'
@@ -35,7 +35,7 @@
 
 /** Wires the ledger to the platform and the backend servers. */
 export class InstanceLedger {
-  readonly handlers: CallHandlers
+  readonly handlers: Omit<CallHandlers, 'offer'>
   private readonly clock = new SystemClock()
   private readonly http: PlatformHttp
   private readonly backend: BackendClient
@@ -48,7 +48,7 @@
   private unreplicated = 0
   private timers: readonly NodeJS.Timeout[] = []
 
-  constructor (settings: InstanceLedgerSettings, catalogue: ReadonlyCatalogue, directory: PeerDirectory, private readonly log: Log) {
+  constructor (settings: InstanceLedgerSettings, catalogue: ReadonlyCatalogue, directory: PeerDirectory, right: RecoveryRight, private readonly log: Log) {
     const { platformAddress: address, platformTimeout: timeout, localAddress } = settings
     const random = createRandomSource()
     // The ledger has connections of its own, so that slow readers of the catalogue do not delay claims.
@@ -57,7 +57,7 @@
     const gate = new StoreGate(new HttpTableStore(this.http), this.clock, random)
     const committer = new RowCommitter(gate)
     this.claims = new CallClaims(gate, committer, this.clock, random)
-    this.recovery = new CallRecovery(gate, committer, new HttpOutcomeLookup(catalogue, this.backend), new SharedRecoveryRight(), this.clock)
+    this.recovery = new CallRecovery(gate, committer, new HttpOutcomeLookup(catalogue, this.backend), right, this.clock)
     const objects = new HttpObjectStore(this.http)
     this.memory = new BillMemory(settings.billMemory)
     this.witnessClient = new PeerWitnessClient(localAddress)
--- /dev/null
+++ b/packages/rollout/src/index.ts
@@ -0,0 +1,6 @@
+export { mayEscalate, planCascade, policyOf, type CascadePlan, type EscalationLimits, type KindModel, type KindPolicy, type StepModel } from './JayfallCascadePlan'
+export { QualityEstimates, type QualitySnapshot, type StepPrior } from './JayfallQualityEstimates'
+export { ANSWER_SIGNALS, answerSignal, requestKind, type AnswerFeatures, type AnswerSignal, type KindFeatures } from './JayfallRequestKind'
+export { advanceRollout, createMonitorAfter, createRollout, shareAgainst, trafficShareOf, type RolloutRating, type RolloutState } from './JayfallRollout'
+export { EXPLORED_PART, NEW_VERSION_RATING_PART, ROLLOUT_STEPS } from './JayfallRolloutConstants'
+export { NEW_MONITOR, advanceMonitor, type MonitorRating, type MonitorState } from './JayfallServiceMonitor'
