Poll a shared listening socket before another thread may close it

The event loop aborts the process when it registers a descriptor that another thread has closed; ruled out: a fault in the test, as no subtest had failed. Change: a thread reports that it listens only after two turns of its event loop, when the socket is registered.

--- a/packages/entry/src/JayfallCallerApi.ts
+++ b/packages/entry/src/JayfallCallerApi.ts
@@ -57,6 +57,7 @@
       this.listener.once('error', reject)
       this.listener.listen(target, resolve)
     })
+    await passEventLoopTurns(REGISTRATION_TURNS)
   }
 
   /** File descriptor of the listening socket. */
@@ -87,6 +88,16 @@
   }
 }
 
+/**
+ * Turns of the event loop after which it polls a new listening socket. Threads share the socket's descriptor:
+ * one that is closed by another thread before this one polls it makes the event loop abort the process.
+ */
+const REGISTRATION_TURNS = 2
+
+async function passEventLoopTurns (turns: number): Promise<void> {
+  for (let turn = 0; turn < turns; turn++) await new Promise(resolve => setImmediate(resolve))
+}
+
 function registerRoutes (server: Server, context: DataContext, readiness: () => Readiness): void {
   const whenServing = <Result>(handler: (context: DataContext, request: Request, toolkit: ResponseToolkit) => Result) =>
     (request: Request, toolkit: ResponseToolkit): Result => {
