--- a/packages/entry/src/JayfallInstanceLedger.ts
+++ b/packages/entry/src/JayfallInstanceLedger.ts
@@ -18,7 +18,7 @@
 /** A stopping instance waits this long for outcomes that the store does not take. */
 const FLUSH_LIMIT_MILLISECONDS = 5000
 const SEED_INTERVAL_MILLISECONDS = 1000
-const FLUSH_POLL_MILLISECONDS = 50
+const FLUSH_POLL_MILLISECONDS = 250
 
 export interface InstanceLedgerSettings {
   readonly instanceId: string
--- a/packages/ledger/src/JayfallBillBatches.ts
+++ b/packages/ledger/src/JayfallBillBatches.ts
@@ -35,6 +35,8 @@
   /** Instances that may hold copies, by address. */
   readonly witnesses: Map<string, Peer>
   readonly waiters: WriteWaiter[]
+  /** Address of the witness that acknowledged last. */
+  witness?: string
 }
 
 interface SealedBatch extends Pick<OpenBatch, 'sequence' | 'openedAt' | 'witnesses' | 'waiters'> {
@@ -127,11 +129,15 @@
   }
 
   private async copyToWitness (batch: OpenBatch, bills: readonly Bill[]): Promise<boolean> {
-    for (const witness of this.rankWitnesses(batch.sequence).slice(0, WITNESSES_TRIED)) {
+    let tried = 0
+    for (const witness of this.candidates(batch)) {
+      if (tried === WITNESSES_TRIED) return false
+      tried++
       // Without an acknowledgement it may hold copies all the same, and must be told when they are stored.
       batch.witnesses.set(witness.address, witness)
       try {
         await this.witnesses.replicate(witness, { ...this.origin, origin: this.originId, sequence: batch.sequence, bills })
+        batch.witness = witness.address
         return true
       } catch {
         this.failedWitnesses.set(witness.address, this.clock.monotonic() + WITNESS_PENALTY_MILLISECONDS)
@@ -140,12 +146,15 @@
     return false
   }
 
-  /** One order for all bills of a batch, so that they have the same witness; those that failed lately come last. */
-  private rankWitnesses (sequence: number): readonly Peer[] {
+  /** Witnesses in the order in which they are asked: the batch's own first, those that failed lately last. */
+  private * candidates ({ sequence, witness }: OpenBatch): Generator<Peer> {
     const peers = new Map(this.directory.livePeersOfZone().map(peer => [peer.address, peer]))
-    const ranked = rendezvousRank(`${this.originId}/${sequence}`, peers.keys())
     const hasFailed = (address: string): boolean => (this.failedWitnesses.get(address) ?? -Infinity) > this.clock.monotonic()
-    return [...ranked.filter(address => !hasFailed(address)), ...ranked.filter(hasFailed)].map(address => peers.get(address) as Peer)
+    const own = witness === undefined || hasFailed(witness) ? undefined : peers.get(witness)
+    if (own !== undefined) yield own
+    // Ranking hashes each peer, which is too dear for every message.
+    const ranked = rendezvousRank(`${this.originId}/${sequence}`, peers.keys()).filter(address => address !== own?.address)
+    for (const address of [...ranked.filter(address => !hasFailed(address)), ...ranked.filter(hasFailed)]) yield peers.get(address) as Peer
   }
 
   /** Writes the batch without waiting for its time. False when the store is known to be down or fails now. */
--- a/packages/ledger/src/JayfallCallRecovery.ts
+++ b/packages/ledger/src/JayfallCallRecovery.ts
@@ -10,7 +10,7 @@
 import { type Clock } from '#jayfall/shared'
 
 import { changeRow, createDoneRow, createRow, type CallOutcome, type CallRow, type OpenCall } from './JayfallCallRow'
-import { CALLS_TABLE, OPEN_CALLS_TABLE, RECOVERY_AGE_MILLISECONDS, RECOVERY_LIMIT_MILLISECONDS } from './JayfallLedgerConstants'
+import { CALLS_TABLE, OPEN_CALLS_TABLE, RECOVERY_CONCURRENCY, RECOVERY_AGE_MILLISECONDS, RECOVERY_LIMIT_MILLISECONDS } from './JayfallLedgerConstants'
 import { type RowCommitter } from './JayfallRowCommitter'
 import { type StoreGate } from './JayfallStoreGate'
 
@@ -83,15 +83,23 @@
   }
 
   private async recoverDue (ages: ReadonlyMap<string, number>): Promise<readonly CallRow[]> {
+    const due = [...ages]
     const completed: CallRow[] = []
-    for (const [key, age] of ages) {
-      const row = await this.gate.run(store => store.read<CallRow>(CALLS_TABLE, key))
-      const value = row?.value.state === 'dispatched' ? await this.decide(row.value, age) : undefined
-      if (value !== undefined && await this.replace(row as TableRow<CallRow>, value)) completed.push(value)
+    // One service that does not answer must not hold up the rows of the others for long.
+    for (let start = 0; start < due.length; start += RECOVERY_CONCURRENCY) {
+      const group = await Promise.all(due.slice(start, start + RECOVERY_CONCURRENCY).map(([key, age]) => this.recoverRow(key, age)))
+      completed.push(...group.flatMap(row => row ?? []))
     }
     return completed
   }
 
+  private async recoverRow (key: string, age: number): Promise<CallRow | undefined> {
+    const row = await this.gate.run(store => store.read<CallRow>(CALLS_TABLE, key))
+    if (row?.value.state !== 'dispatched') return undefined
+    const value = await this.decide(row.value, age)
+    return value !== undefined && await this.replace(row, value) ? value : undefined
+  }
+
   /** The row's next value, or undefined while the service is still to be asked. */
   private async decide (row: CallRow, age: number): Promise<CallRow | undefined> {
     const answer = await this.lookup.find(row)
--- a/packages/ledger/src/JayfallLedgerConstants.ts
+++ b/packages/ledger/src/JayfallLedgerConstants.ts
@@ -25,6 +25,8 @@
 export const RECOVERY_AGE_MILLISECONDS = 30_000
 /** A service that does not know a request after this time is not asked again. */
 export const RECOVERY_LIMIT_MILLISECONDS = 600_000
+/** Rows that one recovery works on at a time. */
+export const RECOVERY_CONCURRENCY = 16
 
 export const BATCH_INTERVAL_MILLISECONDS = 5000
 export const MAXIMUM_BILLS_PER_BATCH = 500
--- a/packages/ledger/src/JayfallLedgerPeers.ts
+++ b/packages/ledger/src/JayfallLedgerPeers.ts
@@ -4,7 +4,7 @@
 import { z } from 'zod'
 
 import { type BillWitness, type ReplicatedBills, type StoredBatch } from './JayfallBillWitness'
-import { WITNESS_TIMEOUT_MILLISECONDS } from './JayfallLedgerConstants'
+import { MAXIMUM_BILLS_PER_BATCH, WITNESS_TIMEOUT_MILLISECONDS } from './JayfallLedgerConstants'
 
 const billSchema = z.object({
   key: z.string(),
@@ -20,7 +20,7 @@
   startedAt: z.number(),
   origin: z.string(),
   sequence: z.number().int().nonnegative(),
-  bills: z.array(billSchema)
+  bills: z.array(billSchema).max(MAXIMUM_BILLS_PER_BATCH)
 })
 
 const confirmSchema = z.object({
