--- a/packages/bench/src/JayfallControlBenchWorker.ts
+++ b/packages/bench/src/JayfallControlBenchWorker.ts
@@ -1,11 +1,13 @@
 /** A process of the control bench: a few instances of the real control code with real sockets. */
 
 import { type Socket } from 'node:net'
+import * as v8 from 'node:v8'
+import * as vm from 'node:vm'
 
 import { ControlService, type ExchangeMessage } from '#jayfall/control'
 import { PeerControl } from '#jayfall/entry'
 import { CatalogueStore, HttpTableStore, PlatformHttp, PlatformServices } from '#jayfall/platform'
-import { createRandomSource, SystemClock } from '#jayfall/shared'
+import { createRandomSource, delay, SystemClock } from '#jayfall/shared'
 import { createLog } from '#jayfall/telemetry'
 
 export interface WorkerInstance {
@@ -19,6 +21,8 @@
   | { readonly kind: 'start', readonly platform: string, readonly seeds: readonly string[], readonly instances: readonly WorkerInstance[], readonly workspaces: readonly string[], readonly seed: number }
   /** Exchanges `count` times with an address, so that the code runs compiled as it does after some minutes. */
   | { readonly kind: 'warm', readonly address: string, readonly count: number }
+  /** Measures the roles' calls to the platform; the worker answers with `calls`. */
+  | { readonly kind: 'call', readonly platform: string }
   /** Begins a measurement. */
   | { readonly kind: 'begin' }
   /** Ends the measurement; the worker answers with `measured`. */
@@ -35,6 +39,8 @@
 export type WorkerReport =
   | { readonly kind: 'ready' }
   | { readonly kind: 'warmed' }
+  /** Microseconds of processor time of one call. */
+  | { readonly kind: 'calls', readonly costs: Readonly<Record<string, number>> }
   /** `at`: monotonic milliseconds, which all processes of a machine share. */
   | { readonly kind: 'installed', readonly instance: string, readonly revision: number, readonly at: number }
   | { readonly kind: 'measured', readonly cpu: number, readonly elapsed: number, readonly memory: number, readonly bytes: number, readonly kinds: Readonly<Record<string, KindCounts>> }
@@ -44,6 +50,8 @@
 /** Requests per second of one node at the target size. */
 const REQUESTS_PER_SECOND = 106
 const TOKENS_PER_REQUEST = 400
+const MEASURED_CALLS = 100
+const PAUSE_MILLISECONDS = 20
 const DEMAND_AGE_SECONDS = 600
 
 const clock = new SystemClock()
@@ -120,13 +128,52 @@
   report({ kind: 'warmed' })
 }
 
+/** Calls with pauses between them, as calls in quick succession cost less than half. */
+async function measureCalls (platform: string): Promise<void> {
+  const http = new PlatformHttp({ address: platform })
+  const tables = new HttpTableStore(http)
+  const store = new CatalogueStore(tables)
+  const services = new PlatformServices(http)
+  const calls: Readonly<Record<string, () => Promise<unknown>>> = {
+    'read of the head': () => store.readHead(),
+    'write of the zone status': () => tables.transact([{ table: 'zone-status', key: 'bench', value: { members: 56 } }]),
+    announcement: () => services.announceInstance({ id: 'bench', role: 'entry', zone: 'zone-1', address: '127.0.0.1:1', state: 'live' })
+  }
+  const costs: Record<string, number> = {}
+  for (const [name, call] of Object.entries(calls)) {
+    for (let warm = 0; warm < MEASURED_CALLS * 5; warm++) await call()
+    const before = process.cpuUsage()
+    for (let number = 0; number < MEASURED_CALLS; number++) {
+      await call()
+      await delay(PAUSE_MILLISECONDS)
+    }
+    const { user, system } = process.cpuUsage(before)
+    costs[name] = (user + system) / MEASURED_CALLS
+  }
+  http.close()
+  report({ kind: 'calls', costs })
+}
+
+/**
+ * Bytes of the heap, free parts included, and of buffers. The resident memory of a process swings by
+ * more than control needs. Without instances the garbage of the start is collected first.
+ */
+function measureMemory (): number {
+  if (controls.length === 0) {
+    v8.setFlagsFromString('--expose-gc')
+    vm.runInNewContext('gc')()
+  }
+  const { heapTotal, external } = process.memoryUsage()
+  return heapTotal + external
+}
+
 function measure (): void {
   const { user, system } = process.cpuUsage(begin.cpu)
   report({
     kind: 'measured',
     cpu: (user + system) / 1000,
     elapsed: clock.monotonic() - begin.at,
-    memory: process.memoryUsage().rss,
+    memory: measureMemory(),
     bytes: countBytes() - begin.bytes,
     kinds: Object.fromEntries([...kinds].map(([kind, { messages, sampled, request, reply }]) =>
       [kind, { messages, requestBytes: request / Math.max(sampled, 1), replyBytes: reply / Math.max(sampled, 1) }]))
@@ -144,6 +191,9 @@
     case 'warm':
       warm(order.address, order.count).catch(() => {})
       break
+    case 'call':
+      measureCalls(order.platform).catch(() => {})
+      break
     case 'begin':
       kinds.clear()
       begin = { cpu: process.cpuUsage(), at: clock.monotonic(), bytes: countBytes() }
--- a/packages/control/src/JayfallControlService.ts
+++ b/packages/control/src/JayfallControlService.ts
@@ -29,11 +29,19 @@
   readonly onFailure?: (work: 'exchange', address: string, error: Error) => void
 }
 
+export interface PeerSender {
+  readonly send: ExchangeSender
+  /** Forgets the clients of all other addresses, as instances are replaced by ones at new addresses every day. */
+  readonly keepOnly: (addresses: ReadonlySet<string>) => void
+  readonly close: () => void
+}
+
 /** Creates the sender over trpc. */
-export function createPeerSender (localAddress: string): { readonly send: ExchangeSender, readonly close: () => void } {
+export function createPeerSender (localAddress: string): PeerSender {
   const clients = new PeerClients<ControlPeerRouter>({ localAddress, timeout: EXCHANGE_TIMEOUT_MILLISECONDS })
   return {
     send: (address, request) => clients.at(address).control.exchange.mutate(request as never),
+    keepOnly: addresses => clients.keepOnly(addresses),
     close: () => clients.close()
   }
 }
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,7 +1,7 @@
 export { ControlNode, type ControlNodeSettings } from './JayfallControlNode'
 export { ANNOUNCE_MILLISECONDS, CONFIRMATION_LIMIT_MILLISECONDS, INSTANCE_LIST_BYTES_PER_SECOND, INSTANCE_LIST_MILLISECONDS, LISTED_INSTANCE_BYTES, STATUS_FORGOTTEN_AFTER_MILLISECONDS, ZONE_STATUS_MILLISECONDS, ZONE_STATUS_TABLE } from './JayfallControlConstants'
 export { createControlPeerRouter, createControlRouter, type ControlPeerRouter, type ControlRouter, type ExchangeHandler } from './JayfallControlRouter'
-export { ControlService, createPeerSender, type ControlServiceParts, type ExchangeSender } from './JayfallControlService'
+export { ControlService, createPeerSender, type ControlServiceParts, type ExchangeSender, type PeerSender } from './JayfallControlService'
 export { exchangeMessageSchema, type ExchangeKind, type ExchangeMessage } from './JayfallExchangeMessage'
 export { type LimitShare } from './JayfallLimitShares'
 export { type KnownAddress } from './JayfallPeerChoice'
--- a/packages/entry/src/JayfallPeerControl.ts
+++ b/packages/entry/src/JayfallPeerControl.ts
@@ -4,7 +4,7 @@
  */
 
 import { type Server } from '@hapi/hapi'
-import { ANNOUNCE_MILLISECONDS, ControlNode, ControlService, INSTANCE_LIST_BYTES_PER_SECOND, INSTANCE_LIST_MILLISECONDS, LISTED_INSTANCE_BYTES, ZONE_STATUS_MILLISECONDS, ZONE_STATUS_TABLE, createControlRouter, createPeerSender, createZoneStatus, type KnownAddress } from '#jayfall/control'
+import { ANNOUNCE_MILLISECONDS, ControlNode, ControlService, INSTANCE_LIST_BYTES_PER_SECOND, INSTANCE_LIST_MILLISECONDS, LISTED_INSTANCE_BYTES, ZONE_STATUS_MILLISECONDS, ZONE_STATUS_TABLE, createControlRouter, createPeerSender, createZoneStatus, type KnownAddress, type PeerSender } from '#jayfall/control'
 import { createPeerRouter, startPeerServer, type PeerDirectory } from '#jayfall/peers'
 import { type CatalogueStore, type ListedInstance, type PlatformServices, type TableStore } from '#jayfall/platform'
 import { createRandomSource, type Clock } from '#jayfall/shared'
@@ -32,7 +32,7 @@
 export class PeerControl {
   readonly node: ControlNode
   private readonly service: ControlService
-  private readonly sender: ReturnType<typeof createPeerSender>
+  private readonly sender: PeerSender
   private server: Server | undefined
   private listed: readonly ListedInstance[] = []
   private nextListReadAt = -Infinity
@@ -104,6 +104,15 @@
       .map(address => ({ address, zone: zones.get(address) }))
   }
 
+  private currentAddresses (): ReadonlySet<string> {
+    const { membership, summaries } = this.node
+    return new Set([
+      ...membership.all().map(({ facts }) => facts.address),
+      ...summaries.others().flatMap(({ summary }) => summary.contacts),
+      ...this.knownAddresses().map(({ address }) => address)
+    ])
+  }
+
   private async announce (): Promise<void> {
     const { instanceId: id, zone, announcedAddress: address } = this.settings
     const state = this.node.membership.self.details.leaving ? 'leaving' : 'live'
@@ -117,6 +126,7 @@
   }
 
   private async readListWhenDue (): Promise<void> {
+    this.sender.keepOnly(this.currentAddresses())
     const isNeeded = this.node.isZoneWriter || this.node.membership.livePeersOfZone().length === 0
     if (isNeeded && this.parts.clock.monotonic() >= this.nextListReadAt) await this.readList()
   }
