--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -3,8 +3,11 @@
 import { parseArgs } from 'node:util'
 
 import { formatClosingLine, meetsBound, type Bench, type BenchOptions, type BenchResult } from './JayfallBench'
+import { writeBenchDocuments } from './JayfallBenchDocuments'
 import { BENCHES } from './JayfallBenchRegistry'
 
+const DOCUMENT_DIRECTORY = 'docs/benches'
+
 function readArguments (): { readonly name: string, readonly options: BenchOptions } {
   const { positionals, tokens } = parseArgs({ allowPositionals: true, strict: false, tokens: true, args: process.argv.slice(2) })
   const parameters: Record<string, string> = {}
@@ -45,6 +48,7 @@
   for (const bench of benches) {
     const result = await bench.run(options)
     printResult(bench.name, result)
+    if (name === 'all') await writeBenchDocuments(DOCUMENT_DIRECTORY, bench.name, options.seed, result)
     if (!result.figures.every(meetsBound)) process.exitCode = 1
   }
 }
--- a/packages/entry/src/JayfallChatCompletions.ts
+++ b/packages/entry/src/JayfallChatCompletions.ts
@@ -12,6 +12,7 @@
 import { type DataContext } from './JayfallDataContext'
 import { IDEMPOTENCY_HEADER, MAXIMUM_IDEMPOTENCY_KEY_LENGTH, ON_WITHDRAWAL_HEADER, REQUEST_HEADER, SESSION_HEADER, SESSION_MOVED_HEADER, VERSION_HEADER } from './JayfallEntryConstants'
 import { ModelAnswer, type ModelWork } from './JayfallModelAnswer'
+import { computePrefixBlocks } from './JayfallPrefixBlocks'
 import { headerValue } from './JayfallRequestFields'
 
 /** Answers one chat completion request. */
@@ -47,7 +48,7 @@
       deadline: now + context.requestDeadline,
       repeatable: true,
       sessionServer,
-      prefixBlocks: []
+      prefixBlocks: computePrefixBlocks(body.messages)
     },
     version,
     payload: JSON.stringify(payload),
--- a/packages/entry/src/JayfallEntryConstants.ts
+++ b/packages/entry/src/JayfallEntryConstants.ts
@@ -28,3 +28,11 @@
 /** Characters of a prompt that are estimated as one token. */
 export const CHARACTERS_PER_TOKEN = 4
 export const DEFAULT_MAXIMUM_OUTPUT_TOKENS = 512
+
+/** Prompt tokens of one block of the engines' prefix caches. */
+export const ENGINE_BLOCK_TOKENS = 16
+/** Engine blocks between two hashes of a prompt's prefixes, and the number of hashes. */
+export const PREFIX_STEP_BLOCKS = 4
+export const MAXIMUM_PREFIX_STEPS = 32
+/** Length of a prefix hash in the engines' cache events. */
+export const PREFIX_HASH_CHARACTERS = 16
--- a/packages/entry/src/JayfallModelAnswer.ts
+++ b/packages/entry/src/JayfallModelAnswer.ts
@@ -48,6 +48,8 @@
 /** Carries out the router's decisions about one model request. */
 export class ModelAnswer implements DecisionHandler {
   private readonly attempts = new Map<number, Attempt>()
+  /** Attempts that were cancelled before they were opened. */
+  private readonly cancelledEarly = new Set<number>()
   /** The attempt whose events the caller receives. */
   private chosen: Attempt | undefined
   private lastError: BackendError | undefined
@@ -62,7 +64,11 @@
 
   cancel (attempt: number): void {
     const found = this.attempts.get(attempt)
-    if (found === undefined) return
+    if (found === undefined) {
+      // The tokens of the attempt are still being sealed; it must not be sent afterwards.
+      this.cancelledEarly.add(attempt)
+      return
+    }
     found.cancelled = true
     found.reader?.stop()
     this.cancelStream(found)
@@ -84,10 +90,15 @@
   private async start (decision: Dispatch): Promise<void> {
     const { request, version } = this.work
     const refusal = refusalNow(this.context, request.workspace, version.id)
-    if (refusal !== undefined) return this.end(refusalError(refusal, version.id))
+    if (refusal !== undefined) {
+      // The router would keep the request and its load on the server for ever.
+      this.context.book.observe({ kind: 'abandoned', requestId: request.id })
+      return this.end(refusalError(refusal, version.id))
+    }
     const server = this.context.catalogue.get('server', decision.server)
     if (server === undefined) throw new BackendError('unsent', `${decision.server} is no longer in the catalogue`)
     const attempt = await this.openAttempt(decision, server.address)
+    if (attempt.cancelled) return
     const response = await this.context.backend.send({
       method: 'POST',
       address: attempt.address,
@@ -115,7 +126,7 @@
       },
       nextIndex: 0,
       resumptions: 0,
-      cancelled: false
+      cancelled: this.cancelledEarly.has(decision.attempt)
     }
     this.attempts.set(decision.attempt, attempt)
     return attempt
--- a/packages/routing/src/JayfallAttemptBudget.ts
+++ b/packages/routing/src/JayfallAttemptBudget.ts
@@ -17,9 +17,9 @@
     this.balance = Math.min(this.balance + this.share * factor, Math.max(1, this.capacity * factor))
   }
 
-  /** Takes one attempt out of the budget; false when there is none. */
-  trySpend (): boolean {
-    if (this.balance < 1) return false
+  /** Takes one attempt out of the budget; false when that would leave less than `reserve`. */
+  trySpend (reserve = 0): boolean {
+    if (this.balance < 1 + reserve) return false
     this.balance -= 1
     return true
   }
--- a/packages/routing/src/JayfallConcurrencyWindow.ts
+++ b/packages/routing/src/JayfallConcurrencyWindow.ts
@@ -8,8 +8,8 @@
  */
 
 import {
-  INITIAL_WINDOW, MINIMUM_WINDOW, WINDOW_DECREASE_FACTOR, WINDOW_HEADROOM, WINDOW_INTERVAL_MILLISECONDS, WINDOW_GROWTH, WINDOW_INTERVAL_WAITS,
-  WINDOW_AVERAGE_HALF_LIFE_MILLISECONDS, WINDOW_PEAK_HALF_LIFE_MILLISECONDS
+  INITIAL_WINDOW, MINIMUM_WINDOW, URGENT_WINDOW_FACTOR, WINDOW_AVERAGE_HALF_LIFE_MILLISECONDS, WINDOW_DECREASE_FACTOR, WINDOW_GROWTH, WINDOW_HEADROOM,
+  WINDOW_INTERVAL_MILLISECONDS, WINDOW_INTERVAL_WAITS, WINDOW_PEAK_HALF_LIFE_MILLISECONDS
 } from './JayfallRoutingConstants'
 
 /** Additive increase, multiplicative decrease, by delay. */
@@ -27,7 +27,7 @@
   private rateWork = 0
   private rateTime = 0
 
-  /** @param waitLimit average wait at the servers, in milliseconds, above which the window shrinks. */
+  /** @param waitLimit wait at the servers, in milliseconds, above which the window shrinks when all attempts wait that long. */
   constructor (private readonly waitLimit: number) {}
 
   get limit (): number {
@@ -38,6 +38,11 @@
     return this.openAttempts < this.size
   }
 
+  /** Whether a request may be sent whose deadline does not allow it to wait. */
+  get hasUrgentRoom (): boolean {
+    return this.openAttempts < this.size * URGENT_WINDOW_FACTOR
+  }
+
   noteOpened (): void {
     this.openAttempts++
   }
--- a/packages/routing/src/JayfallLaneQueue.ts
+++ b/packages/routing/src/JayfallLaneQueue.ts
@@ -44,6 +44,11 @@
     return (this.queue.workOf(workspace) + work) / Math.max(this.availableRate(workspace, rate), rate * 0.01)
   }
 
+  /** Whether a workspace recently asked for more than its fair share. */
+  exceedsFairShare (workspace: string): boolean {
+    return this.isBinding && this.demandOf(workspace, this.clock.monotonic()) > this.fairLevel
+  }
+
   /** The rate that a workspace gets when all others keep asking for what they recently asked for. */
   private availableRate (workspace: string, rate: number): number {
     const now = this.clock.monotonic()
--- a/packages/routing/src/JayfallModelAwareRouter.ts
+++ b/packages/routing/src/JayfallModelAwareRouter.ts
@@ -17,8 +17,8 @@
 import { PrefixMap } from './JayfallPrefixMap'
 import { type QueueOrder } from './JayfallQueueOrder'
 import {
-  DEADLINE_MARGIN, HEDGE_BUDGET_CAPACITY, HEDGE_BUDGET_SHARE, LONG_PRIORITY, MAXIMUM_ATTEMPTS, MAXIMUM_QUEUED_REQUESTS, MINIMUM_RETRY_MILLISECONDS,
-  NO_SERVER_RETRY_MILLISECONDS, OVERLOAD_BUDGET_FACTOR, RETRY_BUDGET_CAPACITY, RETRY_BUDGET_SHARE, SHORT_PRIORITY, WAIT_MARGIN
+  DEADLINE_MARGIN, EXCESS_WAIT_MARGIN, FAIR_WAIT_MARGIN, HEDGE_BUDGET_CAPACITY, HEDGE_BUDGET_RESERVE, HEDGE_BUDGET_SHARE, LONG_PRIORITY, MAXIMUM_ATTEMPTS, MAXIMUM_QUEUED_REQUESTS, MINIMUM_RETRY_MILLISECONDS,
+  NO_SERVER_RETRY_MILLISECONDS, OVERLOAD_BUDGET_FACTOR, RETRY_BUDGET_CAPACITY, RETRY_BUDGET_SHARE, SHORT_PRIORITY, VERY_OVERDUE
 } from './JayfallRoutingConstants'
 import { Router, type AttemptEvent, type LoadReport, type RefusalCode, type RoutedRequest, type RoutedServer, type RoutingDecision, type WorkspaceShare } from './JayfallRouter'
 import { ExpirySystem, OverdueSystem, SplitSystem, WindowSystem } from './JayfallRoutingSystems'
@@ -59,8 +59,8 @@
     this.choice = options.createChoice?.(usual) ?? usual
     this.hedges = options.createHedges?.(this.delays) ?? new OverdueHedges(this.delays)
     const systems: readonly System[] = [
-      new ExpirySystem(this.pools, (row, code) => this.refuse(row.request.id, code, MINIMUM_RETRY_MILLISECONDS)),
-      new OverdueSystem(this.tables, this.hedges, (row, attempt) => this.takeOverdue(row, attempt)),
+      new ExpirySystem(this.pools, row => this.trySendNow(row), (row, code) => this.refuse(row.request.id, code, MINIMUM_RETRY_MILLISECONDS)),
+      new OverdueSystem(this.tables, this.hedges, (row, attempt, delay) => this.takeOverdue(row, attempt, delay)),
       new SplitSystem(this.pools),
       new WindowSystem(this.pools, pool => this.pump(pool))
     ]
@@ -141,7 +141,10 @@
   /** Milliseconds until the last token of work that is submitted now, with a margin. */
   private expectedTime (lane: LaneQueue, workspace: string, work: number): number {
     const rate = lane.window.attemptRate
-    return rate === undefined ? 0 : (lane.expectedWait(workspace, work) * WAIT_MARGIN + work / rate) * DEADLINE_MARGIN
+    if (rate === undefined) return 0
+    const wait = lane.expectedWait(workspace, work)
+    const margin = lane.exceedsFairShare(workspace) ? EXCESS_WAIT_MARGIN : FAIR_WAIT_MARGIN
+    return (wait * margin + work / rate) * DEADLINE_MARGIN
   }
 
   /** Sends waiting requests while the windows of the lanes have room. */
@@ -154,6 +157,17 @@
     }
   }
 
+  /** Sends a waiting request ahead of its turn, slightly beyond the window if need be. */
+  private trySendNow (row: RequestRow): boolean {
+    const pool = this.pools.get(row.pool)
+    const lane = this.laneOf(row)
+    if (pool === undefined || lane === undefined || !lane.window.hasUrgentRoom) return false
+    lane.queue.remove(row.request.id)
+    if (this.trySend(row, pool, 'first')) return true
+    lane.queue.push(row)
+    return false
+  }
+
   private trySend (row: RequestRow, pool: Pool, reason: DispatchReason): boolean {
     const now = this.clock.monotonic()
     const { id, prefixBlocks } = row.request
@@ -223,13 +237,19 @@
     this.refuse(row.request.id, 'attempts_exhausted', NO_SERVER_RETRY_MILLISECONDS)
   }
 
-  private takeOverdue (row: RequestRow, attempt: AttemptRow): void {
-    const pool = this.pools.get(row.pool)
+  private takeOverdue (row: RequestRow, attempt: AttemptRow, delay: number): boolean {
     const now = this.clock.monotonic()
-    this.tracker.noteOverdue(attempt.server, now)
-    if (row.lane === 'short') this.tracker.noteWait(attempt.server, now - attempt.dispatchedAt, now)
-    if (pool === undefined || row.tried.length >= MAXIMUM_ATTEMPTS || !this.hedges.wantsHedge(row) || !this.hedgeBudget.trySpend()) return
+    const pool = this.pools.get(row.pool)
+    if (!attempt.isOverdue) {
+      this.tracker.noteOverdue(attempt.server, now)
+      if (row.lane === 'short') this.tracker.noteWait(attempt.server, now - attempt.dispatchedAt, now)
+    }
+    if (pool === undefined || row.tried.length >= MAXIMUM_ATTEMPTS || !this.hedges.wantsHedge(row)) return false
+    // A part of the budget is kept for those that have waited very long, as they gain the most.
+    const reserve = delay < VERY_OVERDUE ? HEDGE_BUDGET_RESERVE : 0
+    if (!this.hedgeBudget.trySpend(reserve)) return true
     this.trySend(row, pool, 'hedge')
+    return false
   }
 
   private abandon (row: RequestRow): void {
--- a/packages/routing/src/JayfallRoutingConstants.ts
+++ b/packages/routing/src/JayfallRoutingConstants.ts
@@ -38,7 +38,7 @@
 export const LONG_SERVERS_MINIMUM_SHARE = 0.55
 export const LONG_SERVERS_MAXIMUM_SHARE = 0.75
 /** Servers for long work, as a multiple of those that it would fill. */
-export const LONG_SERVERS_HEADROOM = 1.4
+export const LONG_SERVERS_HEADROOM = 1.25
 /** Half-life of the observed part of long work. */
 export const LANE_SHARE_HALF_LIFE_MILLISECONDS = 300_000
 /** The split changes when it is off by more than this many servers. */
@@ -65,6 +65,9 @@
 /** Least growth of a window for each attempt that did not wait, so that windows of thousands can follow. */
 export const WINDOW_GROWTH = 0.05
 export const MINIMUM_WINDOW = 2
+/** Admitted requests with less than this to spare are sent ahead of their turn, beyond the window by this factor. */
+export const URGENT_MILLISECONDS = 300
+export const URGENT_WINDOW_FACTOR = 1.25
 
 /** Factor on estimated times when a deadline is checked. */
 export const DEADLINE_MARGIN = 1.15
@@ -72,7 +75,9 @@
 export const DEMAND_HALF_LIFE_MILLISECONDS = 1000
 
 /** Half-life of the weight of a load report. */
-export const REPORT_HALF_LIFE_MILLISECONDS = 500
+export const REPORT_HALF_LIFE_MILLISECONDS = 3000
+/** Half-life of the average of a server's reports. */
+export const REPORT_SMOOTHING_MILLISECONDS = 2000
 /** Servers of the request's own lane that are compared for one attempt, and short work also compares this many of the others. */
 export const CHOICES = 6
 export const OTHER_LANE_CHOICES = 4
@@ -133,6 +138,9 @@
 export const SESSION_HIT = 0.8
 /** Hedges and retries that a router can save up. */
 export const HEDGE_BUDGET_CAPACITY = 5
+/** Hedges kept for first tokens that are overdue by this multiple. */
+export const HEDGE_BUDGET_RESERVE = 2
+export const VERY_OVERDUE = 2
 export const RETRY_BUDGET_CAPACITY = 10
 /** Observed delays below which their quantiles are not used. */
 export const MINIMUM_OBSERVATIONS = 8
@@ -145,12 +153,17 @@
 /** Cost of each step in turn, in full servers: above the differences that late reports show by chance. */
 export const ORDER_COST = 0.05
 /** How much a reported load counts. */
-export const REPORT_GAIN = 0.3
+export const REPORT_GAIN = 0.6
 /** A server that holds a prefix is used up to this multiple of the pool's mean load, and unless it is slow. */
 export const AFFINITY_LOAD_FACTOR = 1.4
 export const AFFINITY_MAXIMUM_SLOWNESS = 2
 export const AFFINITY_MAXIMUM_WAIT_MILLISECONDS = 150
 /** Cached prompt tokens below which it does not matter where a request goes. */
 export const MINIMUM_AFFINITY_TOKENS = 64
-/** Factor on expected waits in the queues: a longer queue gains nothing in an overload, and errors of the estimate must not make admitted requests late. */
-export const WAIT_MARGIN = 4
+/**
+ * Factors on expected waits in the queues, for workspaces that ask for more than their fair
+ * share and for the others. A longer queue gains nothing in an overload, and errors of the
+ * estimate must not make admitted requests late.
+ */
+export const EXCESS_WAIT_MARGIN = 4
+export const FAIR_WAIT_MARGIN = 3
--- a/packages/routing/src/JayfallRoutingSystems.ts
+++ b/packages/routing/src/JayfallRoutingSystems.ts
@@ -4,15 +4,22 @@
 
 import { type HedgePolicy } from './JayfallHedgePolicy'
 import { type Pool } from './JayfallPool'
-import { EXPIRY_INTERVAL_MILLISECONDS, SPLIT_INTERVAL_MILLISECONDS } from './JayfallRoutingConstants'
+import { DEADLINE_MARGIN, EXPIRY_INTERVAL_MILLISECONDS, SPLIT_INTERVAL_MILLISECONDS, URGENT_MILLISECONDS } from './JayfallRoutingConstants'
 import { type RefusalCode } from './JayfallRouter'
 import { type AttemptRow, type RequestRow, type RoutingTables } from './JayfallRoutingTables'
 
-/** Gives up waiting requests once even an immediate start would miss their deadline. */
+/**
+ * Sends waiting requests whose deadline comes near ahead of their turn, as they were admitted,
+ * and gives them up once even an immediate start would miss it.
+ */
 export class ExpirySystem extends System {
   private ranAt = -Infinity
 
-  constructor (private readonly pools: ReadonlyMap<string, Pool>, private readonly refuse: (row: RequestRow, code: RefusalCode) => void) {
+  constructor (
+    private readonly pools: ReadonlyMap<string, Pool>,
+    private readonly trySendNow: (row: RequestRow) => boolean,
+    private readonly refuse: (row: RequestRow, code: RefusalCode) => void
+  ) {
     super()
   }
 
@@ -28,18 +35,22 @@
 
   private expire (rows: readonly RequestRow[], rate: number, now: number): void {
     for (const row of rows) {
-      if (now + row.work / rate < row.request.deadline) continue
-      this.refuse(row, row.request.deadline <= now ? 'deadline_passed' : 'deadline_unreachable')
+      const service = row.work / rate
+      const { deadline } = row.request
+      if (now + service * DEADLINE_MARGIN + URGENT_MILLISECONDS < deadline) continue
+      if (now + service < deadline && this.trySendNow(row)) continue
+      if (now + service >= deadline) this.refuse(row, deadline <= now ? 'deadline_passed' : 'deadline_unreachable')
     }
   }
 }
 
-/** Finds attempts whose first token is overdue. */
+/** Finds attempts whose first token is overdue, and keeps reporting them until they have one or are hedged. */
 export class OverdueSystem extends System {
   constructor (
     private readonly tables: RoutingTables,
     private readonly hedges: HedgePolicy,
-    private readonly takeOverdue: (row: RequestRow, attempt: AttemptRow) => void
+    /** `delay` is in multiples of the time after which the first token is overdue; returns whether to go on reporting. */
+    private readonly takeOverdue: (row: RequestRow, attempt: AttemptRow, delay: number) => boolean
   ) {
     super()
   }
@@ -47,10 +58,15 @@
   override run (now: number): void {
     for (const [id, attempt] of this.tables.awaiting.entries()) {
       const row = this.tables.requests.get(attempt.requestId)
-      if (row === undefined || now - attempt.dispatchedAt < this.hedges.overdueAfter(row)) continue
-      this.tables.awaiting.delete(id)
-      this.tables.attempts.set(id, { ...attempt, isOverdue: true })
-      this.takeOverdue(row, attempt)
+      const delay = row === undefined ? 0 : (now - attempt.dispatchedAt) / this.hedges.overdueAfter(row)
+      if (row === undefined || delay < 1) continue
+      const goesOn = this.takeOverdue(row, attempt, delay)
+      if (!attempt.isOverdue) {
+        const overdue = { ...attempt, isOverdue: true }
+        this.tables.attempts.set(id, overdue)
+        this.tables.awaiting.set(id, overdue)
+      }
+      if (!goesOn) this.tables.awaiting.delete(id)
     }
   }
 }
--- a/packages/routing/src/JayfallRoutingTables.ts
+++ b/packages/routing/src/JayfallRoutingTables.ts
@@ -49,6 +49,8 @@
   readonly open: number
   readonly openLong: number
   readonly report?: LoadReport
+  /** Average of the reported loads in slots: single reports are mostly past by the time they arrive. */
+  readonly reportedLoad: number
   /** Own open attempts when the report was received. */
   readonly openAtReport: number
   /** Observed time for a token, as a multiple of the pool's. */
--- a/packages/routing/src/JayfallServerTracker.ts
+++ b/packages/routing/src/JayfallServerTracker.ts
@@ -4,7 +4,7 @@
 import { type Pool } from './JayfallPool'
 import {
   AVOID_INITIAL_MILLISECONDS, AVOID_MAXIMUM_MILLISECONDS, BREAKER_FAILURES, BREAKER_INITIAL_MILLISECONDS, BREAKER_MAXIMUM_MILLISECONDS, DEFAULT_SLOTS,
-  MAXIMUM_SLOWNESS, MAXIMUM_SPEED_SAMPLE_MILLISECONDS, MINIMUM_SPEED_SAMPLE_TOKENS, REPORT_HALF_LIFE_MILLISECONDS, SPEED_HALF_LIFE_MILLISECONDS, SPEED_WEIGHT,
+  MAXIMUM_SLOWNESS, MAXIMUM_SPEED_SAMPLE_MILLISECONDS, MINIMUM_SPEED_SAMPLE_TOKENS, REPORT_HALF_LIFE_MILLISECONDS, REPORT_SMOOTHING_MILLISECONDS, SPEED_HALF_LIFE_MILLISECONDS, SPEED_WEIGHT,
   WAIT_HALF_LIFE_MILLISECONDS, WAIT_WEIGHT
 } from './JayfallRoutingConstants'
 import { type LoadReport, type RoutedServer } from './JayfallRouter'
@@ -82,13 +82,16 @@
   }
 
   noteReport (server: string, report: LoadReport, pools: Iterable<Pool>): void {
-    this.tables.servers.update(server, row => ({ ...row, report, openAtReport: row.open }))
+    this.tables.servers.update(server, row => {
+      const kept = row.report === undefined ? 0 : 2 ** ((row.report.receivedAt - report.receivedAt) / REPORT_SMOOTHING_MILLISECONDS)
+      return { ...row, report, reportedLoad: reportedLoad(report) * (1 - kept) + row.reportedLoad * kept, openAtReport: row.open }
+    })
     for (const pool of pools) pool.noteReportedLoad(reportedLoad(report), Math.max(1, report.slots))
   }
 }
 
 function createServerRow (server: RoutedServer, now: number): ServerRow {
-  return { server, open: 0, openLong: 0, openAtReport: 0, slowness: 1, slownessAt: now, wait: 0, waitAt: now, breaker: CLOSED_BREAKER, delay: CLOSED_BREAKER }
+  return { server, open: 0, openLong: 0, reportedLoad: 0, openAtReport: 0, slowness: 1, slownessAt: now, wait: 0, waitAt: now, breaker: CLOSED_BREAKER, delay: CLOSED_BREAKER }
 }
 
 /** Observed slowness, fading to that of the pool. */
@@ -113,7 +116,7 @@
 export function estimateLoad (row: ServerRow, meanLoad: number, now: number): number {
   if (row.report === undefined) return meanLoad + row.open
   const weight = 2 ** ((row.report.receivedAt - now) / REPORT_HALF_LIFE_MILLISECONDS)
-  const reported = Math.max(row.open, reportedLoad(row.report) + row.open - row.openAtReport)
+  const reported = Math.max(row.open, row.reportedLoad + row.open - row.openAtReport)
   return weight * reported + (1 - weight) * Math.max(row.open, meanLoad)
 }
 
