--- a/packages/entry/src/JayfallEntryConstants.ts
+++ b/packages/entry/src/JayfallEntryConstants.ts
@@ -38,3 +38,10 @@
 export const STATE_INTERVAL_MILLISECONDS = 50
 /** A data thread that does not stop within this time is terminated. */
 export const THREAD_STOP_LIMIT_MILLISECONDS = 2000
+/** Prompt tokens of one block of the engines' prefix caches. */
+export const ENGINE_BLOCK_TOKENS = 16
+/** Engine blocks between two hashes of a prompt's prefixes, and the number of hashes. */
+export const PREFIX_STEP_BLOCKS = 4
+export const MAXIMUM_PREFIX_STEPS = 32
+/** Length of a prefix hash in the engines' cache events. */
+export const PREFIX_HASH_CHARACTERS = 16
