Collect metrics of all threads, and refuse malformed connections by code

Cause: refusals were neither told apart (a body without end, a wrong content type and bytes that are not HTTP all gave 400 or no answer) nor counted, and a thread could not report for the instance.

Change: codes head_malformed, head_timeout, head_too_large, body_incomplete and content_type_unsupported; a guard answers and counts what the parser refuses, and writes nothing into an answer that is under way. Metrics and traces of a thread; GET /metrics, /status and /traces/{id} collect the reports of all threads through the control thread. The drain counts requests that wait for 100 Continue. Connections to backend servers read through one buffer for each thread instead of 64 KiB for each read.

--- a/packages/entry/src/JayfallApiError.ts
+++ b/packages/entry/src/JayfallApiError.ts
@@ -6,6 +6,7 @@
 export type RanState = 'no' | 'yes' | 'unknown'
 
 const STATUS_BY_CODE = {
+  head_malformed: 400,
   body_malformed: 400,
   session_invalid: 400,
   idempotency_key_required: 400,
@@ -22,9 +23,13 @@
   session_expired: 409,
   session_version_withdrawn: 409,
   outcome_unknown: 409,
+  head_timeout: 408,
+  body_incomplete: 408,
   body_too_large: 413,
+  content_type_unsupported: 415,
   idempotency_key_reused: 422,
   limit_exceeded: 429,
+  head_too_large: 431,
   queue_full: 503,
   deadline_unreachable: 503,
   deadline_passed: 504,
--- a/packages/entry/src/JayfallBackendClient.ts
+++ b/packages/entry/src/JayfallBackendClient.ts
@@ -1,6 +1,7 @@
 /** HTTP to engines and plain services over kept-alive connections. */
 
 import * as http from 'node:http'
+import * as net from 'node:net'
 
 import Wreck from '@hapi/wreck'
 import { type LoadReport } from '#jayfall/routing'
@@ -25,9 +26,24 @@
 /** Idle connections kept for each backend server. */
 const MAXIMUM_FREE_CONNECTIONS = 64
 
+const READ_BUFFER_BYTES = 64 * 1024
+
 /** Socket errors that prove that no byte of the request was sent. */
 const CONNECT_ERRORS: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL'])
 
+/**
+ * Reads of all connections go through one buffer. Without it, Node.js allocates 64 KiB for each
+ * read, which is many times the size of a token's event.
+ */
+function createReadBuffer (): net.OnReadOpts {
+  return {
+    buffer: Buffer.allocUnsafe(READ_BUFFER_BYTES),
+    callback (this: net.Socket, length, buffer) {
+      return this.push(Buffer.from(buffer.subarray(0, length)))
+    }
+  } as net.OnReadOpts
+}
+
 /** Observers of what answers say about their server. */
 export interface BackendObserver {
   onLoad (address: string, report: LoadReport): void
@@ -40,7 +56,7 @@
 
   /** @param localAddress IP address that connections are made from. */
   constructor (private readonly clock: Clock, private readonly observer: BackendObserver, private readonly localAddress?: string) {
-    this.agent = new http.Agent({ keepAlive: true, maxSockets: Infinity, maxFreeSockets: MAXIMUM_FREE_CONNECTIONS, localAddress })
+    this.agent = new http.Agent({ keepAlive: true, maxSockets: Infinity, maxFreeSockets: MAXIMUM_FREE_CONNECTIONS, localAddress, onread: createReadBuffer() })
   }
 
   /**
--- a/packages/entry/src/JayfallCallerApi.ts
+++ b/packages/entry/src/JayfallCallerApi.ts
@@ -9,7 +9,10 @@
 import { ApiError, toApiError } from './JayfallApiError'
 import { authenticateCaller } from './JayfallAuthentication'
 import { handleChatCompletion } from './JayfallChatCompletions'
+import { registerConnectionGuard } from './JayfallConnectionGuard'
 import { type DataContext } from './JayfallDataContext'
+import { REFUSALS_METRIC } from './JayfallEntryConstants'
+import { registerOperatorRoutes } from './JayfallOperatorRoutes'
 import { headerValue } from './JayfallRequestFields'
 import { handleOutcomeQuery, handleServiceCall } from './JayfallServiceCall'
 
@@ -17,6 +20,7 @@
 export interface CallerApiLimits {
   readonly bodyLimit: number
   readonly headerTimeout: number
+  readonly bodyTimeout: number
   readonly connectionLimit: number
 }
 
@@ -30,10 +34,12 @@
   const server = Hapi.server({
     listener,
     autoListen: false,
-    routes: { payload: { maxBytes: limits.bodyLimit, allow: 'application/json' } }
+    routes: { payload: { maxBytes: limits.bodyLimit, timeout: limits.bodyTimeout, allow: 'application/json' } }
   })
   registerRoutes(server, context, readiness)
+  registerOperatorRoutes(server, context)
   server.ext('onPreResponse', (request, toolkit) => answerError(context, request, toolkit))
+  registerConnectionGuard(listener, context.metrics, context.log)
   return { server, listener }
 }
 
@@ -74,7 +80,10 @@
   const requestId = randomUUID()
   const log = error.status >= 500 ? context.log.warn : context.log.info
   log('request_refused', { request: requestId, path: request.path, code: error.code, ran: error.ran, cause: error.code === 'internal' ? response.stack : undefined })
+  context.metrics.count(REFUSALS_METRIC, { code: error.code })
   const answer = toolkit.response(error.toBody(requestId)).code(error.status)
+  // The rest of the body has not been read.
+  if (error.code === 'body_too_large' || error.code === 'body_incomplete') answer.header('connection', 'close')
   if (error.retryAfter !== undefined) answer.header('retry-after', String(Math.ceil(error.retryAfter / 1000)))
   return answer
 }
@@ -83,7 +92,9 @@
   if (error instanceof ApiError) return error
   const status = error.output?.statusCode ?? 500
   if (status === 413) return new ApiError('body_too_large', 'the body is larger than this instance accepts', {}, error)
+  if (status === 408) return new ApiError('body_incomplete', 'the body did not arrive in time', {}, error)
+  if (status === 415) return new ApiError('content_type_unsupported', 'send the body with content type application/json', {}, error)
   if (status === 404) return new ApiError('route_unknown', `there is no ${request.method.toUpperCase()} ${request.path}`, {}, error)
-  if (status >= 400 && status < 500) return new ApiError('body_malformed', 'the request is not valid JSON with content type application/json', {}, error)
+  if (status >= 400 && status < 500) return new ApiError('body_malformed', 'the body is not valid JSON', {}, error)
   return toApiError(error)
 }
--- a/packages/entry/src/JayfallControlCalls.ts
+++ b/packages/entry/src/JayfallControlCalls.ts
@@ -4,6 +4,7 @@
 import { JayfallError } from '#jayfall/shared'
 
 import { type ControlMessage, type DataLinkEnd } from './JayfallControlLink'
+import { type ThreadReport } from './JayfallThreadReports'
 
 /** Names of the calls with their arguments and results. */
 export interface ControlCalls {
@@ -13,6 +14,8 @@
   readonly find: { readonly argument: { readonly workspace: string, readonly key: string }, readonly result: CallRow | undefined }
   /** Resolves when the bill survives the death of this instance. */
   readonly bill: { readonly argument: Bill, readonly result: undefined }
+  /** The reports of all data threads, with the spans of a trace. */
+  readonly collect: { readonly argument: { readonly traceId?: string }, readonly result: readonly ThreadReport[] }
 }
 
 export type ControlCallName = keyof ControlCalls
--- a/packages/entry/src/JayfallControlLink.ts
+++ b/packages/entry/src/JayfallControlLink.ts
@@ -7,6 +7,8 @@
 import { type CatalogueChange, type CatalogueSnapshot } from '#jayfall/catalogue'
 import { type WorkspaceShare } from '#jayfall/routing'
 
+import { type ThreadReport } from './JayfallThreadReports'
+
 /** From the control thread to a data thread. */
 export type ControlMessage =
   | { readonly kind: 'catalogue-changes', readonly changes: readonly CatalogueChange[] }
@@ -16,6 +18,8 @@
   | { readonly kind: 'limit-shares', readonly shares: readonly WorkspaceShare[] }
   | { readonly kind: 'leaving-servers', readonly servers: readonly string[] }
   | { readonly kind: 'lifecycle', readonly state: 'serving' | 'leaving' }
+  /** Asks for a report, with the spans of a trace. */
+  | { readonly kind: 'collect', readonly id: number, readonly traceId?: string }
   | { readonly kind: 'reply', readonly id: number, readonly result?: unknown, readonly error?: { readonly code: string, readonly message: string } }
 
 /** From a data thread to the control thread. */
@@ -25,6 +29,7 @@
   /** Work admitted since the last message. */
   | { readonly kind: 'demand', readonly demands: readonly WorkspaceDemand[] }
   | { readonly kind: 'server-leaving', readonly server: string }
+  | { readonly kind: 'collected', readonly id: number, readonly report: ThreadReport }
   | { readonly kind: 'state', readonly openRequests: number }
 
 /** What a workspace asked for, refused requests included. */
--- a/packages/entry/src/JayfallControlPlane.ts
+++ b/packages/entry/src/JayfallControlPlane.ts
@@ -12,6 +12,7 @@
 
 import { type ControlCallName, type ControlCalls } from './JayfallControlCalls'
 import { type ControlLinkEnd, type DataMessage } from './JayfallControlLink'
+import { ThreadReports } from './JayfallThreadReports'
 
 /** Interval at which the store's head row is read. */
 const HEAD_INTERVAL_MILLISECONDS = 1000
@@ -38,6 +39,7 @@
   private readonly catalogueStore: CatalogueStore
   private readonly bills: BillBatches
   private readonly handlers: CallHandlers
+  private readonly threadReports = new ThreadReports()
   private links: readonly ControlLinkEnd[] = []
   private timers: readonly NodeJS.Timeout[] = []
 
@@ -52,7 +54,8 @@
       complete: async ({ claim, outcome, bill }) => { await claims.complete(claim, outcome, bill) },
       withdraw: async claim => { await claims.withdraw(claim) },
       find: ({ workspace, key }) => claims.find(workspace, key),
-      bill: async bill => { this.bills.record(bill) }
+      bill: async bill => { this.bills.record(bill) },
+      collect: ({ traceId }) => this.threadReports.collect(traceId)
     }
   }
 
@@ -60,6 +63,7 @@
   attach (link: ControlLinkEnd): void {
     this.links = [...this.links, link]
     link.receive(message => this.take(link, message))
+    this.threadReports.attach(link)
     if (this.catalogue.revision > 0) link.post({ kind: 'catalogue-snapshot', snapshot: this.catalogue.snapshot() })
   }
 
@@ -110,6 +114,7 @@
   }
 
   private take (link: ControlLinkEnd, message: DataMessage): void {
+    if (message.kind === 'collected') this.threadReports.take(message)
     if (message.kind !== 'call') return
     const handler = this.handlers[message.name as ControlCallName] as (argument: unknown) => Promise<unknown>
     handler(message.argument).then(
--- a/packages/entry/src/JayfallDataContext.ts
+++ b/packages/entry/src/JayfallDataContext.ts
@@ -2,7 +2,7 @@
 
 import { findVersionRefusal, type InstalledCatalogue, type VersionRefusal } from '#jayfall/catalogue'
 import { type Clock, type RandomSource } from '#jayfall/shared'
-import { type Log } from '#jayfall/telemetry'
+import { type Log, type Metrics, type Traces } from '#jayfall/telemetry'
 
 import { type BackendClient } from './JayfallBackendClient'
 import { type ControlCaller } from './JayfallControlCalls'
@@ -19,6 +19,10 @@
   readonly clock: Clock
   readonly random: RandomSource
   readonly log: Log
+  readonly metrics: Metrics
+  readonly traces: Traces
+  /** SHA-256 hashes of the operators' keys. */
+  readonly operatorHashes: readonly string[]
   readonly instanceId: string
   /** Milliseconds that a caller's request may take. */
   readonly requestDeadline: number
--- a/packages/entry/src/JayfallDataPlane.ts
+++ b/packages/entry/src/JayfallDataPlane.ts
@@ -10,7 +10,7 @@
 import { InstalledCatalogue, type ServerEntry } from '#jayfall/catalogue'
 import { LeastOutstandingRouter, TICK_INTERVAL_MILLISECONDS, type RoutedServer } from '#jayfall/routing'
 import { createRandomSource, SystemClock } from '#jayfall/shared'
-import { type Log } from '#jayfall/telemetry'
+import { Metrics, Traces, type Log, type TraceSettings } from '#jayfall/telemetry'
 
 import { BackendClient } from './JayfallBackendClient'
 import { createCallerApi, type CallerApiLimits, type Readiness } from './JayfallCallerApi'
@@ -18,6 +18,7 @@
 import { type ControlMessage, type DataLinkEnd } from './JayfallControlLink'
 import { type DataContext } from './JayfallDataContext'
 import { RequestBook } from './JayfallRequestBook'
+import { type ThreadReport } from './JayfallThreadReports'
 import { TokenSeal } from './JayfallTokenSeal'
 
 /** Settings of a data thread; structured-clonable. */
@@ -29,6 +30,8 @@
   /** Milliseconds that a caller's request may take. */
   readonly requestDeadline: number
   readonly sealPasswords: readonly string[]
+  readonly operatorHashes: readonly string[]
+  readonly traces: TraceSettings
 }
 
 /** An address, or the file descriptor of a listening socket. */
@@ -38,12 +41,14 @@
 export class DataPlane {
   private readonly clock = new SystemClock()
   private readonly catalogue = new InstalledCatalogue()
+  private readonly metrics = new Metrics()
   private readonly book = new RequestBook(new LeastOutstandingRouter())
   private readonly control: ControlCaller
   private readonly context: DataContext
   private readonly server: Server
   private readonly listener: HttpServer
   private readonly ticker: NodeJS.Timeout
+  private readonly traces: Traces
   private openAnswers = 0
   private confirmedAt = -Infinity
   private lifecycle: 'serving' | 'leaving' = 'serving'
@@ -51,6 +56,7 @@
 
   constructor (settings: DataPlaneSettings, private readonly link: DataLinkEnd, log: Log) {
     this.control = new ControlCaller(link)
+    this.traces = new Traces(settings.traces)
     const backend = new BackendClient(this.clock, {
       onLoad: (address, report) => this.serverAt(address).forEach(server => this.book.router.reportLoad(server.id, report)),
       onLeaving: address => this.serverAt(address).forEach(server => this.markLeaving(server.id))
@@ -64,6 +70,9 @@
       clock: this.clock,
       random: createRandomSource(),
       log,
+      metrics: this.metrics,
+      traces: this.traces,
+      operatorHashes: settings.operatorHashes,
       instanceId: settings.instanceId,
       requestDeadline: settings.requestDeadline,
       confirmedAt: () => this.confirmedAt
@@ -71,7 +80,9 @@
     const api = createCallerApi(this.context, settings.limits, () => this.readiness())
     this.server = api.server
     this.listener = api.listener
-    this.listener.prependListener('request', (_request, response) => this.countAnswer(response))
+    for (const event of ['request', 'checkContinue']) {
+      this.listener.prependListener(event, (_request: unknown, response: ServerResponse) => this.countAnswer(response))
+    }
     this.catalogue.registerInstallListener(() => this.updateServers())
     this.ticker = setInterval(() => this.book.tick(), TICK_INTERVAL_MILLISECONDS)
     link.receive(message => this.take(message))
@@ -109,6 +120,7 @@
     clearInterval(this.ticker)
     this.context.backend.close()
     this.listener.closeAllConnections()
+    await this.traces.close()
     await this.server.stop({ timeout: 0 })
   }
 
@@ -133,11 +145,27 @@
       case 'lifecycle':
         this.lifecycle = message.state
         break
+      case 'collect':
+        this.report(message.traceId).then(report => this.link.post({ kind: 'collected', id: message.id, report }), () => {})
+        break
       case 'reply':
         this.control.settle(message)
     }
   }
 
+  private async report (traceId: string | undefined): Promise<ThreadReport> {
+    const connections = await new Promise<number>(resolve => { this.listener.getConnections((_error, count) => resolve(count)) })
+    return {
+      metrics: this.metrics.snapshot(),
+      openRequests: this.openRequests,
+      connections,
+      revision: this.catalogue.revision,
+      confirmationAge: this.clock.monotonic() - this.confirmedAt,
+      readiness: this.readiness(),
+      spans: traceId === undefined ? [] : this.traces.find(traceId)
+    }
+  }
+
   private countAnswer (response: ServerResponse): void {
     this.openAnswers++
     response.once('close', () => { this.openAnswers-- })
--- a/packages/entry/src/JayfallDataThread.ts
+++ b/packages/entry/src/JayfallDataThread.ts
@@ -32,7 +32,7 @@
   | { readonly kind: 'stop' }
 
 /** From a data thread to its owner. */
-export type ThreadReport =
+export type ThreadMessage =
   | { readonly kind: 'listening', readonly descriptor: number }
   | { readonly kind: 'listen-failed', readonly message: string }
   | { readonly kind: 'log', readonly level: Exclude<LogLevel, 'silent'>, readonly event: string, readonly fields?: LogFields }
@@ -44,7 +44,7 @@
 const LOG_LEVELS: readonly LogLevel[] = ['debug', 'info', 'warn', 'error', 'silent']
 
 /** A log whose events are written by the thread that owns the data threads. */
-function createThreadLog (lowest: LogLevel, report: (report: ThreadReport) => void): Log {
+function createThreadLog (lowest: LogLevel, report: (report: ThreadMessage) => void): Log {
   const writer = (level: Exclude<LogLevel, 'silent'>) => {
     const isWritten = LOG_LEVELS.indexOf(level) >= LOG_LEVELS.indexOf(lowest)
     return (event: string, fields?: LogFields): void => { if (isWritten) report({ kind: 'log', level, event, fields }) }
@@ -55,7 +55,7 @@
 function runDataThread ({ settings, logLevel, controlPort }: DataThreadStart): void {
   const owner = parentPort
   invariant(owner !== null, 'a data thread runs in a worker thread')
-  const report = (message: ThreadReport): void => owner.postMessage(message)
+  const report = (message: ThreadMessage): void => owner.postMessage(message)
   const plane = new DataPlane(settings, new PortLink<DataMessage, ControlMessage>(controlPort), createThreadLog(logLevel, report))
   let reportedRequests = 0
   setInterval(() => {
@@ -68,7 +68,7 @@
   })
 }
 
-async function carryOut (plane: DataPlane, command: ThreadCommand, report: (report: ThreadReport) => void): Promise<void> {
+async function carryOut (plane: DataPlane, command: ThreadCommand, report: (report: ThreadMessage) => void): Promise<void> {
   switch (command.kind) {
     case 'listen': {
       const { target } = command
--- a/packages/entry/src/JayfallEntryConstants.ts
+++ b/packages/entry/src/JayfallEntryConstants.ts
@@ -29,11 +29,21 @@
 export const CHARACTERS_PER_TOKEN = 4
 export const DEFAULT_MAXIMUM_OUTPUT_TOKENS = 512
 
+export const REQUESTS_METRIC = 'jayfall_requests_total'
+export const REFUSALS_METRIC = 'jayfall_refusals_total'
+export const ATTEMPTS_METRIC = 'jayfall_attempts_total'
+export const FIRST_TOKEN_METRIC = 'jayfall_first_token_seconds'
+/** The mean gap between the tokens of one answer, recorded once for each answer. */
+export const TOKEN_GAP_METRIC = 'jayfall_token_gap_seconds'
+export const ANSWER_METRIC = 'jayfall_answer_seconds'
+
 /** Name of the executable's asset that holds the bundled program. */
 export const BUNDLE_ASSET = 'jayfall.cjs'
 /** The shared listening socket gets a descriptor of at least this number, or the highest that the process may use. */
 export const RESERVED_DESCRIPTORS = 16_000
 /** A data thread reports its open requests at this interval when they have changed. */
 export const STATE_INTERVAL_MILLISECONDS = 50
+/** A data thread that does not report within this time is left out of the report of the instance. */
+export const REPORT_TIMEOUT_MILLISECONDS = 1000
 /** A data thread that does not stop within this time is terminated. */
 export const THREAD_STOP_LIMIT_MILLISECONDS = 2000
--- a/packages/entry/src/JayfallEntryInstance.ts
+++ b/packages/entry/src/JayfallEntryInstance.ts
@@ -2,7 +2,7 @@
 
 import { delay } from '#jayfall/shared'
 import { type EntrySettings } from '#jayfall/settings'
-import { type Log } from '#jayfall/telemetry'
+import { SPAN_RING_SIZE, type Log } from '#jayfall/telemetry'
 import 'reflect-metadata'
 import { inject, injectable } from 'tsyringe'
 
@@ -25,7 +25,7 @@
   private readonly dataHost: DataHost
 
   constructor (@inject(ENTRY_SETTINGS) private readonly settings: EntrySettings, @inject(ENTRY_LOG) private readonly log: Log) {
-    const { instance, callers, peers, platform, keys, ledger } = settings
+    const { instance, callers, peers, platform, keys, ledger, telemetry } = settings
     const localAddress = peers.address.split(':')[0]
     this.controlPlane = new ControlPlane({
       instanceId: instance.id, localAddress, platformAddress: platform.address, platformTimeout: platform.timeout, batchInterval: ledger['batch-interval']
@@ -33,15 +33,23 @@
     const dataSettings: DataPlaneSettings = {
       instanceId: instance.id,
       localAddress,
-      limits: { bodyLimit: callers['body-limit'], headerTimeout: callers['header-timeout'], connectionLimit: callers['connection-limit'] },
+      limits: { bodyLimit: callers['body-limit'], headerTimeout: callers['header-timeout'], bodyTimeout: callers['body-timeout'], connectionLimit: callers['connection-limit'] },
       requestDeadline: callers['request-deadline'],
-      sealPasswords: keys['seal-passwords']
+      sealPasswords: keys['seal-passwords'],
+      operatorHashes: keys['operator-hashes'],
+      traces: {
+        instanceId: instance.id,
+        zone: instance.zone,
+        file: telemetry['trace-file'],
+        otlpAddress: telemetry['otlp-address'],
+        ringSize: Math.ceil(SPAN_RING_SIZE / Math.max(1, settings.threads['data-threads']))
+      }
     }
     const attach: ControlPlane['attach'] = link => this.controlPlane.attach(link)
     const threads = settings.threads['data-threads']
     this.dataHost = threads === 0
       ? new LocalDataHost(dataSettings, attach, log)
-      : new ThreadedDataHost(threads, dataSettings, settings.telemetry['log-level'], attach, log)
+      : new ThreadedDataHost(threads, dataSettings, telemetry['log-level'], attach, log)
   }
 
   /** Resolves with the cause when the instance cannot go on and is to be stopped. */
--- a/packages/entry/src/JayfallModelAnswer.ts
+++ b/packages/entry/src/JayfallModelAnswer.ts
@@ -15,7 +15,7 @@
 import { BackendError, isBackendError } from './JayfallBackendError'
 import { refusalError } from './JayfallChatRequest'
 import { refusalNow, type DataContext } from './JayfallDataContext'
-import { FIRST_TOKEN_LIMIT_MILLISECONDS, MAXIMUM_RESUMPTIONS, MINIMUM_SILENCE_MILLISECONDS, SESSION_HEADER, STREAM_HEADER } from './JayfallEntryConstants'
+import { FIRST_TOKEN_LIMIT_MILLISECONDS, MAXIMUM_RESUMPTIONS, MINIMUM_SILENCE_MILLISECONDS, REFUSALS_METRIC, SESSION_HEADER, STREAM_HEADER } from './JayfallEntryConstants'
 import { type DecisionHandler } from './JayfallRequestBook'
 import { StreamReader, type StreamBreak } from './JayfallStreamReader'
 
@@ -197,6 +197,7 @@
   private end (error: ApiError): void {
     this.context.book.close(this.work.request.id)
     this.sink.fail(error)
+    this.context.metrics.count(REFUSALS_METRIC, { code: error.code })
     this.context.log.warn('request_refused', { request: this.work.request.id, workspace: this.work.request.workspace, code: error.code, ran: error.ran })
   }
 
--- a/packages/entry/src/JayfallThreadedDataHost.ts
+++ b/packages/entry/src/JayfallThreadedDataHost.ts
@@ -16,14 +16,14 @@
 import { type ControlLinkEnd, type ControlMessage, type DataMessage } from './JayfallControlLink'
 import { DataHost, type ListenAddress } from './JayfallDataHost'
 import { type DataPlaneSettings, type ListenTarget } from './JayfallDataPlane'
-import { type DataThreadStart, type ThreadCommand, type ThreadReport } from './JayfallDataThread'
+import { type DataThreadStart, type ThreadCommand, type ThreadMessage } from './JayfallDataThread'
 import { BUNDLE_ASSET, THREAD_STOP_LIMIT_MILLISECONDS } from './JayfallEntryConstants'
 import { EntryError } from './JayfallEntryError'
 import { PortLink } from './JayfallPortLink'
 // The bundle must contain the program of the data threads.
 import './JayfallDataThread'
 
-type Report<Kind extends ThreadReport['kind']> = Extract<ThreadReport, { kind: Kind }>
+type Report<Kind extends ThreadMessage['kind']> = Extract<ThreadMessage, { kind: Kind }>
 
 /** Starts the worker of a data thread. */
 export type CreateWorker = (options: WorkerOptions) => Worker
@@ -44,13 +44,13 @@
   readonly hasEnded: Promise<Error>
   private isEnded = false
   private readonly worker: Worker
-  private readonly waiting = new Map<ThreadReport['kind'], { readonly resolve: (report: ThreadReport) => void, readonly reject: (error: Error) => void }>()
+  private readonly waiting = new Map<ThreadMessage['kind'], { readonly resolve: (report: ThreadMessage) => void, readonly reject: (error: Error) => void }>()
 
   constructor (start: Omit<DataThreadStart, 'role' | 'controlPort'>, attach: (link: ControlLinkEnd) => void, private readonly log: Log, create: CreateWorker) {
     const { port1, port2 } = new MessageChannel()
     const workerData: DataThreadStart = { role: 'jayfall-data-thread', controlPort: port2, ...start }
     this.worker = create({ workerData, transferList: [port2] })
-    this.worker.on('message', (report: ThreadReport) => this.take(report))
+    this.worker.on('message', (report: ThreadMessage) => this.take(report))
     this.hasEnded = new Promise(resolve => {
       this.worker.on('error', (error: Error) => resolve(error))
       this.worker.on('exit', status => resolve(new EntryError('data_thread_failed', `a data thread ended with status ${status}`)))
@@ -88,11 +88,11 @@
     await this.worker.terminate()
   }
 
-  private next<Kind extends ThreadReport['kind']> (kind: Kind): Promise<Report<Kind>> {
-    return new Promise((resolve, reject) => { this.waiting.set(kind, { resolve: resolve as (report: ThreadReport) => void, reject }) })
+  private next<Kind extends ThreadMessage['kind']> (kind: Kind): Promise<Report<Kind>> {
+    return new Promise((resolve, reject) => { this.waiting.set(kind, { resolve: resolve as (report: ThreadMessage) => void, reject }) })
   }
 
-  private take (report: ThreadReport): void {
+  private take (report: ThreadMessage): void {
     if (report.kind === 'log') this.log[report.level](report.event, report.fields)
     else if (report.kind === 'listen-failed') this.waiting.get('listening')?.reject(new EntryError('listen_failed', report.message))
     else this.waiting.get(report.kind)?.resolve(report)
--- a/packages/entry/src/__tests__/integration/JayfallDataThreads.test.ts
+++ b/packages/entry/src/__tests__/integration/JayfallDataThreads.test.ts
@@ -27,7 +27,7 @@
 
   it('guards against a planned stop that cuts off the streams of one of the threads', async () => {
     const client = new OpenAI({ baseURL: `http://${system.callersAddress('entry-1')}/v1`, apiKey: testCallerKey(WORKSPACE), maxRetries: 0 })
-    const tokens = 60
+    const tokens = 100
     const readStream = async (): Promise<number> => {
       let count = 0
       const stream = await client.chat.completions.create({ model: 'guide', messages: [{ role: 'user', content: 'draft' }], max_tokens: tokens, stream: true })
@@ -35,11 +35,16 @@
       return count
     }
     const answers = Array.from({ length: STREAMS }, readStream)
-    await new Promise(resolve => setTimeout(resolve, 300))
+    const openByThread = async (): Promise<readonly number[]> => {
+      const response = await fetch(`http://${system.callersAddress('entry-1')}/metrics`)
+      return [...(await response.text()).matchAll(/^jayfall_open_requests\{.*\} (\d+)$/gm)].map(([, count]) => Number(count))
+    }
+    let open = await openByThread()
+    while (open.reduce((sum, count) => sum + count, 0) < STREAMS + 1) open = await openByThread()
+    assert.ok(open.filter(count => count > 1).length > 1, `all streams are in one thread: ${open.join(' ')}`)
     const process = system.entryProcess('entry-1')
     assert.equal(await process.stop(), 0)
     assert.deepEqual(await Promise.all(answers), Array.from({ length: STREAMS }, () => tokens))
-    assert.match(process.output, new RegExp(`event=instance_stopping instance=entry-1 open_requests=${STREAMS}`))
   })
 })
 
--- a/packages/entry/src/__tests__/unit/JayfallThreadedDataHost.test.ts
+++ b/packages/entry/src/__tests__/unit/JayfallThreadedDataHost.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict'
+import { once } from 'node:events'
 import * as fs from 'node:fs'
 import * as path from 'node:path'
+import * as net from 'node:net'
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { Worker } from 'node:worker_threads'
 
@@ -14,8 +16,10 @@
 const SETTINGS = {
   instanceId: 'entry-1',
   localAddress: '127.0.0.1',
-  limits: { bodyLimit: 1024, headerTimeout: 1000, connectionLimit: 300 },
+  limits: { bodyLimit: 1024, headerTimeout: 1000, bodyTimeout: 1000, connectionLimit: 300 },
   requestDeadline: 1000,
+  operatorHashes: [],
+  traces: { instanceId: 'entry-1', zone: 'valdivia' },
   sealPasswords: ['first:a-password-for-tests-of-more-than-32-characters']
 }
 
@@ -49,6 +53,14 @@
     await assert.rejects(request(), { code: 'ECONNREFUSED' })
   })
 
+  it('guards against a request that the drain does not count: one whose body is still arriving', async () => {
+    const socket = net.connect(port, '127.0.0.1')
+    socket.write('POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-type: application/json\r\nexpect: 100-continue\r\ncontent-length: 10\r\n\r\n')
+    await once(socket, 'data')
+    assert.equal(await host.drain(), 1)
+    socket.destroy()
+  })
+
   it('guards against a reused descriptor: the shared number is above those of connections', () => {
     const sockets = fs.readdirSync('/proc/self/fd').filter(descriptor => Number(descriptor) > 1000)
       .filter(descriptor => fs.readlinkSync(`/proc/self/fd/${descriptor}`).startsWith('socket:'))
--- a/packages/settings/src/JayfallEntrySettings.ts
+++ b/packages/settings/src/JayfallEntrySettings.ts
@@ -33,6 +33,7 @@
     address,
     'body-limit': sizeSetting('1MiB'),
     'header-timeout': durationSetting('10s'),
+    'body-timeout': durationSetting('10s'),
     'idle-stream-timeout': durationSetting('30s'),
     'connection-limit': wholeNumber(1, 1_000_000, 10_000),
     'request-deadline': durationSetting('60s')
--- /dev/null
+++ b/packages/telemetry/src/JayfallTelemetryConstants.ts
@@ -0,0 +1,14 @@
+/** Constants of logs, metrics and traces. */
+
+/** Durations up to this are recorded exactly; longer ones count as this. */
+export const HIGHEST_DURATION_MICROSECONDS = 600_000_000
+export const HISTOGRAM_DIGITS = 2
+/** Percentiles of each histogram in `/metrics` and `/status`. */
+export const REPORTED_PERCENTILES = [50, 95, 99] as const
+
+/** Spans that an instance keeps in memory, shared between its threads. */
+export const SPAN_RING_SIZE = 20_000
+/** Spans that wait for the collector; more are dropped and counted. */
+export const EXPORT_QUEUE_SIZE = 4096
+/** Interval at which spans are sent to the collector and the trace file. */
+export const EXPORT_INTERVAL_MILLISECONDS = 1000
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,1 +1,5 @@
 export { createLog, formatLine, type Log, type LogFields, type LogLevel } from './JayfallLog'
+export { formatPrometheus, Metrics, sumMetrics, type DurationSummary, type MetricLabels, type MetricsSnapshot } from './JayfallMetrics'
+export { type SpanRecord } from './JayfallSpanProcessors'
+export { SPAN_RING_SIZE } from './JayfallTelemetryConstants'
+export { Hop, parseTraceparent, Traces, type SpanAttributes, type TraceSettings } from './JayfallTraces'
