--- a/packages/entry/src/JayfallCallerApi.ts
+++ b/packages/entry/src/JayfallCallerApi.ts
@@ -29,12 +29,14 @@
 
 /** Creates the callers' server without a listening socket; the caller of this function listens. */
 export function createCallerApi (context: DataContext, limits: CallerApiLimits, readiness: () => Readiness): { readonly server: Server, readonly listener: http.Server } {
-  const listener = http.createServer({ headersTimeout: limits.headerTimeout, requestTimeout: 0, connectionsCheckingInterval: 1000 })
+  // hapi answers a late body only after its end, so the listener limits the time of the whole request.
+  const requestTimeout = limits.headerTimeout + limits.bodyTimeout
+  const listener = http.createServer({ headersTimeout: limits.headerTimeout, requestTimeout, connectionsCheckingInterval: 1000 })
   listener.maxConnections = limits.connectionLimit
   const server = Hapi.server({
     listener,
     autoListen: false,
-    routes: { payload: { maxBytes: limits.bodyLimit, timeout: limits.bodyTimeout, allow: 'application/json' } }
+    routes: { payload: { maxBytes: limits.bodyLimit, timeout: false, allow: 'application/json' } }
   })
   registerRoutes(server, context, readiness)
   registerOperatorRoutes(server, context)
@@ -83,7 +85,7 @@
   context.metrics.count(REFUSALS_METRIC, { code: error.code })
   const answer = toolkit.response(error.toBody(requestId)).code(error.status)
   // The rest of the body has not been read.
-  if (error.code === 'body_too_large' || error.code === 'body_incomplete') answer.header('connection', 'close')
+  if (error.code === 'body_too_large') answer.header('connection', 'close')
   if (error.retryAfter !== undefined) answer.header('retry-after', String(Math.ceil(error.retryAfter / 1000)))
   return answer
 }
@@ -92,7 +94,6 @@
   if (error instanceof ApiError) return error
   const status = error.output?.statusCode ?? 500
   if (status === 413) return new ApiError('body_too_large', 'the body is larger than this instance accepts', {}, error)
-  if (status === 408) return new ApiError('body_incomplete', 'the body did not arrive in time', {}, error)
   if (status === 415) return new ApiError('content_type_unsupported', 'send the body with content type application/json', {}, error)
   if (status === 404) return new ApiError('route_unknown', `there is no ${request.method.toUpperCase()} ${request.path}`, {}, error)
   if (status >= 400 && status < 500) return new ApiError('body_malformed', 'the body is not valid JSON', {}, error)
--- a/packages/entry/src/JayfallConnectionGuard.ts
+++ b/packages/entry/src/JayfallConnectionGuard.ts
@@ -18,21 +18,24 @@
 
 /** Answers and counts what the parser refuses. */
 export function registerConnectionGuard (listener: Server, metrics: Metrics, log: Log): void {
-  const answering = new WeakSet<Socket>()
+  /** Answers under way; a later request of the same connection waits for them. */
+  const answers = new WeakMap<Socket, Set<ServerResponse>>()
   for (const event of ['request', 'checkContinue']) {
     listener.on(event, (request: IncomingMessage, response: ServerResponse) => {
-      answering.add(request.socket)
-      response.once('close', () => answering.delete(request.socket))
+      const open = answers.get(request.socket) ?? new Set()
+      answers.set(request.socket, open.add(response))
+      response.once('close', () => open.delete(response))
     })
   }
   listener.removeAllListeners('clientError')
   listener.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-    const refusal = toRefusal(error)
+    const open = [...answers.get(socket) ?? []]
+    const refusal = toRefusal(error, open.length > 0)
     if (refusal === undefined) return socket.destroy()
     metrics.count(REFUSALS_METRIC, { code: refusal.code })
     log.info('connection_refused', { code: refusal.code, cause: error.code })
     // Bytes written now would become part of the answer that is under way.
-    if (!socket.writable || answering.has(socket)) return socket.destroy()
+    if (!socket.writable || open.some(({ headersSent }) => headersSent)) return socket.destroy()
     socket.end(formatRefusal(refusal), () => socket.destroy())
   })
   listener.on('drop', () => {
@@ -41,7 +44,8 @@
 }
 
 /** The refusal for a parser's error; undefined when the connection broke. */
-function toRefusal (error: NodeJS.ErrnoException): ApiError | undefined {
+function toRefusal (error: NodeJS.ErrnoException, hasHead: boolean): ApiError | undefined {
+  if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' && hasHead) return new ApiError('body_incomplete', 'the body did not arrive in time', {}, error)
   if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') return new ApiError('head_timeout', 'the request line and headers did not arrive in time', {}, error)
   if (error.code === 'HPE_HEADER_OVERFLOW') return new ApiError('head_too_large', 'the request line and headers are too large', {}, error)
   if (error.code?.startsWith('HPE_') === true) return new ApiError('head_malformed', 'the request is not valid HTTP/1.1', {}, error)
