--- a/packages/entry/src/JayfallCallerApi.ts
+++ b/packages/entry/src/JayfallCallerApi.ts
@@ -9,7 +9,10 @@
 import { ApiError, toApiError } from './JayfallApiError'
 import { authenticateCaller } from './JayfallAuthentication'
 import { handleChatCompletion } from './JayfallChatCompletions'
+import { registerConnectionGuard } from './JayfallConnectionGuard'
 import { type DataContext } from './JayfallDataContext'
+import { REFUSALS_METRIC } from './JayfallEntryConstants'
+import { registerOperatorRoutes } from './JayfallOperatorRoutes'
 import { headerValue } from './JayfallRequestFields'
 import { handleOutcomeQuery, handleServiceCall } from './JayfallServiceCall'
 import { handleStreamResumption } from './JayfallStreamResumption'
@@ -18,6 +21,7 @@
 export interface CallerApiLimits {
   readonly bodyLimit: number
   readonly headerTimeout: number
+  readonly bodyTimeout: number
   readonly connectionLimit: number
 }
 
@@ -34,16 +38,22 @@
   private exchanges = 0
 
   constructor (context: DataContext, limits: CallerApiLimits, private readonly readiness: () => Readiness) {
-    this.listener = http.createServer({ headersTimeout: limits.headerTimeout, requestTimeout: 0, connectionsCheckingInterval: 1000 })
+    // hapi answers a late body only after its end, so the listener limits the time of the whole request.
+    const requestTimeout = limits.headerTimeout + limits.bodyTimeout
+    this.listener = http.createServer({ headersTimeout: limits.headerTimeout, requestTimeout, connectionsCheckingInterval: 1000 })
     this.listener.maxConnections = limits.connectionLimit
-    this.listener.prependListener('request', (_request, response) => this.track(response))
+    for (const event of ['request', 'checkContinue']) {
+      this.listener.prependListener(event, (_request: unknown, response: http.ServerResponse) => this.track(response))
+    }
     this.server = Hapi.server({
       listener: this.listener,
       autoListen: false,
-      routes: { payload: { maxBytes: limits.bodyLimit, allow: 'application/json' } }
+      routes: { payload: { maxBytes: limits.bodyLimit, timeout: false, allow: 'application/json' } }
     })
     registerRoutes(this.server, context, readiness)
+    registerOperatorRoutes(this.server, context)
     this.server.ext('onPreResponse', (request, toolkit) => answerError(context, request, toolkit))
+    registerConnectionGuard(this.listener, context.metrics, context.log)
   }
 
   /** Requests whose answers are not whole yet. */
@@ -60,6 +70,11 @@
     await passEventLoopTurns(REGISTRATION_TURNS)
   }
 
+  /** Connections of callers that are open now. */
+  async countConnections (): Promise<number> {
+    return await new Promise(resolve => { this.listener.getConnections((_error, count) => resolve(count)) })
+  }
+
   /** File descriptor of the listening socket. */
   get descriptor (): number {
     // The descriptor has no public accessor.
@@ -136,7 +151,10 @@
   const requestId = randomUUID()
   const log = error.status >= 500 ? context.log.warn : context.log.info
   log('request_refused', { request: requestId, path: request.path, code: error.code, ran: error.ran, cause: error.code === 'internal' ? response.stack : undefined })
+  context.metrics.count(REFUSALS_METRIC, { code: error.code })
   const answer = toolkit.response(error.toBody(requestId)).code(error.status)
+  // The rest of the body has not been read.
+  if (error.code === 'body_too_large') answer.header('connection', 'close')
   if (error.retryAfter !== undefined) answer.header('retry-after', String(Math.ceil(error.retryAfter / 1000)))
   return answer
 }
@@ -145,7 +163,8 @@
   if (error instanceof ApiError) return error
   const status = error.output?.statusCode ?? 500
   if (status === 413) return new ApiError('body_too_large', 'the body is larger than this instance accepts', {}, error)
+  if (status === 415) return new ApiError('content_type_unsupported', 'send the body with content type application/json', {}, error)
   if (status === 404) return new ApiError('route_unknown', `there is no ${request.method.toUpperCase()} ${request.path}`, {}, error)
-  if (status >= 400 && status < 500) return new ApiError('body_malformed', 'the request is not valid JSON with content type application/json', {}, error)
+  if (status >= 400 && status < 500) return new ApiError('body_malformed', 'the body is not valid JSON', {}, error)
   return toApiError(error)
 }
--- a/packages/entry/src/JayfallControlLink.ts
+++ b/packages/entry/src/JayfallControlLink.ts
@@ -8,6 +8,8 @@
 import { type QualitySnapshot } from '#jayfall/rollout'
 import { type WorkspaceShare } from '#jayfall/routing'
 
+import { type ThreadReport } from './JayfallThreadReports'
+
 /** From the control thread to a data thread. */
 export type ControlMessage =
   | { readonly kind: 'catalogue-changes', readonly changes: readonly CatalogueChange[] }
@@ -21,6 +23,8 @@
   /** While the backlog of bills is full no new billable work is taken. */
   | { readonly kind: 'billing-backlog', readonly full: boolean }
   | { readonly kind: 'lifecycle', readonly state: 'serving' | 'leaving' }
+  /** Asks for a report, with the spans of a trace. */
+  | { readonly kind: 'collect', readonly id: number, readonly traceId?: string }
   | { readonly kind: 'reply', readonly id: number, readonly result?: unknown, readonly error?: { readonly code: string, readonly message: string } }
 
 /** From a data thread to the control thread. */
@@ -30,6 +34,7 @@
   /** Work admitted since the last message. */
   | { readonly kind: 'demand', readonly demands: readonly WorkspaceDemand[] }
   | { readonly kind: 'server-leaving', readonly server: string }
+  | { readonly kind: 'collected', readonly id: number, readonly report: ThreadReport }
   | { readonly kind: 'state', readonly openRequests: number }
 
 /** What a workspace asked for, refused requests included. */
--- a/packages/entry/src/JayfallControlPlane.ts
+++ b/packages/entry/src/JayfallControlPlane.ts
@@ -15,6 +15,7 @@
 import { InstanceLedger, type InstanceLedgerSettings } from './JayfallInstanceLedger'
 import { LeavingServers } from './JayfallLeavingServers'
 import { PeerControl, type PeerControlSettings } from './JayfallPeerControl'
+import { ThreadReports } from './JayfallThreadReports'
 
 /** Interval at which a new confirmation is passed on. */
 const CONFIRMATION_INTERVAL_MILLISECONDS = 250
@@ -34,6 +35,7 @@
   private readonly ledger: InstanceLedger
   private readonly handlers: CallHandlers
   private readonly leavingServers = new LeavingServers(this.clock)
+  private readonly threadReports = new ThreadReports()
   private links: readonly ControlLinkEnd[] = []
   private timers: readonly NodeJS.Timeout[] = []
   private isStopping = false
@@ -63,7 +65,7 @@
       onQuality: quality => this.post({ kind: 'cascade-quality', quality })
     })
     this.ledger = new InstanceLedger({ ...settings, incarnation }, this.catalogue, this.peers.directory, this.duties.recoveryRight, log)
-    this.handlers = { ...this.ledger.handlers, offer: async offer => { await this.duties.offerRating(offer) } }
+    this.handlers = { ...this.ledger.handlers, offer: async offer => { await this.duties.offerRating(offer) }, collect: ({ traceId }) => this.threadReports.collect(traceId) }
     this.catalogue.registerInstallListener(() => this.passInstallation())
   }
 
@@ -75,6 +77,7 @@
   attach (link: ControlLinkEnd): void {
     this.links = [...this.links, link]
     link.receive(message => this.take(link, message))
+    this.threadReports.attach(link)
     if (this.catalogue.revision > 0) link.post({ kind: 'catalogue-snapshot', snapshot: this.catalogue.snapshot() })
   }
 
@@ -162,6 +165,9 @@
       case 'call':
         this.answer(link, message)
         break
+      case 'collected':
+        this.threadReports.take(message)
+        break
       case 'demand':
         for (const { workspace, requests, tokens } of message.demands) this.peers.node.meter.count(workspace, { requests, tokens })
         break
--- a/packages/entry/src/JayfallDataPlane.ts
+++ b/packages/entry/src/JayfallDataPlane.ts
@@ -7,7 +7,7 @@
 import { InstalledCatalogue, type ServerEntry } from '#jayfall/catalogue'
 import { ModelAwareRouter, TICK_INTERVAL_MILLISECONDS, type RoutedServer } from '#jayfall/routing'
 import { createRandomSource, SystemClock } from '#jayfall/shared'
-import { type Log } from '#jayfall/telemetry'
+import { Metrics, Traces, type Log, type TraceSettings } from '#jayfall/telemetry'
 
 import { BackendClient } from './JayfallBackendClient'
 import { CallerApi, type CallerApiLimits, type ListenTarget, type Readiness } from './JayfallCallerApi'
@@ -16,6 +16,7 @@
 import { type DataContext } from './JayfallDataContext'
 import { type DataParts } from './JayfallDataParts'
 import { RequestBook } from './JayfallRequestBook'
+import { type ThreadReport } from './JayfallThreadReports'
 import { TokenSeal } from './JayfallTokenSeal'
 
 /** Interval at which the control thread is told what the workspaces asked for. */
@@ -30,18 +31,22 @@
   /** Milliseconds that a caller's request may take. */
   readonly requestDeadline: number
   readonly sealPasswords: readonly string[]
+  readonly operatorHashes: readonly string[]
+  readonly traces: TraceSettings
 }
 
 /** One data thread's part of the instance. */
 export class DataPlane {
   private readonly clock = new SystemClock()
   private readonly catalogue = new InstalledCatalogue()
+  private readonly metrics = new Metrics()
   private readonly book = new RequestBook(new ModelAwareRouter({ clock: this.clock, random: createRandomSource() }))
   private readonly control: ControlCaller
   private readonly context: DataContext
   private readonly api: CallerApi
   private readonly ticker: NodeJS.Timeout
   private readonly demandTimer: NodeJS.Timeout
+  private readonly traces: Traces
   private confirmedAt = -Infinity
   private backlogFull = false
   private lifecycle: 'serving' | 'leaving' = 'serving'
@@ -49,6 +54,7 @@
 
   constructor (settings: DataPlaneSettings, private readonly link: DataLinkEnd, log: Log, private readonly parts: DataParts) {
     this.control = new ControlCaller(link)
+    this.traces = new Traces(settings.traces)
     const backend = new BackendClient(this.clock, {
       onLoad: (address, report) => this.serverAt(address).forEach(server => this.book.router.reportLoad(server.id, report)),
       onLeaving: address => this.serverAt(address).forEach(server => this.markLeaving(server.id))
@@ -63,6 +69,9 @@
       clock: this.clock,
       random: createRandomSource(),
       log,
+      metrics: this.metrics,
+      traces: this.traces,
+      operatorHashes: settings.operatorHashes,
       instanceId: settings.instanceId,
       requestDeadline: settings.requestDeadline,
       confirmedAt: () => this.confirmedAt,
@@ -107,6 +116,7 @@
     clearInterval(this.demandTimer)
     await this.api.stop()
     this.context.backend.close()
+    await this.traces.close()
   }
 
   private take (message: ControlMessage): void {
@@ -133,6 +143,9 @@
       case 'lifecycle':
         this.lifecycle = message.state
         break
+      case 'collect':
+        this.report(message.traceId).then(report => this.link.post({ kind: 'collected', id: message.id, report }), () => {})
+        break
       case 'reply':
         this.control.settle(message)
     }
@@ -143,6 +156,18 @@
     if (demands.length > 0) this.link.post({ kind: 'demand', demands })
   }
 
+  private async report (traceId: string | undefined): Promise<ThreadReport> {
+    return {
+      metrics: this.metrics.snapshot(),
+      openRequests: this.openRequests,
+      connections: await this.api.countConnections(),
+      revision: this.catalogue.revision,
+      confirmationAge: this.clock.monotonic() - this.confirmedAt,
+      readiness: this.readiness(),
+      spans: traceId === undefined ? [] : this.traces.find(traceId)
+    }
+  }
+
   private readiness (): Readiness {
     return this.lifecycle === 'leaving' ? 'leaving' : this.catalogue.revision === 0 ? 'starting' : 'serving'
   }
--- a/packages/entry/src/JayfallInstanceLedger.ts
+++ b/packages/entry/src/JayfallInstanceLedger.ts
@@ -35,7 +35,7 @@
 
 /** Wires the ledger to the platform and the backend servers. */
 export class InstanceLedger {
-  readonly handlers: Omit<CallHandlers, 'offer'>
+  readonly handlers: Omit<CallHandlers, 'offer' | 'collect'>
   private readonly clock = new SystemClock()
   private readonly http: PlatformHttp
   private readonly backend: BackendClient
--- a/packages/entry/src/JayfallModelAnswer.ts
+++ b/packages/entry/src/JayfallModelAnswer.ts
@@ -15,7 +15,7 @@
 import { refusalError } from './JayfallChatRequest'
 import { refusalNow, type DataContext } from './JayfallDataContext'
 import { settleDraft } from './JayfallDraftBill'
-import { SESSION_HEADER, STREAM_HEADER } from './JayfallEntryConstants'
+import { REFUSALS_METRIC, SESSION_HEADER, STREAM_HEADER } from './JayfallEntryConstants'
 import { type DecisionHandler } from './JayfallRequestBook'
 import { refusalMessage } from './JayfallRefusalMessage'
 
@@ -175,6 +175,7 @@
   private end (error: ApiError): void {
     this.close()
     this.sink.fail(error)
+    this.context.metrics.count(REFUSALS_METRIC, { code: error.code })
     this.context.log.warn('request_refused', { request: this.work.request.id, workspace: this.work.request.workspace, code: error.code, ran: error.ran })
   }
 
