Give each test system loopback addresses of its own

Cause: a test system reserved a free port that another process took before the stand-in listened (EADDRINUSE in 1 of 178 tests with several suites running side by side). Change: addresses in 127.0.0.0/8 derived from the process; the stand-ins take the address to listen on. Two tests named the command line as a package and now name its script.

--- a/packages/entry/src/__tests__/integration/JayfallDataThreads.test.ts
+++ b/packages/entry/src/__tests__/integration/JayfallDataThreads.test.ts
@@ -7,7 +7,7 @@
 import { after, before, describe, it } from 'node:test'
 
 import OpenAI from 'openai'
-import { findFreePort, TestSystem, testCallerKey, testEngineService, testVersion, testWorkspace } from '#jayfall/testbed'
+import { createTestAddress, findFreePort, TestSystem, testCallerKey, testEngineService, testVersion, testWorkspace } from '#jayfall/testbed'
 
 const WORKSPACE = 'taller-uno'
 const STREAMS = 24
@@ -51,8 +51,9 @@
 describe('the bundled program', () => {
   it('guards against a bundle that lacks the program of the data threads', async () => {
     const directory = fs.mkdtempSync(path.join(os.tmpdir(), 'jayfall-bundle-'))
-    const [callers, peers] = [await findFreePort(), await findFreePort()]
-    const example = fs.readFileSync('examples/entry.ini', 'utf8').replace(':8080', `:${callers}`).replace(':8081', `:${peers}`)
+    const host = createTestAddress()
+    const [callers, peers] = [await findFreePort(host), await findFreePort(host)]
+    const example = fs.readFileSync('examples/entry.ini', 'utf8').replace('127.0.0.1:8080', `${host}:${callers}`).replace('127.0.0.1:8081', `${host}:${peers}`)
     const settings = path.join(directory, 'entry.ini')
     fs.writeFileSync(settings, `${example}\n[threads]\ndata-threads = 2\n[stop]\ndrain-notice = 10ms\n`)
     const child = spawn(process.execPath, ['dist/jayfall.cjs', 'entry', '--settings', settings], { stdio: ['ignore', 'pipe', 'inherit'] })
--- a/packages/entry/src/__tests__/integration/JayfallLedgerPath.test.ts
+++ b/packages/entry/src/__tests__/integration/JayfallLedgerPath.test.ts
@@ -21,7 +21,7 @@
   const draft = (key: string) => call('/v1/chat/completions', key, { model: 'guide', max_tokens: 3, messages: [{ role: 'user', content: 'draft' }] })
   const enrol = (key: string) => call('/v1/services/desk/enrol', key, { student: key })
   const exportBills = async (): Promise<readonly Bill[]> => {
-    const command = new TestProcess('bill export', 'command', ['bill', 'export', '--json', '--platform', system.directAddress('platform')])
+    const command = new TestProcess('bill export', 'command/src/main.js', ['bill', 'export', '--json', '--platform', system.directAddress('platform')])
     await command.waitForOutput('\n}')
     return (JSON.parse(command.output) as { bills: readonly Bill[] }).bills
   }
--- a/packages/entry/src/__tests__/unit/JayfallThreadedDataHost.test.ts
+++ b/packages/entry/src/__tests__/unit/JayfallThreadedDataHost.test.ts
@@ -8,14 +8,15 @@
 
 import Wreck from '@hapi/wreck'
 import { createLog } from '#jayfall/telemetry'
-import { findFreePort } from '#jayfall/testbed'
+import { createTestAddress, findFreePort } from '#jayfall/testbed'
 
 import { ThreadedDataHost } from '../../JayfallThreadedDataHost'
 
 const THREADS = 3
+const ADDRESS = createTestAddress()
 const SETTINGS = {
   instanceId: 'entry-1',
-  localAddress: '127.0.0.1',
+  localAddress: ADDRESS,
   limits: { bodyLimit: 1024, headerTimeout: 1000, bodyTimeout: 1000, connectionLimit: 300 },
   requestDeadline: 1000,
   operatorHashes: [],
@@ -31,18 +32,18 @@
 
   beforeEach(async () => {
     workers = []
-    port = await findFreePort()
+    port = await findFreePort(ADDRESS)
     host = new ThreadedDataHost(THREADS, SETTINGS, 'info', () => {}, createLog('info', {}, line => lines.push(line)), options => {
       const worker = new Worker(path.join(__dirname, '../../JayfallDataThread.js'), options)
       workers.push(worker)
       return worker
     })
-    await host.listen({ host: '127.0.0.1', port })
+    await host.listen({ host: ADDRESS, port })
   })
 
   afterEach(async () => { await host.stop() })
 
-  const request = () => Wreck.request('GET', `http://127.0.0.1:${port}/healthz`, { agent: false as never })
+  const request = () => Wreck.request('GET', `http://${ADDRESS}:${port}/healthz`, { agent: false as never })
 
   it('guards against a thread that does not share the listening socket', async () => {
     for (let count = 0; count < 50; count++) assert.equal((await request()).statusCode, 200)
@@ -54,7 +55,7 @@
   })
 
   it('guards against a request that the drain does not count: one whose body is still arriving', async () => {
-    const socket = net.connect(port, '127.0.0.1')
+    const socket = net.connect(port, ADDRESS)
     socket.write('POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\ncontent-type: application/json\r\nexpect: 100-continue\r\ncontent-length: 10\r\n\r\n')
     await once(socket, 'data')
     assert.equal(await host.drain(), 1)
@@ -83,7 +84,7 @@
 
   it('reports an address that is taken', async () => {
     const second = new ThreadedDataHost(1, SETTINGS, 'info', () => {}, createLog('silent'))
-    await assert.rejects(second.listen({ host: '127.0.0.1', port }), /EADDRINUSE/)
+    await assert.rejects(second.listen({ host: ADDRESS, port }), /EADDRINUSE/)
     await second.stop()
   })
 })
--- a/packages/standins/src/JayfallEngineStandIn.ts
+++ b/packages/standins/src/JayfallEngineStandIn.ts
@@ -8,9 +8,11 @@
 import { registerEngineOrders } from './JayfallEngineOrders'
 import { PrefixCache } from './JayfallPrefixCache'
 import { headerValue, pathParameter, queryParameter } from './JayfallRequestFields'
-import { CHARACTERS_PER_TOKEN, DEFAULT_OUTPUT_TOKENS } from './JayfallStandInConstants'
+import { CHARACTERS_PER_TOKEN, DEFAULT_HOST, DEFAULT_OUTPUT_TOKENS } from './JayfallStandInConstants'
 
 export interface EngineStandInSettings extends EngineLimits {
+  /** Loopback address; 127.0.0.1 by default. */
+  readonly host?: string
   readonly port: number
   readonly cacheTokens: number
   readonly versions: readonly string[]
@@ -42,7 +44,7 @@
 
 /** Starts an engine on a loopback port. */
 export async function startEngineStandIn (settings: EngineStandInSettings): Promise<Server> {
-  const server = Hapi.server({ host: '127.0.0.1', port: settings.port, routes: { payload: { maxBytes: 16 * 1024 * 1024 } } })
+  const server = Hapi.server({ host: settings.host ?? DEFAULT_HOST, port: settings.port, routes: { payload: { maxBytes: 16 * 1024 * 1024 } } })
   const engine: Engine = {
     scheduler: new EngineScheduler(settings), cache: new PrefixCache(settings.cacheTokens), settings, started: new Map(), leaving: false, crossedEvents: 0, received: 0
   }
--- a/packages/standins/src/JayfallFaultProxy.ts
+++ b/packages/standins/src/JayfallFaultProxy.ts
@@ -9,6 +9,7 @@
 import * as net from 'node:net'
 
 import { pathParameter } from './JayfallRequestFields'
+import { DEFAULT_HOST } from './JayfallStandInConstants'
 
 export interface ProxyLinkSettings {
   readonly name: string
@@ -74,7 +75,7 @@
       socket.destroy()
       return
     }
-    const target = net.connect(this.settings.targetPort, this.settings.targetHost ?? '127.0.0.1')
+    const target = net.connect(this.settings.targetPort, this.settings.targetHost ?? DEFAULT_HOST)
     const connection = new ProxyConnection(source, socket, target, () => this.faultsOf(source))
     this.connections.add(connection)
     socket.once('close', () => this.connections.delete(connection))
@@ -113,12 +114,12 @@
 }
 
 /** Starts a proxy with its links and a control port; `POST /links/{name}` changes a link's faults. */
-export async function startFaultProxy (controlPort: number, links: readonly ProxyLinkSettings[]): Promise<Server> {
+export async function startFaultProxy (controlPort: number, links: readonly ProxyLinkSettings[], host = DEFAULT_HOST): Promise<Server> {
   const byName = new Map(links.map(settings => [settings.name, new ProxyLink(settings)]))
   for (const link of byName.values()) {
-    await new Promise<void>(resolve => link.server.listen(link.settings.port, '127.0.0.1', resolve))
+    await new Promise<void>(resolve => link.server.listen(link.settings.port, host, resolve))
   }
-  const control = Hapi.server({ host: '127.0.0.1', port: controlPort })
+  const control = Hapi.server({ host, port: controlPort })
   control.route({
     method: 'POST',
     path: '/links/{name}',
--- a/packages/standins/src/JayfallPlainServiceStandIn.ts
+++ b/packages/standins/src/JayfallPlainServiceStandIn.ts
@@ -4,8 +4,11 @@
 import { delay } from '#jayfall/shared'
 
 import { headerValue, pathParameter } from './JayfallRequestFields'
+import { DEFAULT_HOST } from './JayfallStandInConstants'
 
 export interface PlainServiceStandInSettings {
+  /** Loopback address; 127.0.0.1 by default. */
+  readonly host?: string
   readonly port: number
   /** Milliseconds that one call takes. */
   readonly callTime: number
@@ -19,7 +22,7 @@
 
 /** Starts a plain service on a loopback port. */
 export async function startPlainServiceStandIn (settings: PlainServiceStandInSettings): Promise<Server> {
-  const server = Hapi.server({ host: '127.0.0.1', port: settings.port })
+  const server = Hapi.server({ host: settings.host ?? DEFAULT_HOST, port: settings.port })
   const runs = new Map<string, number>()
   const recorded = new Map<string, RecordedCall>()
   let leaving = false
--- a/packages/standins/src/JayfallPlatformStandIn.ts
+++ b/packages/standins/src/JayfallPlatformStandIn.ts
@@ -6,9 +6,11 @@
 import { NO_FAULTS, registerPlatformFaults, type PlatformFaults } from './JayfallPlatformFaults'
 import { PlatformTables, type StandInWrite } from './JayfallPlatformTables'
 import { headerValue, pathParameter, queryParameter } from './JayfallRequestFields'
-import { DEFAULT_LISTING_LIMIT, INSTANCE_EXPIRY_MILLISECONDS } from './JayfallStandInConstants'
+import { DEFAULT_HOST, DEFAULT_LISTING_LIMIT, INSTANCE_EXPIRY_MILLISECONDS } from './JayfallStandInConstants'
 
 export interface PlatformStandInSettings {
+  /** Loopback address; 127.0.0.1 by default. */
+  readonly host?: string
   readonly port: number
   readonly seed?: number
 }
@@ -35,7 +37,7 @@
 
 /** Starts the platform on a loopback port; the returned server is stopped by its `stop`. */
 export async function startPlatformStandIn (settings: PlatformStandInSettings): Promise<Server> {
-  const server = Hapi.server({ host: '127.0.0.1', port: settings.port, routes: { payload: { maxBytes: 16 * 1024 * 1024 } } })
+  const server = Hapi.server({ host: settings.host ?? DEFAULT_HOST, port: settings.port, routes: { payload: { maxBytes: 16 * 1024 * 1024 } } })
   let faults = NO_FAULTS
   registerPlatformFaults(server, () => faults, createRandomSource(settings.seed))
   const counts = registerStores(server)
--- a/packages/standins/src/JayfallStandInConstants.ts
+++ b/packages/standins/src/JayfallStandInConstants.ts
@@ -1,5 +1,7 @@
 /** Constants of the stand-ins. */
 
+export const DEFAULT_HOST = '127.0.0.1'
+
 /** A finished stream stays resumable for this long. */
 export const STREAM_RETENTION_MILLISECONDS = 60_000
 export const DEFAULT_OUTPUT_TOKENS = 16
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -6,8 +6,10 @@
 import { startFaultProxy } from './JayfallFaultProxy'
 import { startPlainServiceStandIn } from './JayfallPlainServiceStandIn'
 import { startPlatformStandIn } from './JayfallPlatformStandIn'
+import { DEFAULT_HOST } from './JayfallStandInConstants'
 
 const port = option({ long: 'port', type: number, description: 'loopback port' })
+const host = option({ long: 'host', type: string, defaultValue: () => DEFAULT_HOST, description: 'loopback address; 127.0.0.1 by default' })
 
 function numberOption (long: string, description: string, fallback: number) {
   return option({ long, type: number, description, defaultValue: () => fallback })
@@ -17,6 +19,7 @@
   name: 'engine',
   args: {
     port,
+    host,
     slots: numberOption('slots', 'streams that decode at once', 16),
     tokenInterval: numberOption('token-interval', 'milliseconds between tokens of a stream that runs alone', 5),
     batchSlowdown: numberOption('batch-slowdown', 'share of the interval that each further stream adds', 0.02),
@@ -34,7 +37,7 @@
 
 const plain = command({
   name: 'plain',
-  args: { port, callTime: numberOption('call-time', 'milliseconds that one call takes', 5) },
+  args: { port, host, callTime: numberOption('call-time', 'milliseconds that one call takes', 5) },
   handler: async settings => {
     await startPlainServiceStandIn(settings)
     process.stdout.write(`stand-in=plain port=${settings.port} state=ready\n`)
@@ -43,7 +46,7 @@
 
 const platform = command({
   name: 'platform',
-  args: { port, seed: numberOption('seed', 'seed of the injected faults', 1) },
+  args: { port, host, seed: numberOption('seed', 'seed of the injected faults', 1) },
   handler: async settings => {
     await startPlatformStandIn(settings)
     process.stdout.write(`stand-in=platform port=${settings.port} state=ready\n`)
@@ -52,9 +55,9 @@
 
 const proxy = command({
   name: 'proxy',
-  args: { port, links: restPositionals({ type: string, displayName: 'name=port:target-host:target-port' }) },
-  handler: async ({ port, links }) => {
-    await startFaultProxy(port, links.map(parseLink))
+  args: { port, host, links: restPositionals({ type: string, displayName: 'name=port:target-host:target-port' }) },
+  handler: async ({ port, host, links }) => {
+    await startFaultProxy(port, links.map(parseLink), host)
     process.stdout.write(`stand-in=proxy port=${port} state=ready\n`)
   }
 })
--- a/packages/testbed/src/JayfallTestProcess.ts
+++ b/packages/testbed/src/JayfallTestProcess.ts
@@ -6,6 +6,9 @@
 import * as path from 'node:path'
 
 const BUILD_DIRECTORY = path.resolve(__dirname, '../..')
+/** Second byte of the addresses of tests, and how many there are. */
+const FIRST_TEST_NETWORK = 16
+const TEST_NETWORKS = 200
 const READY_TIMEOUT_MILLISECONDS = 15_000
 
 /** A child process whose output is kept. */
@@ -58,6 +61,17 @@
   }
 }
 
+let createdAddresses = 0
+
+/**
+ * A loopback address that this process has not given out before, and others that run now will not.
+ * On an address of its own a port that was free stays free, whatever other processes do.
+ */
+export function createTestAddress (): string {
+  createdAddresses++
+  return `127.${FIRST_TEST_NETWORK + (process.pid >> 8) % TEST_NETWORKS}.${process.pid % 256}.${createdAddresses % 254 + 1}`
+}
+
 /** A TCP port of `host` that is free now. */
 export async function findFreePort (host = '127.0.0.1'): Promise<number> {
   const server = net.createServer()
--- a/packages/testbed/src/JayfallTestSystem.ts
+++ b/packages/testbed/src/JayfallTestSystem.ts
@@ -18,7 +18,7 @@
 import { delay } from '#jayfall/shared'
 import { type LinkFaultChange, type PlatformFaults } from '#jayfall/standins'
 
-import { findFreePort, TestProcess } from './JayfallTestProcess'
+import { createTestAddress, findFreePort, TestProcess } from './JayfallTestProcess'
 
 /** A backend server of the system. */
 export interface TestServer {
@@ -84,6 +84,8 @@
   private readonly ports = new Map<string, number>()
   private readonly running = new Map<string, RunningEntry>()
   private links: readonly string[] = []
+  /** Address of the stand-ins and the proxy. */
+  private readonly host = createTestAddress()
 
   private constructor (private readonly settings: TestSystemSettings) {}
 
@@ -120,12 +122,12 @@
 
   /** Direct address of a stand-in, past the proxy. */
   directAddress (name: string): string {
-    return `127.0.0.1:${this.found(this.ports.get(name), name)}`
+    return `${this.host}:${this.found(this.ports.get(name), name)}`
   }
 
   /** Address of a stand-in's link through the proxy. */
   linkAddress (name: string): string {
-    return `127.0.0.1:${this.found(this.ports.get(`link-${name}`), name)}`
+    return `${this.host}:${this.found(this.ports.get(`link-${name}`), name)}`
   }
 
   /** Starts an instance again after its end, with the same settings. */
@@ -188,7 +190,7 @@
     const starts = [this.startStandIn('platform', ['platform', '--seed', String(seed ?? 1)])]
     for (const server of servers) starts.push(this.startStandIn(server.id, serverArguments(server)))
     await Promise.all(starts)
-    const links = [...['platform', ...servers.map(({ id }) => id)].map(name => this.linkArgument(name, '127.0.0.1')),
+    const links = [...['platform', ...servers.map(({ id }) => id)].map(name => this.linkArgument(name, this.host)),
       ...entries.map(({ id }) => this.peerLinkArgument(id))]
     await this.startStandIn('proxy', ['proxy', ...links])
     await this.writeCatalogue()
@@ -199,17 +201,16 @@
   private async reservePorts (): Promise<void> {
     const names = ['platform', 'proxy', ...this.settings.servers.map(({ id }) => id)]
     this.links = ['platform', ...this.settings.servers.map(({ id }) => id), ...this.settings.entries.map(({ id }) => `peer-${id}`)]
-    for (const name of [...names, ...this.links.map(link => `link-${link}`)]) this.ports.set(name, await findFreePort())
-    const zones = [...new Set(this.settings.entries.map(({ zone }) => zone))]
-    for (const [index, entry] of this.settings.entries.entries()) {
-      const host = `127.0.${zones.indexOf(entry.zone) + 1}.${index + 1}`
+    for (const name of [...names, ...this.links.map(link => `link-${link}`)]) this.ports.set(name, await findFreePort(this.host))
+    for (const entry of this.settings.entries) {
+      const host = createTestAddress()
       this.running.set(entry.id, { entry, host, callersPort: await findFreePort(host), peersPort: await findFreePort(host), settingsFile: path.join(this.directory, `${entry.id}.ini`) })
     }
   }
 
   private async startStandIn (name: string, programArguments: readonly string[]): Promise<void> {
     const [kind, ...rest] = programArguments
-    const standIn = new TestProcess(name, 'standins/src/main.js', [kind, '--port', String(this.ports.get(name)), ...rest])
+    const standIn = new TestProcess(name, 'standins/src/main.js', [kind, '--host', this.host, '--port', String(this.ports.get(name)), ...rest])
     this.standIns.set(name, standIn)
     await standIn.waitForOutput('state=ready')
   }
--- a/packages/testbed/src/index.ts
+++ b/packages/testbed/src/index.ts
@@ -1,3 +1,3 @@
 export { testEngineService, testPlainService, testVersion, testWorkspace } from './JayfallTestCatalogue'
-export { TestProcess, findFreePort } from './JayfallTestProcess'
+export { TestProcess, createTestAddress, findFreePort } from './JayfallTestProcess'
 export { TEST_OPERATOR_KEY, TestSystem, testCallerKey, testCallerKeyHash, type TestEntry, type TestServer, type TestSystemSettings } from './JayfallTestSystem'
