Trace each hop of a request, and disconnect callers that read nothing

Cause: a request could not be followed through the instance, and an answer for a caller that reads nothing was buffered without limit; idle-stream-timeout had no effect.

Change: spans by the OpenTelemetry SDK for the caller's request, its wait for a decision, each attempt and each store call. "jayfall trace show" prints the hops. Metrics of requests, attempts, first token and token gap are recorded once for each answer, nothing for each token. When the caller's socket buffer is full the engine's stream is paused; after idle-stream-timeout the caller is disconnected.

--- a/packages/command/src/main.ts
+++ b/packages/command/src/main.ts
@@ -8,12 +8,13 @@
 
 import { catalogueCommands } from './JayfallCatalogueCommands'
 import { entryCommand } from './JayfallEntryCommand'
+import { traceCommands } from './JayfallTraceCommands'
 
 const jayfall = subcommands({
   name: 'jayfall',
   description: 'Model-aware router for model versions and cascades.',
   version: '0.1.0',
-  cmds: { entry: entryCommand, catalogue: catalogueCommands }
+  cmds: { entry: entryCommand, catalogue: catalogueCommands, trace: traceCommands }
 })
 
 /** Runs the command line and ends the process, as open sockets of libraries must not hold a finished command back. */
--- a/packages/entry/src/JayfallAnswerSink.ts
+++ b/packages/entry/src/JayfallAnswerSink.ts
@@ -28,8 +28,24 @@
     return this.hasEnded
   }
 
-  /** Whole events as the engine sent them. */
-  abstract events (raw: Buffer, headers: AnswerHeaders): void
+  /** Whole events as the engine sent them. Returns false when the caller has yet to read what was sent. */
+  abstract events (raw: Buffer, headers: AnswerHeaders): boolean
+
+  /** Calls back when the caller has read what was sent, or is gone. */
+  onceRead (callback: () => void): void {
+    const settle = (): void => {
+      this.response.off('drain', settle)
+      this.response.off('close', settle)
+      callback()
+    }
+    this.response.on('drain', settle)
+    this.response.on('close', settle)
+  }
+
+  /** Closes the connection without an end of the answer. */
+  disconnect (): void {
+    this.response.destroy()
+  }
 
   finish (raw: Buffer, headers: AnswerHeaders): void {
     if (this.hasEnded) return
@@ -72,9 +88,9 @@
  * the time of the whole path of an event.
  */
 export class StreamedAnswerSink extends AnswerSink {
-  override events (raw: Buffer, headers: AnswerHeaders): void {
+  override events (raw: Buffer, headers: AnswerHeaders): boolean {
     this.start(headers)
-    this.response.write(frameChunk(raw))
+    return this.response.write(frameChunk(raw))
   }
 
   protected override writeFinal (raw: Buffer, headers: AnswerHeaders): void {
@@ -118,8 +134,9 @@
 export class WholeAnswerSink extends AnswerSink {
   private content = ''
 
-  override events (raw: Buffer, _headers: AnswerHeaders): void {
+  override events (raw: Buffer, _headers: AnswerHeaders): boolean {
     for (const chunk of parseChunks(raw)) this.content += contentOf(chunk)
+    return true
   }
 
   protected override writeFinal (raw: Buffer, headers: AnswerHeaders): void {
--- a/packages/entry/src/JayfallCallerApi.ts
+++ b/packages/entry/src/JayfallCallerApi.ts
@@ -13,7 +13,8 @@
 import { type DataContext } from './JayfallDataContext'
 import { REFUSALS_METRIC } from './JayfallEntryConstants'
 import { registerOperatorRoutes } from './JayfallOperatorRoutes'
-import { headerValue } from './JayfallRequestFields'
+import { headerValue, requestState } from './JayfallRequestFields'
+import { registerRequestTracing } from './JayfallRequestTracing'
 import { handleOutcomeQuery, handleServiceCall } from './JayfallServiceCall'
 
 /** Limits of the callers' server; times in milliseconds, sizes in bytes. */
@@ -40,6 +41,7 @@
   })
   registerRoutes(server, context, readiness)
   registerOperatorRoutes(server, context)
+  registerRequestTracing(server, context)
   server.ext('onPreResponse', (request, toolkit) => answerError(context, request, toolkit))
   registerConnectionGuard(listener, context.metrics, context.log)
   return { server, listener }
@@ -81,7 +83,7 @@
   const error = readError(response, request)
   const requestId = randomUUID()
   const log = error.status >= 500 ? context.log.warn : context.log.info
-  log('request_refused', { request: requestId, path: request.path, code: error.code, ran: error.ran, cause: error.code === 'internal' ? response.stack : undefined })
+  log('request_refused', { request: requestId, trace: requestState(request).hop?.traceId, path: request.path, code: error.code, ran: error.ran, cause: error.code === 'internal' ? response.stack : undefined })
   context.metrics.count(REFUSALS_METRIC, { code: error.code })
   const answer = toolkit.response(error.toBody(requestId)).code(error.status)
   // The rest of the body has not been read.
--- a/packages/entry/src/JayfallChatCompletions.ts
+++ b/packages/entry/src/JayfallChatCompletions.ts
@@ -12,7 +12,7 @@
 import { type DataContext } from './JayfallDataContext'
 import { IDEMPOTENCY_HEADER, MAXIMUM_IDEMPOTENCY_KEY_LENGTH, ON_WITHDRAWAL_HEADER, REQUEST_HEADER, SESSION_HEADER, SESSION_MOVED_HEADER, VERSION_HEADER } from './JayfallEntryConstants'
 import { ModelAnswer, type ModelWork } from './JayfallModelAnswer'
-import { headerValue } from './JayfallRequestFields'
+import { headerValue, requestHop, requestState } from './JayfallRequestFields'
 
 /** Answers one chat completion request. */
 export async function handleChatCompletion (context: DataContext, request: Request, toolkit: ResponseToolkit): Promise<symbol> {
@@ -23,6 +23,7 @@
   const chosen = chooseVersion(context, workspace, body.model, session, headerValue(request, ON_WITHDRAWAL_HEADER) === 'move')
   const work = createWork(context, request, workspace, body, chosen, session?.server)
   const response = request.raw.res
+  requestState(request).workClass = work.request.workClass
   const sink = body.stream === true ? new StreamedAnswerSink(response, work.request.id) : new WholeAnswerSink(response, work.request.id)
   const answer = new ModelAnswer(context, work, sink)
   response.once('close', () => answer.abandon())
@@ -52,6 +53,7 @@
     version,
     payload: JSON.stringify(payload),
     model: body.model,
+    hop: requestHop(request),
     billKey: `${workspace.id}/${readRequestKey(request) ?? id}`,
     headers: {
       [REQUEST_HEADER]: id,
--- a/packages/entry/src/JayfallDataContext.ts
+++ b/packages/entry/src/JayfallDataContext.ts
@@ -26,6 +26,8 @@
   readonly instanceId: string
   /** Milliseconds that a caller's request may take. */
   readonly requestDeadline: number
+  /** Milliseconds after which a caller that reads nothing is disconnected. */
+  readonly idleStreamTimeout: number
   /** Monotonic milliseconds; see `DispatchConditions`. */
   confirmedAt (): number
 }
--- a/packages/entry/src/JayfallDataPlane.ts
+++ b/packages/entry/src/JayfallDataPlane.ts
@@ -29,6 +29,8 @@
   readonly limits: CallerApiLimits
   /** Milliseconds that a caller's request may take. */
   readonly requestDeadline: number
+  /** Milliseconds after which a caller that reads nothing is disconnected. */
+  readonly idleStreamTimeout: number
   readonly sealPasswords: readonly string[]
   readonly operatorHashes: readonly string[]
   readonly traces: TraceSettings
@@ -75,6 +77,7 @@
       operatorHashes: settings.operatorHashes,
       instanceId: settings.instanceId,
       requestDeadline: settings.requestDeadline,
+      idleStreamTimeout: settings.idleStreamTimeout,
       confirmedAt: () => this.confirmedAt
     }
     const api = createCallerApi(this.context, settings.limits, () => this.readiness())
--- a/packages/entry/src/JayfallEntryConstants.ts
+++ b/packages/entry/src/JayfallEntryConstants.ts
@@ -7,6 +7,8 @@
 export const VERSION_HEADER = 'x-jayfall-version'
 export const REQUEST_HEADER = 'x-jayfall-request'
 export const REPLAYED_HEADER = 'x-jayfall-replayed'
+/** W3C trace context. */
+export const TRACE_HEADER = 'traceparent'
 export const IDEMPOTENCY_HEADER = 'idempotency-key'
 
 export const SESSION_LIFETIME_MILLISECONDS = 24 * 3600 * 1000
@@ -35,6 +37,7 @@
 export const FIRST_TOKEN_METRIC = 'jayfall_first_token_seconds'
 /** The mean gap between the tokens of one answer, recorded once for each answer. */
 export const TOKEN_GAP_METRIC = 'jayfall_token_gap_seconds'
+export const IDLE_STREAMS_METRIC = 'jayfall_idle_streams_total'
 export const ANSWER_METRIC = 'jayfall_answer_seconds'
 
 /** Name of the executable's asset that holds the bundled program. */
--- a/packages/entry/src/JayfallEntryInstance.ts
+++ b/packages/entry/src/JayfallEntryInstance.ts
@@ -35,6 +35,7 @@
       localAddress,
       limits: { bodyLimit: callers['body-limit'], headerTimeout: callers['header-timeout'], bodyTimeout: callers['body-timeout'], connectionLimit: callers['connection-limit'] },
       requestDeadline: callers['request-deadline'],
+      idleStreamTimeout: callers['idle-stream-timeout'],
       sealPasswords: keys['seal-passwords'],
       operatorHashes: keys['operator-hashes'],
       traces: {
--- a/packages/entry/src/JayfallModelAnswer.ts
+++ b/packages/entry/src/JayfallModelAnswer.ts
@@ -9,13 +9,14 @@
 import { type VersionEntry } from '#jayfall/catalogue'
 import { type Bill } from '#jayfall/ledger'
 import { type RoutedRequest, type RoutingDecision } from '#jayfall/routing'
+import { type Hop } from '#jayfall/telemetry'
 
 import { parseUsage, type AnswerHeaders, type AnswerSink } from './JayfallAnswerSink'
 import { ApiError } from './JayfallApiError'
 import { BackendError, isBackendError } from './JayfallBackendError'
 import { refusalError } from './JayfallChatRequest'
 import { refusalNow, type DataContext } from './JayfallDataContext'
-import { FIRST_TOKEN_LIMIT_MILLISECONDS, MAXIMUM_RESUMPTIONS, MINIMUM_SILENCE_MILLISECONDS, REFUSALS_METRIC, SESSION_HEADER, STREAM_HEADER } from './JayfallEntryConstants'
+import { ATTEMPTS_METRIC, FIRST_TOKEN_LIMIT_MILLISECONDS, FIRST_TOKEN_METRIC, IDLE_STREAMS_METRIC, MAXIMUM_RESUMPTIONS, MINIMUM_SILENCE_MILLISECONDS, REFUSALS_METRIC, SESSION_HEADER, STREAM_HEADER, TOKEN_GAP_METRIC, TRACE_HEADER } from './JayfallEntryConstants'
 import { type DecisionHandler } from './JayfallRequestBook'
 import { StreamReader, type StreamBreak } from './JayfallStreamReader'
 
@@ -27,6 +28,8 @@
   readonly payload: string
   readonly model: string
   readonly billKey: string
+  /** The hop of the caller's request. */
+  readonly hop: Hop
   /** Headers of the answer besides the tokens. */
   readonly headers: AnswerHeaders
 }
@@ -37,6 +40,7 @@
   readonly decision: Dispatch
   readonly address: string
   readonly streamId: string
+  readonly hop: Hop
   /** Headers of the caller's answer when it comes from this attempt. */
   readonly answerHeaders: AnswerHeaders
   /** Index of the next event that is expected. */
@@ -52,12 +56,17 @@
   /** The attempt whose events the caller receives. */
   private chosen: Attempt | undefined
   private lastError: BackendError | undefined
+  private readonly queueHop: Hop
+  private firstTokenAt = 0
   /** Whether an attempt may have reached a backend server. */
   private mayHaveRun = false
 
-  constructor (private readonly context: DataContext, private readonly work: ModelWork, private readonly sink: AnswerSink) {}
+  constructor (private readonly context: DataContext, private readonly work: ModelWork, private readonly sink: AnswerSink) {
+    this.queueHop = work.hop.startHop('queue')
+  }
 
   dispatch (decision: Dispatch): void {
+    this.queueHop.end()
     this.start(decision).catch((error: unknown) => this.failAttempt(decision.attempt, error))
   }
 
@@ -66,6 +75,7 @@
     if (found === undefined) return
     found.cancelled = true
     found.reader?.stop()
+    found.hop.end({ cancelled: true })
     this.cancelStream(found)
   }
 
@@ -93,7 +103,7 @@
       method: 'POST',
       address: attempt.address,
       path: '/v1/chat/completions',
-      headers: { 'content-type': 'application/json', 'x-request-id': attempt.streamId, 'x-priority': String(decision.priority), 'x-model-version': version.id },
+      headers: { 'content-type': 'application/json', 'x-request-id': attempt.streamId, 'x-priority': String(decision.priority), 'x-model-version': version.id, [TRACE_HEADER]: attempt.hop.traceparent },
       payload: this.work.payload,
       headTimeout: FIRST_TOKEN_LIMIT_MILLISECONDS
     })
@@ -110,6 +120,7 @@
       decision,
       address,
       streamId,
+      hop: this.work.hop.startHop('attempt', { server: decision.server, attempt: decision.attempt, reason: decision.reason }),
       answerHeaders: {
         ...this.work.headers,
         [SESSION_HEADER]: await this.context.seal.seal({ kind: 'session', model, ...common }),
@@ -138,13 +149,29 @@
   private passOn (attempt: Attempt, raw: Buffer, index: number): void {
     if (!this.choose(attempt)) return
     attempt.nextIndex = index + 1
-    this.sink.events(raw, attempt.answerHeaders)
+    if (!this.sink.events(raw, attempt.answerHeaders)) this.waitForCaller(attempt)
+  }
+
+  /** Reads no more of the answer until the caller has read what was sent, and disconnects a caller that reads nothing. */
+  private waitForCaller (attempt: Attempt): void {
+    attempt.reader?.pause()
+    const timer = setTimeout(() => {
+      this.context.metrics.count(IDLE_STREAMS_METRIC)
+      this.context.log.info('idle_caller_disconnected', { request: this.work.request.id, trace: this.work.hop.traceId, index: attempt.nextIndex })
+      this.sink.disconnect()
+    }, this.context.idleStreamTimeout)
+    this.sink.onceRead(() => {
+      clearTimeout(timer)
+      attempt.reader?.resume()
+    })
   }
 
   /** Makes the first attempt that delivers the answer's; false for the others. */
   private choose (attempt: Attempt): boolean {
     if (this.chosen === undefined) {
       this.chosen = attempt
+      this.firstTokenAt = this.context.clock.monotonic()
+      this.context.metrics.record(FIRST_TOKEN_METRIC, { class: this.work.request.workClass }, this.firstTokenAt - this.work.request.arrivedAt)
       this.context.book.observe({ kind: 'first-token', requestId: this.work.request.id, attempt: attempt.decision.attempt })
     }
     return this.chosen === attempt && !attempt.cancelled
@@ -154,20 +181,29 @@
     if (!this.choose(attempt)) return
     const usage = parseUsage(raw)
     const bill = createDraftBill(this.work, usage.promptTokens, usage.outputTokens)
-    await this.context.control.call('bill', bill)
+    attempt.hop.end({ outputTokens: usage.outputTokens, resumptions: attempt.resumptions })
+    this.recordAnswer(usage.outputTokens)
+    await this.work.hop.measure('store bill', () => this.context.control.call('bill', bill))
     this.context.book.observe({ kind: 'finished', requestId: this.work.request.id, attempt: attempt.decision.attempt, outputTokens: usage.outputTokens })
     this.context.book.close(this.work.request.id)
     this.sink.finish(raw, attempt.answerHeaders)
     this.context.log.info('request_finished', {
-      request: this.work.request.id, workspace: bill.workspace, version: bill.source, server: attempt.decision.server, output_tokens: usage.outputTokens, amount: bill.amount
+      request: this.work.request.id, trace: this.work.hop.traceId, workspace: bill.workspace, version: bill.source, server: attempt.decision.server, output_tokens: usage.outputTokens, amount: bill.amount
     })
   }
 
+  private recordAnswer (outputTokens: number): void {
+    this.context.metrics.count(ATTEMPTS_METRIC, { result: 'finished' })
+    if (outputTokens < 2) return
+    const gap = (this.context.clock.monotonic() - this.firstTokenAt) / (outputTokens - 1)
+    this.context.metrics.record(TOKEN_GAP_METRIC, { class: this.work.request.workClass }, gap)
+  }
+
   private async resume (attempt: Attempt, reason: StreamBreak): Promise<void> {
     if (attempt.cancelled) return
     if (attempt.resumptions >= MAXIMUM_RESUMPTIONS) throw new BackendError(reason === 'silent' ? 'silent' : 'broken', `the stream broke off (${reason})`)
     attempt.resumptions++
-    this.context.log.warn('stream_resumed', { request: this.work.request.id, server: attempt.decision.server, reason, index: attempt.nextIndex })
+    this.context.log.warn('stream_resumed', { request: this.work.request.id, trace: this.work.hop.traceId, server: attempt.decision.server, reason, index: attempt.nextIndex })
     const response = await this.context.backend.send({
       method: 'GET',
       address: attempt.address,
@@ -185,10 +221,12 @@
     if (attempt?.cancelled === true || this.sink.isEnded) return
     const failure = isBackendError(error) ? error : new BackendError('broken', 'the attempt failed', error)
     this.lastError = failure
+    attempt?.hop.end({}, failure.failure)
+    this.context.metrics.count(ATTEMPTS_METRIC, { result: failure.failure })
     this.mayHaveRun = this.mayHaveRun || failure.failure !== 'unsent'
     const started = this.chosen !== undefined
     if (started && this.chosen !== attempt) return
-    this.context.log.warn('attempt_failed', { request: this.work.request.id, attempt: number, failure: failure.failure, message: failure.message })
+    this.context.log.warn('attempt_failed', { request: this.work.request.id, trace: this.work.hop.traceId, attempt: number, failure: failure.failure, message: failure.message })
     this.chosen = undefined
     this.context.book.observe({ kind: 'failed', requestId: this.work.request.id, attempt: number, failure: failure.failure, retryable: !started })
     if (started) this.end(new ApiError('stream_incomplete', 'the answer broke off and could not be resumed', { ran: 'yes' }, failure))
@@ -196,9 +234,10 @@
 
   private end (error: ApiError): void {
     this.context.book.close(this.work.request.id)
+    this.queueHop.end({}, error.code)
     this.sink.fail(error)
     this.context.metrics.count(REFUSALS_METRIC, { code: error.code })
-    this.context.log.warn('request_refused', { request: this.work.request.id, workspace: this.work.request.workspace, code: error.code, ran: error.ran })
+    this.context.log.warn('request_refused', { request: this.work.request.id, trace: this.work.hop.traceId, workspace: this.work.request.workspace, code: error.code, ran: error.ran })
   }
 
   private cancelStream (attempt: Attempt): void {
--- a/packages/entry/src/JayfallServiceCall.ts
+++ b/packages/entry/src/JayfallServiceCall.ts
@@ -6,6 +6,7 @@
 import { type ServiceCall, type ServiceEntry, type WorkspaceEntry } from '#jayfall/catalogue'
 import { type Bill, type CallClaim, type CallOutcome, type CallRow } from '#jayfall/ledger'
 import { type RoutedRequest, type RoutingDecision } from '#jayfall/routing'
+import { type Hop } from '#jayfall/telemetry'
 
 import { ApiError } from './JayfallApiError'
 import { authenticateCaller } from './JayfallAuthentication'
@@ -13,10 +14,10 @@
 import { hashBody, readRequestKey } from './JayfallChatCompletions'
 import { ControlCallError } from './JayfallControlCalls'
 import { type DataContext } from './JayfallDataContext'
-import { REPLAYED_HEADER, REQUEST_HEADER } from './JayfallEntryConstants'
+import { ATTEMPTS_METRIC, REPLAYED_HEADER, REQUEST_HEADER, TRACE_HEADER } from './JayfallEntryConstants'
 import { refusalMessage } from './JayfallModelAnswer'
 import { type DecisionHandler } from './JayfallRequestBook'
-import { headerValue, pathParameter } from './JayfallRequestFields'
+import { headerValue, pathParameter, requestHop, requestState } from './JayfallRequestFields'
 
 type Dispatch = Extract<RoutingDecision, { kind: 'dispatch' }>
 
@@ -25,6 +26,7 @@
   readonly method: string
   readonly call: ServiceCall
   readonly payload: string
+  readonly hop: Hop
 }
 
 /** Answers one call of a plain service. */
@@ -33,6 +35,7 @@
   const { service, call } = findCall(context, workspace, pathParameter(request, 'service'), pathParameter(request, 'call'))
   const key = readRequestKey(request)
   const work = createPlainWork(context, request, workspace, service, call)
+  requestState(request).workClass = work.request.workClass
   if (call.repeatable) return toResponse(toolkit, work.request.id, await sendThroughRouter(context, work))
   if (key === undefined) throw new ApiError('idempotency_key_required', `${call.name} may not be repeated; send an Idempotency-Key header`)
   return await callOnce(context, toolkit, work, {
@@ -52,7 +55,7 @@
 export async function handleOutcomeQuery (context: DataContext, request: Request, toolkit: ResponseToolkit): Promise<ResponseObject> {
   const workspace = authenticateCaller(context.catalogue, headerValue(request, 'authorization'))
   const key = pathParameter(request, 'key')
-  const row = await context.control.call('find', { workspace: workspace.id, key }).catch(throwStoreUnavailable)
+  const row = await requestHop(request).measure('store find', () => context.control.call('find', { workspace: workspace.id, key })).catch(throwStoreUnavailable)
   if (row === undefined) throw new ApiError('request_unknown', 'no call with this key is recorded')
   return toolkit.response({ key, state: row.state, ...(row.state === 'done' ? { outcome: row.outcome } : {}) })
 }
@@ -83,17 +86,18 @@
     },
     method: request.method.toUpperCase(),
     call,
-    payload: JSON.stringify(request.payload ?? null)
+    payload: JSON.stringify(request.payload ?? null),
+    hop: requestHop(request)
   }
 }
 
 async function callOnce (context: DataContext, toolkit: ResponseToolkit, work: PlainWork, claim: CallClaim): Promise<ResponseObject> {
-  const result = await context.control.call('claim', claim).catch(throwStoreUnavailable)
+  const result = await work.hop.measure('store claim', () => context.control.call('claim', claim)).catch(throwStoreUnavailable)
   if (result.kind === 'present') return replay(toolkit, work.request.id, claim, result.row)
   const bill: Bill = { key: `${claim.workspace}/${claim.key}`, workspace: claim.workspace, source: `${claim.service}/${claim.call}`, promptTokens: 0, outputTokens: 0, amount: work.call.price }
   try {
     const outcome = await sendThroughRouter(context, work)
-    await context.control.call('complete', { claim, outcome, bill })
+    await work.hop.measure('store complete', () => context.control.call('complete', { claim, outcome, bill }))
     return toResponse(toolkit, work.request.id, outcome)
   } catch (error) {
     if (error instanceof ApiError && error.ran === 'no') {
@@ -134,6 +138,7 @@
 
 /** Carries out the router's decisions about one plain call. */
 class PlainCall implements DecisionHandler {
+  private readonly queueHop: Hop
   private lastError: BackendError | undefined
   /** Whether an attempt may have reached a backend server. */
   private mayHaveRun = false
@@ -143,15 +148,19 @@
     private readonly work: PlainWork,
     private readonly resolve: (outcome: CallOutcome) => void,
     private readonly reject: (error: ApiError) => void
-  ) {}
+  ) {
+    this.queueHop = work.hop.startHop('queue')
+  }
 
   dispatch (decision: Dispatch): void {
-    this.send(decision).then(outcome => this.finish(decision, outcome), (error: unknown) => this.fail(decision, error))
+    this.queueHop.end()
+    this.work.hop.measure('attempt', () => this.send(decision)).then(outcome => this.finish(decision, outcome), (error: unknown) => this.fail(decision, error))
   }
 
   cancel (): void {}
 
   refuse ({ code, retryAfter }: Extract<RoutingDecision, { kind: 'refuse' }>): void {
+    this.queueHop.end({}, code)
     this.context.book.close(this.work.request.id)
     this.reject(new ApiError(code, refusalMessage(code), { ran: this.mayHaveRun ? 'unknown' : 'no', retryAfter }, this.lastError))
   }
@@ -165,7 +174,7 @@
       method,
       address: server.address,
       path: `/calls/${encodeURIComponent(call.name)}`,
-      headers: { 'content-type': 'application/json', 'x-request-id': request.id },
+      headers: { 'content-type': 'application/json', 'x-request-id': request.id, [TRACE_HEADER]: this.work.hop.traceparent },
       payload: method === 'GET' ? undefined : payload,
       headTimeout: timeout,
       freshConnection: !call.repeatable
@@ -176,6 +185,7 @@
   }
 
   private finish (decision: Dispatch, outcome: CallOutcome): void {
+    this.context.metrics.count(ATTEMPTS_METRIC, { result: 'finished' })
     this.context.book.observe({ kind: 'finished', requestId: this.work.request.id, attempt: decision.attempt, outputTokens: 1 })
     this.context.book.close(this.work.request.id)
     this.resolve(outcome)
@@ -184,6 +194,7 @@
   private fail (decision: Dispatch, error: unknown): void {
     const failure = isBackendError(error) ? error : new BackendError('broken', 'the call failed', error)
     this.lastError = failure
+    this.context.metrics.count(ATTEMPTS_METRIC, { result: failure.failure })
     this.mayHaveRun = this.mayHaveRun || failure.failure !== 'unsent'
     const retryable = this.work.call.repeatable || failure.failure === 'unsent'
     this.context.book.observe({ kind: 'failed', requestId: this.work.request.id, attempt: decision.attempt, failure: failure.failure, retryable })
--- a/packages/entry/src/JayfallStreamReader.ts
+++ b/packages/entry/src/JayfallStreamReader.ts
@@ -49,6 +49,18 @@
     this.watchSilence()
   }
 
+  /** Reads nothing until `resume`; meanwhile the connection is not taken as silent. */
+  pause (): void {
+    this.response.pause()
+    clearTimeout(this.silenceTimer)
+  }
+
+  resume (): void {
+    if (this.ended) return
+    this.watchSilence()
+    this.response.resume()
+  }
+
   /** Stops reading and closes the connection. */
   stop (): void {
     this.ended = true
--- a/packages/entry/src/__tests__/unit/JayfallThreadedDataHost.test.ts
+++ b/packages/entry/src/__tests__/unit/JayfallThreadedDataHost.test.ts
@@ -18,6 +18,7 @@
   localAddress: '127.0.0.1',
   limits: { bodyLimit: 1024, headerTimeout: 1000, bodyTimeout: 1000, connectionLimit: 300 },
   requestDeadline: 1000,
+  idleStreamTimeout: 1000,
   operatorHashes: [],
   traces: { instanceId: 'entry-1', zone: 'valdivia' },
   sealPasswords: ['first:a-password-for-tests-of-more-than-32-characters']
