--- a/packages/command/src/JayfallCommandLine.ts
+++ b/packages/command/src/JayfallCommandLine.ts
@@ -8,13 +8,14 @@
 import { entryCommand } from './JayfallEntryCommand'
 import { instanceCommands } from './JayfallInstanceCommands'
 import { statusCommand } from './JayfallStatusCommands'
+import { traceCommands } from './JayfallTraceCommands'
 import { versionCommands } from './JayfallVersionCommands'
 
 const jayfall = subcommands({
   name: 'jayfall',
   description: 'Model-aware router for model versions and cascades.',
   version: '0.1.0',
-  cmds: { entry: entryCommand, catalogue: catalogueCommands, version: versionCommands, instance: instanceCommands, bill: billCommands, status: statusCommand }
+  cmds: { entry: entryCommand, catalogue: catalogueCommands, version: versionCommands, instance: instanceCommands, bill: billCommands, status: statusCommand, trace: traceCommands }
 })
 
 /** Runs the subcommand that `argv` names and ends the process. */
--- a/packages/entry/src/JayfallAnswerReader.ts
+++ b/packages/entry/src/JayfallAnswerReader.ts
@@ -16,6 +16,9 @@
 
 /** Reads one response of an engine. */
 export abstract class AnswerReader {
+  /** Reads nothing until `resume`; meanwhile the connection is not taken as silent. */
+  abstract pause (): void
+  abstract resume (): void
   /** Stops reading and closes the connection. */
   abstract stop (): void
 }
--- a/packages/entry/src/JayfallAttemptStream.ts
+++ b/packages/entry/src/JayfallAttemptStream.ts
@@ -11,7 +11,7 @@
 import { BackendError } from './JayfallBackendError'
 import { type BackendCall } from './JayfallBackendClient'
 import { type DataContext } from './JayfallDataContext'
-import { FIRST_TOKEN_LIMIT_MILLISECONDS, MAXIMUM_RESUMPTIONS } from './JayfallEntryConstants'
+import { FIRST_TOKEN_LIMIT_MILLISECONDS, MAXIMUM_RESUMPTIONS, TRACE_HEADER } from './JayfallEntryConstants'
 
 /** Which stream is read, and from where. */
 export interface AttemptTarget {
@@ -22,6 +22,8 @@
   /** IP address and port of the server. */
   readonly address: string
   readonly streamId: string
+  /** Of the hop that the engine's work belongs to. */
+  readonly traceparent: string
 }
 
 /** Takes what the attempt delivers. */
@@ -54,7 +56,7 @@
       method: 'POST',
       address: this.target.address,
       path: '/v1/chat/completions',
-      headers: { 'content-type': 'application/json', 'x-request-id': this.target.streamId, ...call.headers },
+      headers: { 'content-type': 'application/json', 'x-request-id': this.target.streamId, [TRACE_HEADER]: this.target.traceparent, ...call.headers },
       payload: call.payload,
       headTimeout: FIRST_TOKEN_LIMIT_MILLISECONDS
     })
@@ -67,7 +69,7 @@
       method: 'GET',
       address: this.target.address,
       path: `${this.streamPath()}?offset=${this.nextIndex}`,
-      headers: {},
+      headers: { [TRACE_HEADER]: this.target.traceparent },
       headTimeout: FIRST_TOKEN_LIMIT_MILLISECONDS,
       // A kept-alive connection may be silent for the same reason as the one that broke.
       freshConnection: true
@@ -75,6 +77,15 @@
     this.read(response)
   }
 
+  /** Reads nothing until `unpause`. */
+  pause (): void {
+    this.reader?.pause()
+  }
+
+  unpause (): void {
+    this.reader?.resume()
+  }
+
   /** Stops reading; the engine goes on. */
   stop (): void {
     this.stopped = true
--- a/packages/entry/src/JayfallCallerApi.ts
+++ b/packages/entry/src/JayfallCallerApi.ts
@@ -13,7 +13,8 @@
 import { type DataContext } from './JayfallDataContext'
 import { REFUSALS_METRIC } from './JayfallEntryConstants'
 import { registerOperatorRoutes } from './JayfallOperatorRoutes'
-import { headerValue } from './JayfallRequestFields'
+import { headerValue, requestState } from './JayfallRequestFields'
+import { registerRequestTracing } from './JayfallRequestTracing'
 import { handleOutcomeQuery, handleServiceCall } from './JayfallServiceCall'
 import { handleStreamResumption } from './JayfallStreamResumption'
 
@@ -52,6 +53,7 @@
     })
     registerRoutes(this.server, context, readiness)
     registerOperatorRoutes(this.server, context)
+    registerRequestTracing(this.server, context)
     this.server.ext('onPreResponse', (request, toolkit) => answerError(context, request, toolkit))
     registerConnectionGuard(this.listener, context.metrics, context.log)
   }
@@ -150,7 +152,7 @@
   const error = readError(response, request)
   const requestId = randomUUID()
   const log = error.status >= 500 ? context.log.warn : context.log.info
-  log('request_refused', { request: requestId, path: request.path, code: error.code, ran: error.ran, cause: error.code === 'internal' ? response.stack : undefined })
+  log('request_refused', { request: requestId, trace: requestState(request).hop?.traceId, path: request.path, code: error.code, ran: error.ran, cause: error.code === 'internal' ? response.stack : undefined })
   context.metrics.count(REFUSALS_METRIC, { code: error.code })
   const answer = toolkit.response(error.toBody(requestId)).code(error.status)
   // The rest of the body has not been read.
--- a/packages/entry/src/JayfallChatCompletions.ts
+++ b/packages/entry/src/JayfallChatCompletions.ts
@@ -13,7 +13,7 @@
 import { IDEMPOTENCY_HEADER, MAXIMUM_IDEMPOTENCY_KEY_LENGTH, ON_WITHDRAWAL_HEADER, REQUEST_HEADER, RESUMABLE_HEADER, SESSION_HEADER, SESSION_MOVED_HEADER, VERSION_HEADER } from './JayfallEntryConstants'
 import { ModelAnswer, type ModelWork } from './JayfallModelAnswer'
 import { computePrefixBlocks } from './JayfallPrefixBlocks'
-import { headerValue } from './JayfallRequestFields'
+import { headerValue, requestHop, requestState } from './JayfallRequestFields'
 
 const BACKLOG_RETRY_MILLISECONDS = 5000
 
@@ -28,6 +28,7 @@
   const chosen = chooseVersion(context, workspace, body.model, session, headerValue(request, ON_WITHDRAWAL_HEADER) === 'move')
   const work = createWork(context, request, workspace, body, chosen, session?.server)
   const response = request.raw.res
+  requestState(request).workClass = work.request.workClass
   const sink = body.stream === true ? new StreamedAnswerSink(response, work.request.id) : new WholeAnswerSink(response, work.request.id)
   const answer = new ModelAnswer(context, work, sink)
   response.once('close', () => answer.abandon())
@@ -58,6 +59,7 @@
     payload: JSON.stringify(payload),
     model: body.model,
     isResumable: headerValue(request, RESUMABLE_HEADER) === '1',
+    hop: requestHop(request),
     billKey: `${workspace.id}/${readRequestKey(request) ?? id}`,
     headers: {
       [REQUEST_HEADER]: id,
--- a/packages/entry/src/JayfallModelAnswer.ts
+++ b/packages/entry/src/JayfallModelAnswer.ts
@@ -7,15 +7,17 @@
 
 import { type VersionEntry } from '#jayfall/catalogue'
 import { type RoutedRequest, type RoutingDecision } from '#jayfall/routing'
+import { type Hop } from '#jayfall/telemetry'
 
 import { type AnswerHeaders, type AnswerSink } from './JayfallAnswerSink'
 import { ApiError, type RanState } from './JayfallApiError'
 import { AttemptStream } from './JayfallAttemptStream'
 import { BackendError, isBackendError } from './JayfallBackendError'
+import { waitForCaller } from './JayfallCallerPace'
 import { refusalError } from './JayfallChatRequest'
 import { refusalNow, type DataContext } from './JayfallDataContext'
 import { settleDraft } from './JayfallDraftBill'
-import { REFUSALS_METRIC, SESSION_HEADER, STREAM_HEADER } from './JayfallEntryConstants'
+import { ATTEMPTS_METRIC, FIRST_TOKEN_METRIC, REFUSALS_METRIC, SESSION_HEADER, STREAM_HEADER, TOKEN_GAP_METRIC } from './JayfallEntryConstants'
 import { type DecisionHandler } from './JayfallRequestBook'
 import { refusalMessage } from './JayfallRefusalMessage'
 
@@ -29,6 +31,8 @@
   readonly billKey: string
   /** Whether the engine goes on when the caller's connection ends. */
   readonly isResumable: boolean
+  /** The hop of the caller's request. */
+  readonly hop: Hop
   /** Headers of the answer besides the tokens. */
   readonly headers: AnswerHeaders
 }
@@ -37,6 +41,7 @@
 
 interface Attempt {
   readonly decision: Dispatch
+  readonly hop: Hop
   /** Headers of the caller's answer when it comes from this attempt. */
   readonly answerHeaders: AnswerHeaders
   readonly stream: AttemptStream
@@ -51,21 +56,28 @@
   private lastError: BackendError | undefined
   /** Whether an attempt may have reached a backend server. */
   private mayHaveRun = false
+  private readonly queueHop: Hop
+  /** Monotonic milliseconds. */
+  private firstTokenAt = 0
   private callerHasLeft = false
   private readonly deadlineTimer: NodeJS.Timeout
 
   constructor (private readonly context: DataContext, private readonly work: ModelWork, private readonly sink: AnswerSink) {
     const { deadline } = work.request
+    this.queueHop = work.hop.startHop('queue')
     this.deadlineTimer = setTimeout(() => this.passDeadline(), deadline - context.clock.monotonic())
   }
 
   dispatch (decision: Dispatch): void {
+    this.queueHop.end()
     this.start(decision).catch((error: unknown) => this.failAttempt(decision.attempt, error))
   }
 
   cancel (attempt: number): void {
     this.cancelled.add(attempt)
-    this.attempts.get(attempt)?.stream.cancel()
+    const found = this.attempts.get(attempt)
+    found?.stream.cancel()
+    found?.hop.end({ cancelled: true })
   }
 
   refuse (decision: Extract<RoutingDecision, { kind: 'refuse' }>): void {
@@ -116,19 +128,22 @@
       [SESSION_HEADER]: await this.context.seal.seal({ kind: 'session', model, ...common }),
       [STREAM_HEADER]: await this.context.seal.seal({ kind: 'stream', requestId: request.id, streamId, billKey, ...common })
     }
-    const target = { requestId: request.id, workspace: request.workspace, version: version.id, server: decision.server, address, streamId }
+    const hop = this.work.hop.startHop('attempt', { server: decision.server, attempt: decision.attempt, reason: decision.reason })
+    const target = { requestId: request.id, workspace: request.workspace, version: version.id, server: decision.server, address, streamId, traceparent: hop.traceparent }
     const stream = new AttemptStream(this.context, target, 0, {
       onEvents: raw => this.passOn(decision.attempt, raw),
       onFinal: raw => { this.complete(decision.attempt, raw).catch((error: unknown) => this.failAttempt(decision.attempt, error)) },
       onFailure: error => this.failAttempt(decision.attempt, error)
     })
-    const attempt = { decision, answerHeaders, stream }
+    const attempt = { decision, hop, answerHeaders, stream }
     this.attempts.set(decision.attempt, attempt)
     return attempt
   }
 
   private passOn (number: number, raw: Buffer): void {
-    if (this.choose(number) && !this.callerHasLeft) this.sink.events(raw, this.answerHeaders(number))
+    if (!this.choose(number) || this.callerHasLeft) return
+    const stream = this.attempts.get(number)?.stream
+    if (!this.sink.events(raw, this.answerHeaders(number)) && stream !== undefined) waitForCaller(this.context, this.sink, stream)
   }
 
   /** Makes the first attempt that delivers the answer's; false for the others. */
@@ -136,6 +151,8 @@
     if (this.chosen === undefined && !this.cancelled.has(number)) {
       this.chosen = number
       clearTimeout(this.deadlineTimer)
+      this.firstTokenAt = this.context.clock.monotonic()
+      this.context.metrics.record(FIRST_TOKEN_METRIC, { class: this.work.request.workClass }, this.firstTokenAt - this.work.request.arrivedAt)
       this.context.book.observe({ kind: 'first-token', requestId: this.work.request.id, attempt: number })
     }
     return this.chosen === number && !this.cancelled.has(number)
@@ -144,23 +161,41 @@
   private async complete (number: number, raw: Buffer): Promise<void> {
     if (!this.choose(number)) return
     const { request, version, billKey } = this.work
-    const bill = await settleDraft(this.context, { workspace: request.workspace, version, billKey }, raw)
+    const bill = await this.work.hop.measure('store bill', () => settleDraft(this.context, { workspace: request.workspace, version, billKey }, raw))
+    this.attempts.get(number)?.hop.end({ outputTokens: bill.outputTokens })
+    this.recordAnswer(bill.outputTokens)
     this.context.book.observe({ kind: 'finished', requestId: request.id, attempt: number, outputTokens: bill.outputTokens })
     this.close()
     if (!this.callerHasLeft) this.sink.finish(raw, this.answerHeaders(number))
     this.context.log.info('request_finished', {
-      request: request.id, workspace: bill.workspace, version: bill.source, server: this.attempts.get(number)?.decision.server, output_tokens: bill.outputTokens, amount: bill.amount
+      request: request.id, trace: this.work.hop.traceId, workspace: bill.workspace, version: bill.source, server: this.attempts.get(number)?.decision.server, output_tokens: bill.outputTokens, amount: bill.amount
     })
   }
 
+  private recordAnswer (outputTokens: number): void {
+    this.context.metrics.count(ATTEMPTS_METRIC, { result: 'finished' })
+    if (outputTokens < 2) return
+    const gap = (this.context.clock.monotonic() - this.firstTokenAt) / (outputTokens - 1)
+    this.context.metrics.record(TOKEN_GAP_METRIC, { class: this.work.request.workClass }, gap)
+  }
+
+  private restart (): void {
+    this.chosen = undefined
+    this.sink.restart()
+  }
+
   private failAttempt (number: number, error: unknown): void {
     if (this.cancelled.has(number) || this.sink.isEnded) return
     const failure = isBackendError(error) ? error : new BackendError('broken', 'the attempt failed', error)
     this.lastError = failure
+    this.attempts.get(number)?.hop.end({}, failure.failure)
+    this.context.metrics.count(ATTEMPTS_METRIC, { result: failure.failure })
     this.mayHaveRun = this.mayHaveRun || failure.failure !== 'unsent'
     if (this.chosen !== undefined && this.chosen !== number) return
-    const hasStarted = this.chosen !== undefined
-    this.context.log.warn('attempt_failed', { request: this.work.request.id, attempt: number, failure: failure.failure, message: failure.message })
+    // A whole answer of which no byte has left can begin again on another server.
+    const hasStarted = this.sink.hasStarted
+    if (!hasStarted) this.restart()
+    this.context.log.warn('attempt_failed', { request: this.work.request.id, trace: this.work.hop.traceId, attempt: number, failure: failure.failure, message: failure.message })
     this.context.book.observe({ kind: 'failed', requestId: this.work.request.id, attempt: number, failure: failure.failure, retryable: !hasStarted })
     if (hasStarted) this.end(new ApiError('stream_incomplete', 'the answer broke off and could not be resumed', { ran: 'yes' }, failure))
   }
@@ -174,9 +209,10 @@
 
   private end (error: ApiError): void {
     this.close()
+    this.queueHop.end({}, error.code)
     this.sink.fail(error)
     this.context.metrics.count(REFUSALS_METRIC, { code: error.code })
-    this.context.log.warn('request_refused', { request: this.work.request.id, workspace: this.work.request.workspace, code: error.code, ran: error.ran })
+    this.context.log.warn('request_refused', { request: this.work.request.id, trace: this.work.hop.traceId, workspace: this.work.request.workspace, code: error.code, ran: error.ran })
   }
 
   private close (): void {
--- a/packages/entry/src/JayfallStreamReader.ts
+++ b/packages/entry/src/JayfallStreamReader.ts
@@ -27,6 +27,7 @@
   private chunks = 0
   private chunksAtCheck = 0
   private silentFor = 0
+  private isPaused = false
   /** Milliseconds between recent chunks; unknown before the first. */
   private recentGap: number | undefined
   private readonly silenceTimer: NodeJS.Timeout
@@ -45,6 +46,17 @@
     this.silenceTimer = setInterval(() => this.checkSilence(), SILENCE_CHECK_MILLISECONDS)
   }
 
+  override pause (): void {
+    this.options.response.pause()
+    this.isPaused = true
+  }
+
+  override resume (): void {
+    this.silentFor = 0
+    this.isPaused = false
+    if (!this.ended) this.options.response.resume()
+  }
+
   override stop (): void {
     this.ended = true
     clearInterval(this.silenceTimer)
@@ -97,6 +109,7 @@
   }
 
   private checkSilence (): void {
+    if (this.isPaused) return
     const arrived = this.chunks - this.chunksAtCheck
     this.chunksAtCheck = this.chunks
     if (arrived > 0) {
--- a/packages/entry/src/JayfallStreamResumption.ts
+++ b/packages/entry/src/JayfallStreamResumption.ts
@@ -5,12 +5,13 @@
 
 import { StreamedAnswerSink, type AnswerSink } from './JayfallAnswerSink'
 import { ApiError } from './JayfallApiError'
-import { AttemptStream } from './JayfallAttemptStream'
+import { AttemptStream, type AttemptTarget } from './JayfallAttemptStream'
 import { authenticateCaller } from './JayfallAuthentication'
+import { waitForCaller } from './JayfallCallerPace'
 import { type DataContext } from './JayfallDataContext'
 import { settleDraft } from './JayfallDraftBill'
 import { REQUEST_HEADER, STREAM_HEADER, VERSION_HEADER } from './JayfallEntryConstants'
-import { headerValue } from './JayfallRequestFields'
+import { headerValue, requestHop } from './JayfallRequestFields'
 import { type StreamToken } from './JayfallTokenSeal'
 
 /** Answers the events after the one that `Last-Event-ID` names, or all of them without it. */
@@ -24,7 +25,7 @@
   const address = context.catalogue.get('server', token.server)?.address
   if (address === undefined) throw new ApiError('stream_incomplete', 'the backend server of the stream is gone', { ran: 'yes' })
   const sink = new StreamedAnswerSink(request.raw.res, token.requestId)
-  const stream = openStream(context, token, version, address, nextIndex, sink)
+  const stream = openStream(context, { ...token, address, traceparent: requestHop(request).traceparent }, version, nextIndex, sink)
   request.raw.res.once('close', () => stream.stop())
   await stream.resume().catch((error: unknown) => { throw new ApiError('stream_incomplete', 'the engine no longer has the stream', { ran: 'yes' }, error) })
   return toolkit.abandon
@@ -37,18 +38,21 @@
   throw new ApiError('version_forbidden', `the workspace may no longer use ${token.version}`, { ran: 'yes' })
 }
 
-function openStream (context: DataContext, token: StreamToken, version: VersionEntry, address: string, nextIndex: number, sink: AnswerSink): AttemptStream {
+function openStream (context: DataContext, token: StreamToken & AttemptTarget, version: VersionEntry, nextIndex: number, sink: AnswerSink): AttemptStream {
   const headers = { [REQUEST_HEADER]: token.requestId, [VERSION_HEADER]: token.version }
   const fail = (error: unknown): void => sink.fail(new ApiError('stream_incomplete', 'the answer broke off and could not be resumed', { ran: 'yes' }, error))
   const finish = async (raw: Buffer): Promise<void> => {
     await settleDraft(context, { workspace: token.workspace, version, billKey: token.billKey }, raw)
     sink.finish(raw, headers)
   }
-  return new AttemptStream(context, { ...token, address }, nextIndex, {
-    onEvents: raw => sink.events(raw, headers),
+  const stream: AttemptStream = new AttemptStream(context, token, nextIndex, {
+    onEvents: raw => {
+      if (!sink.events(raw, headers)) waitForCaller(context, sink, stream)
+    },
     onFinal: raw => { finish(raw).catch(fail) },
     onFailure: fail
   })
+  return stream
 }
 
 /** The index after the last event that the caller has. @throws ApiError `stream_token_invalid`. */
--- a/packages/proofs/src/counterEntry.ts
+++ b/packages/proofs/src/counterEntry.ts
@@ -25,6 +25,14 @@
     options.response.on('error', () => this.close())
   }
 
+  override pause (): void {
+    this.options.response.pause()
+  }
+
+  override resume (): void {
+    this.options.response.resume()
+  }
+
   override stop (): void {
     this.ended = true
     this.options.response.destroy()
