Run cascades in the data path, offer answers for rating, and prove leases

Change: CascadeAnswer holds an answer back until it is judged, starts each step as a model request of its own (so that findVersionRefusal is asked at each dispatch), bills only the delivered answer, and delivers the answer before when a later step fails. RatingSampler offers a sample; what a rating must know about its answer is part of the offered identifier. Proof `leases` pauses the holder with SIGSTOP past its lease and lets an order with its fencing number arrive late.

--- a/packages/bench/src/JayfallCostBench.ts
+++ b/packages/bench/src/JayfallCostBench.ts
@@ -116,7 +116,7 @@
       sharedVariance: 0,
       signals: ANSWER_SIGNALS.map((_, index) => {
         const signalPart = quality * goodSignals[step][index] + (1 - quality) * badSignals[step][index]
-        return { part: signalPart, quality: qualityGiven(quality, goodSignals[step], badSignals[step], index), variance: 0 }
+        return { part: signalPart, quality: qualityGiven(quality, goodSignals[step], badSignals[step], index), variance: 0, commonDeviation: 0 }
       })
     }))
   }))
@@ -189,7 +189,7 @@
 function runSeed (seed: number): Run {
   const random = new RandomSource(seed)
   const kinds = createKinds(random)
-  const oracle = planCascade(trueModels(kinds), TARGET, 0).expected
+  const oracle = planCascade(trueModels(kinds), TARGET).expected
   const cascade = new LearningCascade(kinds, random, new RatingService(random))
   const qualities: number[] = []
   const goodParts: number[] = []
--- a/packages/entry/src/JayfallAnswerSink.ts
+++ b/packages/entry/src/JayfallAnswerSink.ts
@@ -126,3 +126,8 @@
   const usage = chunks[chunks.length - 1]?.usage as { prompt_tokens?: number, completion_tokens?: number } | undefined
   return { promptTokens: usage?.prompt_tokens ?? 0, outputTokens: usage?.completion_tokens ?? 0 }
 }
+
+/** The finish reason in an engine's last events. */
+export function finishReason (raw: Buffer): string {
+  return parseChunks(raw).flatMap(({ choices }) => choices).map(choice => choice.finish_reason).find(reason => reason !== null) ?? 'unknown'
+}
--- a/packages/entry/src/JayfallChatCompletions.ts
+++ b/packages/entry/src/JayfallChatCompletions.ts
@@ -8,6 +8,7 @@
 import { StreamedAnswerSink, WholeAnswerSink } from './JayfallAnswerSink'
 import { ApiError } from './JayfallApiError'
 import { authenticateCaller } from './JayfallAuthentication'
+import { CascadeAnswer } from './JayfallCascadeAnswer'
 import { chooseVersion, estimatePromptTokens, maximumOutputTokens, parseChatBody, type ChatBody, type ChosenVersion } from './JayfallChatRequest'
 import { type DataContext } from './JayfallDataContext'
 import { IDEMPOTENCY_HEADER, MAXIMUM_IDEMPOTENCY_KEY_LENGTH, ON_WITHDRAWAL_HEADER, REQUEST_HEADER, SESSION_HEADER, SESSION_MOVED_HEADER, VERSION_HEADER } from './JayfallEntryConstants'
@@ -24,6 +25,25 @@
   const work = createWork(context, request, workspace, body, chosen, session?.server)
   const response = request.raw.res
   const sink = body.stream === true ? new StreamedAnswerSink(response, work.request.id) : new WholeAnswerSink(response, work.request.id)
+  const isNewSession = session === undefined || session.model !== body.model || chosen.movedFrom !== undefined
+  if (chosen.cascade !== undefined && isNewSession) {
+    const cascade = new CascadeAnswer(context, {
+      cascade: chosen.cascade,
+      workspace: workspace.id,
+      requestId: work.request.id,
+      promptTokens: work.request.promptTokens,
+      messages: body.messages.length,
+      sink,
+      response,
+      createWork: version => {
+        const step = createWork(context, request, workspace, body, { ...chosen, version }, undefined)
+        return { ...step, billKey: work.billKey, headers: { ...step.headers, [REQUEST_HEADER]: work.request.id } }
+      }
+    })
+    response.once('close', () => cascade.abandon())
+    cascade.start()
+    return toolkit.abandon
+  }
   const answer = new ModelAnswer(context, work, sink)
   response.once('close', () => answer.abandon())
   context.book.open(work.request, answer)
--- a/packages/entry/src/JayfallDataContext.ts
+++ b/packages/entry/src/JayfallDataContext.ts
@@ -5,8 +5,10 @@
 import { type Log } from '#jayfall/telemetry'
 
 import { type BackendClient } from './JayfallBackendClient'
+import { type CascadeBook } from './JayfallCascadeBook'
 import { type ControlCaller } from './JayfallControlCalls'
 import { CONFIRMATION_LIMIT_MILLISECONDS } from './JayfallEntryConstants'
+import { type RatingSampler } from './JayfallRatingSampler'
 import { type RequestBook } from './JayfallRequestBook'
 import { type TokenSeal } from './JayfallTokenSeal'
 
@@ -15,6 +17,8 @@
   readonly book: RequestBook
   readonly backend: BackendClient
   readonly control: ControlCaller
+  readonly cascades: CascadeBook
+  readonly ratings: RatingSampler
   readonly seal: TokenSeal
   readonly clock: Clock
   readonly random: RandomSource
--- a/packages/entry/src/JayfallDataPlane.ts
+++ b/packages/entry/src/JayfallDataPlane.ts
@@ -14,9 +14,11 @@
 
 import { BackendClient } from './JayfallBackendClient'
 import { createCallerApi, type CallerApiLimits, type Readiness } from './JayfallCallerApi'
+import { CascadeBook } from './JayfallCascadeBook'
 import { ControlCaller } from './JayfallControlCalls'
 import { type ControlMessage, type DataLinkEnd } from './JayfallControlLink'
 import { type DataContext } from './JayfallDataContext'
+import { RatingSampler } from './JayfallRatingSampler'
 import { RequestBook } from './JayfallRequestBook'
 import { TokenSeal } from './JayfallTokenSeal'
 
@@ -51,19 +53,22 @@
       onLoad: (address, report) => this.serverAt(address).forEach(server => this.book.router.reportLoad(server.id, report)),
       onLeaving: address => this.serverAt(address).forEach(server => this.markLeaving(server.id))
     }, settings.localAddress)
-    this.context = {
+    const random = createRandomSource()
+    const context = {
       catalogue: this.catalogue,
       book: this.book,
       backend,
       control: this.control,
       seal: new TokenSeal(settings.sealPasswords),
       clock: this.clock,
-      random: createRandomSource(),
+      random,
+      cascades: new CascadeBook(this.catalogue, this.clock, random),
       log,
       instanceId: settings.instanceId,
       requestDeadline: settings.requestDeadline,
       confirmedAt: () => this.confirmedAt
     }
+    this.context = { ...context, ratings: new RatingSampler(context) }
     const api = createCallerApi(this.context, settings.limits, () => this.readiness())
     this.server = api.server
     this.listener = api.listener
@@ -113,6 +118,9 @@
       case 'limit-shares':
         this.book.router.updateShares(message.shares)
         break
+      case 'cascade-quality':
+        this.context.cascades.updateRatings(message.quality)
+        break
       case 'leaving-servers':
         this.leavingServers = new Set(message.servers)
         this.updateServers()
--- a/packages/entry/src/JayfallModelAnswer.ts
+++ b/packages/entry/src/JayfallModelAnswer.ts
@@ -10,7 +10,7 @@
 import { type Bill } from '#jayfall/ledger'
 import { type RoutedRequest, type RoutingDecision } from '#jayfall/routing'
 
-import { parseUsage, type AnswerHeaders, type AnswerSink } from './JayfallAnswerSink'
+import { parseUsage, type AnswerHeaders, type AnswerSink, type Usage } from './JayfallAnswerSink'
 import { ApiError } from './JayfallApiError'
 import { BackendError, isBackendError } from './JayfallBackendError'
 import { refusalError } from './JayfallChatRequest'
@@ -29,6 +29,11 @@
   readonly billKey: string
   /** Headers of the answer besides the tokens. */
   readonly headers: AnswerHeaders
+  /**
+   * Judges the whole answer before it is billed. When the result is false nothing is billed and
+   * nothing is passed on, unless `deliver` is called later.
+   */
+  readonly judge?: (usage: Usage, raw: Buffer, deliver: () => Promise<void>) => boolean
 }
 
 type Dispatch = Extract<RoutingDecision, { kind: 'dispatch' }>
@@ -151,6 +156,18 @@
   private async complete (attempt: Attempt, raw: Buffer): Promise<void> {
     if (!this.choose(attempt)) return
     const usage = parseUsage(raw)
+    const { judge, request } = this.work
+    if (judge === undefined) this.context.ratings.offer(request.id, this.work.version.id)
+    if (judge?.(usage, raw, () => this.deliver(attempt, raw, usage)) === false) {
+      this.context.book.observe({ kind: 'finished', requestId: request.id, attempt: attempt.decision.attempt, outputTokens: usage.outputTokens })
+      this.context.book.close(request.id)
+      return
+    }
+    await this.deliver(attempt, raw, usage)
+  }
+
+  /** Bills the answer and passes it on. */
+  private async deliver (attempt: Attempt, raw: Buffer, usage: Usage): Promise<void> {
     const bill = createDraftBill(this.work, usage.promptTokens, usage.outputTokens)
     await this.context.control.call('bill', bill)
     this.context.book.observe({ kind: 'finished', requestId: this.work.request.id, attempt: attempt.decision.attempt, outputTokens: usage.outputTokens })
--- a/packages/proofs/src/JayfallProofRegistry.ts
+++ b/packages/proofs/src/JayfallProofRegistry.ts
@@ -1,5 +1,8 @@
 /** All proofs by name. */
 
+import { LeasesProof } from './JayfallLeasesProof'
 import { type Proof } from './JayfallProof'
 
-export const PROOFS: readonly Proof[] = []
+export const PROOFS: readonly Proof[] = [
+  new LeasesProof()
+]
--- a/packages/rollout/src/JayfallCascadePlan.ts
+++ b/packages/rollout/src/JayfallCascadePlan.ts
@@ -15,8 +15,19 @@
   readonly cost: number
   /** Variance of an error of `quality` that all kinds share. */
   readonly sharedVariance: number
-  /** For each signal, from the least promising: how often it is seen, and the quality of such answers. */
-  readonly signals: readonly { readonly part: number, readonly quality: number, /** Of `quality`. */ readonly variance: number }[]
+  /** For each signal, from the least promising. */
+  readonly signals: readonly SignalModel[]
+}
+
+/** What is known about answers that show one signal. */
+export interface SignalModel {
+  /** How often it is seen. */
+  readonly part: number
+  readonly quality: number
+  /** Variance of the part of the quality's error that is this signal's own. */
+  readonly variance: number
+  /** Standard deviation of the part that all signals of the kind and step share. */
+  readonly commonDeviation: number
 }
 
 /** What is known about one kind. */
@@ -56,10 +67,10 @@
 const HIGHEST_WORTH = 1e6
 const BISECTIONS = 50
 
-/** The cheapest plan whose quality reaches `target` by `marginErrors` standard errors; else the best there is. */
-export function planCascade (kinds: readonly KindModel[], target: number, marginErrors = PLAN_MARGIN_ERRORS): CascadePlan {
+/** The cheapest plan whose quality reaches `target` by a margin for the errors of the estimates; else the best there is. */
+export function planCascade (kinds: readonly KindModel[], target: number): CascadePlan {
   const dearestCost = Math.max(...kinds.flatMap(({ steps }) => steps.map(({ cost }) => cost)), Number.MIN_VALUE)
-  const evaluate = (worth: number): Candidate => evaluateWorth(kinds, worth * dearestCost, marginErrors)
+  const evaluate = (worth: number): Candidate => evaluateWorth(kinds, worth * dearestCost)
   let low = evaluate(LOWEST_WORTH)
   let high = evaluate(HIGHEST_WORTH)
   if (low.surety >= target) return createPlan(low, low, 1)
@@ -101,7 +112,7 @@
   readonly surety: number
 }
 
-function evaluateWorth (kinds: readonly KindModel[], worth: number, marginErrors: number): Candidate {
+function evaluateWorth (kinds: readonly KindModel[], worth: number): Candidate {
   const policies = new Map<string, KindPolicy>()
   let [quality, cost, variance] = [0, 0, 0]
   const delivered = (kinds[0]?.steps ?? []).map(() => 0)
@@ -115,7 +126,7 @@
     outcome.delivered.forEach((part, step) => { delivered[step] += kind.part * part })
   }
   const shared = delivered.reduce((sum, part, step) => sum + part * part * kinds[0].steps[step].sharedVariance, 0)
-  return { policies, outcome: { quality, cost, variance, delivered }, surety: quality - marginErrors * Math.sqrt(variance + shared) }
+  return { policies, outcome: { quality, cost, variance, delivered }, surety: quality - PLAN_MARGIN_ERRORS * Math.sqrt(variance + shared) }
 }
 
 function bestPolicy (steps: readonly StepModel[], worth: number): KindPolicy {
@@ -138,7 +149,7 @@
   const delivered = steps.map(() => 0)
   for (let step = firstStep; step < steps.length; step++) {
     cost += reached * steps[step].cost
-    let escalated = 0
+    let [escalated, common] = [0, 0]
     steps[step].signals.forEach((signal, index) => {
       const part = reached * signal.part
       if (!delivers[step][index]) {
@@ -147,7 +158,9 @@
       }
       quality += part * signal.quality
       variance += part * part * signal.variance
+      common += part * signal.commonDeviation
     })
+    variance += common * common
     delivered[step] = reached - escalated
     reached = escalated
   }
--- a/packages/rollout/src/JayfallQualityEstimates.ts
+++ b/packages/rollout/src/JayfallQualityEstimates.ts
@@ -7,7 +7,7 @@
 
 import { CATALOGUE_PRIOR_RATINGS, HIGHEST_OFFER_BOOST, MODEL_PRIOR_RATINGS, SIGNAL_PRIOR_ANSWERS } from './JayfallRolloutConstants'
 import { ANSWER_SIGNALS, type AnswerSignal } from './JayfallRequestKind'
-import { type KindModel, type StepModel } from './JayfallCascadePlan'
+import { type KindModel, type SignalModel, type StepModel } from './JayfallCascadePlan'
 import { fitQuality, type SignalCounts } from './JayfallQualityModel'
 
 /** Counts of one kind, or of all kinds together; arrays are indexed by step and signal. JSON-compatible. */
@@ -164,8 +164,10 @@
   return mean * (1 - mean) / ratings
 }
 
-function estimateQuality ({ ratings, scoreSum }: SignalCounts, fitted: number): { readonly quality: number, readonly variance: number } {
+/** A mean of own ratings and the fit, whose error the signals of a kind have in common. */
+function estimateQuality ({ ratings, scoreSum }: SignalCounts, fitted: number): Omit<SignalModel, 'part'> {
   const count = ratings + MODEL_PRIOR_RATINGS
   const quality = (scoreSum + MODEL_PRIOR_RATINGS * fitted) / count
-  return { quality, variance: quality * (1 - quality) / count }
+  const spread = quality * (1 - quality)
+  return { quality, variance: ratings * spread / (count * count), commonDeviation: Math.sqrt(MODEL_PRIOR_RATINGS * spread) / count }
 }
