--- a/packages/entry/src/JayfallCascadeAnswer.ts
+++ b/packages/entry/src/JayfallCascadeAnswer.ts
@@ -12,13 +12,16 @@
 import { answerSignal, requestKind, type AnswerSignal } from '#jayfall/rollout'
 
 import { AnswerSink, finishReason, type AnswerHeaders, type Usage } from './JayfallAnswerSink'
-import { type ApiError } from './JayfallApiError'
+import { ApiError } from './JayfallApiError'
 import { type CascadeRoute } from './JayfallCascadeBook'
 import { refusalNow, type DataContext } from './JayfallDataContext'
 import { ModelAnswer, type ModelWork } from './JayfallModelAnswer'
 
+const NO_STEP_RETRY_MILLISECONDS = 1000
+
 /** Holds an answer back. */
 class HeldAnswerSink extends AnswerSink {
+  private hasFailed = false
   private held: readonly { readonly raw: Buffer, readonly headers: AnswerHeaders }[] = []
 
   constructor (response: ServerResponse, requestId: string, private readonly target: AnswerSink, private readonly onFail: (error: ApiError) => void) {
@@ -29,8 +32,14 @@
     this.held = [...this.held, { raw, headers }]
   }
 
+  override get isEnded (): boolean {
+    return this.hasFailed || super.isEnded
+  }
+
   override fail (error: ApiError): void {
-    if (!this.isEnded) this.onFail(error)
+    if (this.isEnded) return
+    this.hasFailed = true
+    this.onFail(error)
   }
 
   protected override writeFinal (raw: Buffer, headers: AnswerHeaders): void {
@@ -91,7 +100,7 @@
   private startStep (step: number): void {
     const { cascade, requestId, response, sink } = this.request
     const version = this.context.catalogue.get('version', cascade.steps[step])
-    if (version === undefined) return this.fallBack()
+    if (version === undefined) return this.fallBack(new ApiError('no_server', `no step of ${cascade.id} may run now`, { retryAfter: NO_STEP_RETRY_MILLISECONDS }))
     const work = this.request.createWork(version)
     const stepStartedAt = this.context.clock.monotonic()
     const mayBeReplaced = step < cascade.steps.length - 1
@@ -131,12 +140,12 @@
   }
 
   /** A step failed: the answer before it is delivered, or the failure. */
-  private fallBack (error?: ApiError): void {
+  private fallBack (error: ApiError): void {
     const { deliverHeld } = this
     this.deliverHeld = undefined
     if (deliverHeld !== undefined) {
       deliverHeld().catch((cause: Error) => this.context.log.error('held_answer_not_delivered', { request: this.request.requestId, message: cause.message }))
-    } else if (error !== undefined) {
+    } else {
       this.request.sink.fail(error)
     }
   }
--- a/packages/entry/src/JayfallCascadeBook.ts
+++ b/packages/entry/src/JayfallCascadeBook.ts
@@ -45,11 +45,13 @@
 export class CascadeBook {
   private readonly rows = new Map<string, CascadeRow>()
   private ratings: Readonly<Record<string, QualitySnapshot>> = {}
+  private rated: ReadonlyMap<string, QualityEstimates> = new Map()
 
   constructor (private readonly catalogue: ReadonlyCatalogue, private readonly clock: Clock, private readonly random: RandomSource) {}
 
   updateRatings (ratings: Readonly<Record<string, QualitySnapshot>>): void {
     this.ratings = ratings
+    this.rated = new Map(Object.entries(ratings).map(([cascade, snapshot]) => [cascade, new QualityEstimates(snapshot)]))
   }
 
   /** Chooses the route of a new request and counts it. Without any rating the last step answers first. */
@@ -87,7 +89,7 @@
 
   /** How much more often than others an answer should be offered for rating. */
   offerBoost (cascade: CascadeEntry, kind: string, step: number, signal: AnswerSignal): number {
-    return new QualityEstimates(this.ratings[cascade.id]).offerBoost(kind, step, signal)
+    return this.rated.get(cascade.id)?.offerBoost(kind, step, signal) ?? 1
   }
 
   private row (cascade: string): CascadeRow {
--- a/packages/entry/src/JayfallControlDuties.ts
+++ b/packages/entry/src/JayfallControlDuties.ts
@@ -25,6 +25,8 @@
   readonly catalogue: ReadonlyCatalogue
   readonly clock: Clock
   readonly log: Log
+  /** Whether this instance may take leases; each candidate reads every lease row each third of a term. */
+  isCandidate (): boolean
   /** Receives the ratings of all cascades, by cascade. */
   onQuality (quality: Readonly<Record<string, QualitySnapshot>>): void
 }
@@ -33,17 +35,19 @@
 export class ControlDuties {
   private readonly services: PlatformServices
   private readonly backend: BackendClient
-  private readonly leases: readonly Lease[]
+  private readonly leases: readonly [Lease, Lease]
   private readonly rollouts: RolloutRunner
   private readonly orders: OrderRunner
   private timers: readonly NodeJS.Timeout[] = []
-  private busy = new Set<string>()
+  private readonly busy = new Set<string>()
+  private qualityReadAt = -Infinity
 
   constructor (private readonly parts: ControlDutiesParts) {
     const { instanceId, localAddress, http, tables, clock } = parts
     // A restarted instance is another holder, as the earlier process may still have orders on their way.
     const holder = `${instanceId}/${randomUUID()}`
-    const [rollout, orders] = ['rollout', 'orders'].map(name => new Lease(tables, clock, { name, holder }))
+    const rollout = new Lease(tables, clock, { name: 'rollout', holder })
+    const orders = new Lease(tables, clock, { name: 'orders', holder })
     this.leases = [rollout, orders]
     this.services = new PlatformServices(http)
     this.backend = new BackendClient(clock, { onLoad: () => {}, onLeaving: () => {} }, localAddress)
@@ -53,9 +57,9 @@
 
   start (): void {
     this.timers = [
-      this.every('rollouts', DUTY_INTERVAL_MILLISECONDS, () => this.rollouts.run()),
-      this.every('orders', DUTY_INTERVAL_MILLISECONDS, () => this.orders.run()),
-      this.every('quality', QUALITY_INTERVAL_MILLISECONDS, () => this.readQuality())
+      this.every('rollouts', DUTY_INTERVAL_MILLISECONDS, () => this.underLease(this.leases[0], () => this.rollouts.run())),
+      this.every('orders', DUTY_INTERVAL_MILLISECONDS, () => this.underLease(this.leases[1], () => this.orders.run())),
+      this.every('quality', DUTY_INTERVAL_MILLISECONDS, () => this.readQuality())
     ]
   }
 
@@ -71,6 +75,10 @@
     await Promise.all(this.leases.map(lease => lease.release().catch((error: Error) => this.parts.log.warn('lease_not_released', { message: error.message }))))
   }
 
+  private async underLease (lease: Lease, work: () => Promise<void>): Promise<void> {
+    if (lease.remaining > 0 || this.parts.isCandidate()) await work()
+  }
+
   private every (name: string, interval: number, work: () => Promise<void>): NodeJS.Timeout {
     const run = (): void => {
       if (this.busy.has(name)) return
@@ -84,9 +92,11 @@
   }
 
   private async readQuality (): Promise<void> {
-    if (this.parts.catalogue.all('cascade').length === 0) return
+    const now = this.parts.clock.monotonic()
+    if (this.parts.catalogue.all('cascade').length === 0 || now - this.qualityReadAt < QUALITY_INTERVAL_MILLISECONDS) return
     const quality: Record<string, QualitySnapshot> = {}
     for (const [cascade, row] of await readCascadeQuality(this.parts.tables)) if (row.kind === 'quality') quality[cascade] = row.ratings
     this.parts.onQuality(quality)
+    this.qualityReadAt = now
   }
 }
--- a/packages/entry/src/JayfallControlPlane.ts
+++ b/packages/entry/src/JayfallControlPlane.ts
@@ -57,6 +57,7 @@
       catalogue: this.catalogue,
       clock: this.clock,
       log,
+      isCandidate: () => true,
       onQuality: quality => this.links.forEach(link => link.post({ kind: 'cascade-quality', quality }))
     })
     this.handlers = {
--- a/packages/rollout/src/JayfallRolloutConstants.ts
+++ b/packages/rollout/src/JayfallRolloutConstants.ts
@@ -50,7 +50,7 @@
 /** Answers that the pooled frequency of a signal counts for, against a kind's own answers. */
 export const SIGNAL_PRIOR_ANSWERS = 20
 /** Standard errors by which the estimated quality of a plan must exceed the target. */
-export const PLAN_MARGIN_ERRORS = 1
+export const PLAN_MARGIN_ERRORS = 0.95
 /** The part of requests whose first step is drawn at random, so that ratings of each step go on. */
 export const EXPLORED_PART = 0.02
 /** A request may cost at most this many times its dearest step, all steps together. */
