--- a/packages/entry/src/JayfallOrderRunner.ts
+++ b/packages/entry/src/JayfallOrderRunner.ts
@@ -23,7 +23,7 @@
   readonly lease: Lease
   readonly services: Pick<PlatformServices, 'putWeight'>
   readonly catalogue: ReadonlyCatalogue
-  readonly backend: BackendClient
+  readonly backend: Pick<BackendClient, 'send' | 'read'>
   readonly clock: Clock
   readonly log: Log
 }
--- /dev/null
+++ b/packages/entry/src/__tests__/unit/JayfallOrderRunner.test.ts
@@ -0,0 +1,94 @@
+import assert from 'node:assert/strict'
+import { type IncomingMessage } from 'node:http'
+import { describe, it } from 'node:test'
+
+import { entryKey, InstalledCatalogue, parseEntry } from '#jayfall/catalogue'
+import { PlatformError, type Lease } from '#jayfall/platform'
+import { ManualClock } from '#jayfall/shared'
+import { createLog } from '#jayfall/telemetry'
+
+import { type BackendCall } from '../../JayfallBackendClient'
+import { OrderRunner } from '../../JayfallOrderRunner'
+
+const ENGINES = ['checking', 'ignoring'] as const
+
+/** Engines that keep their last order, and the runner under a lease that the test controls. */
+function createSystem (weightWrites: number) {
+  const clock = new ManualClock(0)
+  const lease = { held: true, fencing: 1 }
+  const states = new Map<string, { versions: readonly string[], role: string }>(ENGINES.map(id => [id, { versions: [], role: 'serving' }]))
+  const orders: string[] = []
+  const budget = { left: weightWrites }
+  const catalogue = new InstalledCatalogue()
+  const version = { kind: 'version', id: 'guide-1', model: 'guide', version: '1', owner: 'test', class: 'short', limits: { maximumPromptTokens: 1, maximumOutputTokens: 1, concurrentRequests: 1 }, price: { promptPerMillionTokens: 1, outputPerMillionTokens: 1 }, quality: 1, contextLength: 2, state: 'in-service', trafficShare: 100, whenCutOff: 'continue' }
+  const service = { kind: 'service', id: 'scribes', owner: 'test', type: 'engine', versions: ['guide-1'], calls: [] }
+  const servers = ENGINES.map((id, index) => ({ kind: 'server', id, zone: 'osorno', address: `127.0.0.1:${index + 1}`, service: 'scribes', checksFencing: id === 'checking', leaving: false }))
+  catalogue.installSnapshot({ revision: 1, entries: [version, service, ...servers].map(parseEntry).sort((left, right) => entryKey(left) < entryKey(right) ? -1 : 1).map(entry => ({ revision: 1, entry })) })
+  const runner = new OrderRunner({
+    lease: { maintain: async () => lease.held, fencingFor: () => lease.held ? lease.fencing : undefined } as unknown as Lease,
+    services: {
+      putWeight: async () => {
+        budget.left--
+        if (budget.left < 0) throw new PlatformError('rate_limited', 'above the rate')
+      }
+    },
+    catalogue,
+    clock,
+    log: createLog('silent'),
+    backend: {
+      send: async ({ method, address, payload }: BackendCall) => {
+        const id = ENGINES[Number(address.split(':')[1]) - 1]
+        if (method === 'POST') {
+          orders.push(id)
+          states.set(id, JSON.parse(String(payload)).wanted)
+        }
+        return { resume () {}, id } as unknown as IncomingMessage
+      },
+      read: async response => Buffer.from(JSON.stringify(states.get((response as unknown as { id: string }).id)))
+    }
+  })
+  return { clock, lease, states, orders, budget, runner }
+}
+
+describe('OrderRunner', () => {
+  it('guards against crossing an earlier holder\'s order: engines that ignore fencing wait one order timeout', async () => {
+    const { clock, orders, runner, states, lease } = createSystem(10)
+    await runner.run()
+    assert.deepEqual(orders, ['checking'])
+    clock.advance(10_000)
+    await runner.run()
+    assert.deepEqual(orders, ['checking', 'ignoring'])
+    lease.fencing = 3
+    states.set('ignoring', { versions: [], role: 'serving' })
+    await runner.run()
+    assert.equal(orders.length, 2)
+  })
+
+  it('guards against a late order that stays in force: the wanted state is ordered again', async () => {
+    const { clock, orders, runner, states } = createSystem(10)
+    await runner.run()
+    clock.advance(10_000)
+    await runner.run()
+    states.set('ignoring', { versions: ['old'], role: 'serving' })
+    await runner.run()
+    assert.deepEqual(orders, ['checking', 'ignoring', 'ignoring'])
+    assert.deepEqual(states.get('ignoring')?.versions, ['guide-1'])
+  })
+
+  it('guards against loading above the weight store\'s rate', async () => {
+    const { clock, orders, runner, budget } = createSystem(0)
+    await runner.run()
+    assert.deepEqual(orders, [])
+    budget.left = 1
+    clock.advance(10_000)
+    await runner.run()
+    assert.deepEqual(orders, ['checking'])
+  })
+
+  it('guards against orders without the lease', async () => {
+    const { lease, orders, runner } = createSystem(10)
+    lease.held = false
+    await runner.run()
+    assert.deepEqual(orders, [])
+  })
+})
