--- a/packages/command/src/__tests__/integration/JayfallVersionCommands.test.ts
+++ b/packages/command/src/__tests__/integration/JayfallVersionCommands.test.ts
@@ -77,5 +77,7 @@
     await system.changePlatform({ down: true })
     assert.equal((await run('version', 'withdraw', 'guide-2')).status, 4)
     await system.changePlatform({ down: false })
+    assert.equal((await run('version', 'withdraw')).status, 2)
+    assert.equal((await run('version', '--help')).status, 0)
   })
 })
--- a/packages/command/src/main.ts
+++ b/packages/command/src/main.ts
@@ -2,9 +2,10 @@
 /** The `jayfall` executable. */
 
 import 'reflect-metadata'
-import { binary, run, subcommands } from 'cmd-ts'
+import { binary, runSafely, subcommands } from 'cmd-ts'
 
 import { catalogueCommands } from './JayfallCatalogueCommands'
+import { EXIT_STATUS } from './JayfallCommandError'
 import { entryCommand } from './JayfallEntryCommand'
 import { instanceCommands } from './JayfallInstanceCommands'
 import { versionCommands } from './JayfallVersionCommands'
@@ -16,8 +17,14 @@
   cmds: { entry: entryCommand, catalogue: catalogueCommands, version: versionCommands, instance: instanceCommands }
 })
 
-run(binary(jayfall), process.argv).then(
-  () => {
+runSafely(binary(jayfall), process.argv).then(
+  result => {
+    if (result._tag === 'error') {
+      const { message, into } = result.error.config
+      process[into].write(`${message}\n`)
+      // The help text goes to the standard output, and problems with arguments to the standard error.
+      process.exit(into === 'stdout' ? EXIT_STATUS.done : EXIT_STATUS.usage)
+    }
     // Open sockets of libraries must not hold a finished command back.
     process.exit()
   },
--- a/packages/rollout/src/JayfallCascadePlan.ts
+++ b/packages/rollout/src/JayfallCascadePlan.ts
@@ -63,9 +63,9 @@
   readonly delivered: readonly number[]
 }
 
-const LOWEST_WORTH = 1e-6
-const HIGHEST_WORTH = 1e6
-const BISECTIONS = 50
+const LOWEST_WORTH = 1e-4
+const HIGHEST_WORTH = 1e4
+const BISECTIONS = 30
 
 /** The cheapest plan whose quality reaches `target` by a margin for the errors of the estimates; else the best there is. */
 export function planCascade (kinds: readonly KindModel[], target: number): CascadePlan {
--- a/packages/rollout/src/JayfallQualityEstimates.ts
+++ b/packages/rollout/src/JayfallQualityEstimates.ts
@@ -5,7 +5,7 @@
  * to the ratings and signals of all kinds.
  */
 
-import { CATALOGUE_PRIOR_RATINGS, HIGHEST_OFFER_BOOST, MODEL_PRIOR_RATINGS, SIGNAL_PRIOR_ANSWERS } from './JayfallRolloutConstants'
+import { CATALOGUE_PRIOR_RATINGS, FIT_ERROR_FACTOR, HIGHEST_OFFER_BOOST, MODEL_PRIOR_RATINGS, SIGNAL_PRIOR_ANSWERS } from './JayfallRolloutConstants'
 import { ANSWER_SIGNALS, type AnswerSignal } from './JayfallRequestKind'
 import { type KindModel, type SignalModel, type StepModel } from './JayfallCascadePlan'
 import { fitQuality, type SignalCounts } from './JayfallQualityModel'
@@ -161,7 +161,7 @@
 function sharedVariance (counts: readonly SignalCounts[], prior: number): number {
   const ratings = counts.reduce((sum, count) => sum + count.ratings, CATALOGUE_PRIOR_RATINGS)
   const mean = (counts.reduce((sum, { scoreSum }) => sum + scoreSum, 0) + CATALOGUE_PRIOR_RATINGS * prior) / ratings
-  return mean * (1 - mean) / ratings
+  return FIT_ERROR_FACTOR * FIT_ERROR_FACTOR * mean * (1 - mean) / ratings
 }
 
 /** A mean of own ratings and the fit, whose error the signals of a kind have in common. */
@@ -169,5 +169,5 @@
   const count = ratings + MODEL_PRIOR_RATINGS
   const quality = (scoreSum + MODEL_PRIOR_RATINGS * fitted) / count
   const spread = quality * (1 - quality)
-  return { quality, variance: ratings * spread / (count * count), commonDeviation: Math.sqrt(MODEL_PRIOR_RATINGS * spread) / count }
+  return { quality, variance: ratings * spread / (count * count), commonDeviation: FIT_ERROR_FACTOR * Math.sqrt(MODEL_PRIOR_RATINGS * spread) / count }
 }
--- a/packages/rollout/src/JayfallQualityModel.ts
+++ b/packages/rollout/src/JayfallQualityModel.ts
@@ -36,18 +36,18 @@
 export function fitQuality (kinds: readonly KindCounts[], priorQuality: number): QualityTable {
   let mixture: Mixture = { qualities: kinds.map(() => priorQuality), goodSignals: normalise(PRIOR_SIGNAL_WEIGHTS), badSignals: normalise([...PRIOR_SIGNAL_WEIGHTS].reverse()) }
   const prior = mixture
-  for (let iteration = 0; iteration < MODEL_ITERATIONS; iteration++) mixture = improve(kinds, mixture, prior)
+  const pooled = pooledQuality(kinds, priorQuality)
+  const weights = kinds.map(unratedWeight)
+  for (let iteration = 0; iteration < MODEL_ITERATIONS; iteration++) mixture = improve(kinds, weights, mixture, prior, pooled)
   return kinds.map((_, kind) => mixture.goodSignals.map((_, signal) => expectedQuality(mixture, kind, signal)))
 }
 
-function improve (kinds: readonly KindCounts[], mixture: Mixture, prior: Mixture): Mixture {
-  const weights = kinds.map(unratedWeight)
+function improve (kinds: readonly KindCounts[], weights: readonly number[], mixture: Mixture, prior: Mixture, pooled: number): Mixture {
   const split = (isGood: boolean): readonly (readonly number[])[] => kinds.map((counts, kind) => counts.map(({ answers, ratings, scoreSum }, signal) => {
     const quality = expectedQuality(mixture, kind, signal)
     return isGood ? scoreSum + (answers - ratings) * weights[kind] * quality : ratings - scoreSum + (answers - ratings) * weights[kind] * (1 - quality)
   }))
   const [good, bad] = [split(true), split(false)]
-  const pooled = pooledQuality(kinds, prior.qualities[0] ?? 0)
   return {
     qualities: good.map((values, kind) => (total(values) + KIND_PRIOR_RATINGS * pooled) / (total(values) + total(bad[kind]) + KIND_PRIOR_RATINGS)),
     goodSignals: normalise(prior.goodSignals.map((part, signal) => CATALOGUE_PRIOR_RATINGS * part + total(good.map(values => values[signal])))),
--- a/packages/rollout/src/JayfallRolloutConstants.ts
+++ b/packages/rollout/src/JayfallRolloutConstants.ts
@@ -46,11 +46,13 @@
 export const CATALOGUE_PRIOR_RATINGS = 20
 /** Ratings that all answers of a kind without a rating count for at most. */
 export const UNRATED_ANSWERS = 30
-export const MODEL_ITERATIONS = 30
+export const MODEL_ITERATIONS = 20
 /** Answers that the pooled frequency of a signal counts for, against a kind's own answers. */
 export const SIGNAL_PRIOR_ANSWERS = 20
 /** Standard errors by which the estimated quality of a plan must exceed the target. */
-export const PLAN_MARGIN_ERRORS = 0.95
+export const PLAN_MARGIN_ERRORS = 0.5
+/** How much larger than that of ratings the error of the fitted model is taken: signals may mean something else in a kind. */
+export const FIT_ERROR_FACTOR = 3
 /** The part of requests whose first step is drawn at random, so that ratings of each step go on. */
 export const EXPLORED_PART = 0.02
 /** A request may cost at most this many times its dearest step, all steps together. */
