--- a/packages/command/src/JayfallCommandLine.ts
+++ b/packages/command/src/JayfallCommandLine.ts
@@ -1,10 +1,11 @@
 /** The `jayfall` command line. */
 
 import 'reflect-metadata'
-import { binary, run, subcommands } from 'cmd-ts'
+import { binary, runSafely, subcommands } from 'cmd-ts'
 
 import { billCommands } from './JayfallBillCommands'
 import { catalogueCommands } from './JayfallCatalogueCommands'
+import { EXIT_STATUS } from './JayfallCommandError'
 import { entryCommand } from './JayfallEntryCommand'
 import { instanceCommands } from './JayfallInstanceCommands'
 import { statusCommand } from './JayfallStatusCommands'
@@ -20,14 +21,20 @@
 
 /** Runs the subcommand that `argv` names and ends the process. */
 export function runCommandLine (argv: string[]): void {
-  run(binary(jayfall), argv).then(
-    () => {
+  runSafely(binary(jayfall), argv).then(
+    result => {
+      if (result._tag === 'error') {
+        const { message, into } = result.error.config
+        process[into].write(`${message}\n`)
+        // The help text goes to the standard output, and problems with arguments to the standard error.
+        process.exit(into === 'stdout' ? EXIT_STATUS.done : EXIT_STATUS.usage)
+      }
       // Open sockets of libraries must not hold a finished command back.
       process.exit()
     },
     (error: Error) => {
       process.stderr.write(`jayfall: ${error.message}\n`)
-      process.exit(1)
+      process.exit(EXIT_STATUS.failed)
     }
   )
 }
--- a/packages/entry/src/JayfallControlDuties.ts
+++ b/packages/entry/src/JayfallControlDuties.ts
@@ -27,7 +27,7 @@
   readonly catalogue: ReadonlyCatalogue
   readonly clock: Clock
   readonly log: Log
-  /** Whether this instance may take leases; candidates of every instance would read the store too often. */
+  /** Whether this instance may take leases; each candidate reads every lease row each third of a term. */
   isCandidate (): boolean
   /** Receives the ratings of all cascades, by cascade. */
   onQuality (quality: Readonly<Record<string, QualitySnapshot>>): void
@@ -48,20 +48,21 @@
 export class ControlDuties {
   private readonly services: PlatformServices
   private readonly backend: BackendClient
-  private readonly leases: readonly Lease[]
-  private readonly recovery: Lease
+  private readonly leases: readonly [rollout: Lease, orders: Lease, recovery: Lease]
   private readonly rollouts: RolloutRunner
   private readonly orders: OrderRunner
   private timers: readonly NodeJS.Timeout[] = []
-  private busy = new Set<string>()
+  private readonly busy = new Set<string>()
+  private qualityReadAt = -Infinity
 
   constructor (private readonly parts: ControlDutiesParts) {
     const { instanceId, localAddress, http, tables, clock } = parts
     // A restarted instance is another holder, as the earlier process may still have orders on their way.
     const holder = `${instanceId}/${randomUUID()}`
-    const [rollout, orders, recovery] = ['rollout', 'orders', 'recovery'].map(name => new Lease(tables, clock, { name, holder }))
+    const rollout = new Lease(tables, clock, { name: 'rollout', holder })
+    const orders = new Lease(tables, clock, { name: 'orders', holder })
+    const recovery = new Lease(tables, clock, { name: 'recovery', holder })
     this.leases = [rollout, orders, recovery]
-    this.recovery = recovery
     this.services = new PlatformServices(http)
     this.backend = new BackendClient(clock, { onLoad: () => {}, onLeaving: () => {} }, new EarliestLeavingPolicy(), localAddress)
     this.rollouts = new RolloutRunner({ ...parts, lease: rollout, services: this.services, writer: `rollout by ${instanceId}` })
@@ -70,16 +71,16 @@
 
   start (): void {
     this.timers = [
-      this.everyAsCandidate('rollouts', () => this.rollouts.run()),
-      this.everyAsCandidate('orders', () => this.orders.run()),
-      this.everyAsCandidate('recovery', async () => { await this.recovery.maintain() }),
-      this.every('quality', QUALITY_INTERVAL_MILLISECONDS, () => this.readQuality())
+      this.everyUnderLease('rollouts', this.leases[0], () => this.rollouts.run()),
+      this.everyUnderLease('orders', this.leases[1], () => this.orders.run()),
+      this.everyUnderLease('recovery', this.leases[2], async () => { await this.leases[2].maintain() }),
+      this.every('quality', DUTY_INTERVAL_MILLISECONDS, () => this.readQuality())
     ]
   }
 
   /** Whether this instance recovers calls whose owners have died. */
   get recoveryRight (): RecoveryRight {
-    return new LeasedRecoveryRight(this.recovery)
+    return new LeasedRecoveryRight(this.leases[2])
   }
 
   /** Offers an answer for rating; one that fails is not offered again. */
@@ -94,10 +95,10 @@
     await Promise.all(this.leases.map(lease => lease.release().catch((error: Error) => this.parts.log.warn('lease_not_released', { message: error.message }))))
   }
 
-  /** Runs `work` each third of a lease's term while this instance is a candidate or may still hold a lease. */
-  private everyAsCandidate (name: string, work: () => Promise<void>): NodeJS.Timeout {
+  /** Runs `work`, which maintains the lease, each third of its term while this instance is a candidate or holds it. */
+  private everyUnderLease (name: string, lease: Lease, work: () => Promise<void>): NodeJS.Timeout {
     return this.every(name, DUTY_INTERVAL_MILLISECONDS, async () => {
-      if (this.parts.isCandidate() || this.leases.some(({ remaining }) => remaining > 0)) await work()
+      if (lease.remaining > 0 || this.parts.isCandidate()) await work()
     })
   }
 
@@ -114,9 +115,11 @@
   }
 
   private async readQuality (): Promise<void> {
-    if (this.parts.catalogue.all('cascade').length === 0) return
+    const now = this.parts.clock.monotonic()
+    if (this.parts.catalogue.all('cascade').length === 0 || now - this.qualityReadAt < QUALITY_INTERVAL_MILLISECONDS) return
     const quality: Record<string, QualitySnapshot> = {}
     for (const [cascade, row] of await readCascadeQuality(this.parts.tables)) if (row.kind === 'quality') quality[cascade] = row.ratings
     this.parts.onQuality(quality)
+    this.qualityReadAt = now
   }
 }
--- a/packages/entry/src/JayfallDataContext.ts
+++ b/packages/entry/src/JayfallDataContext.ts
@@ -6,8 +6,10 @@
 import { type Log, type Metrics, type Traces } from '#jayfall/telemetry'
 
 import { type BackendClient } from './JayfallBackendClient'
+import { type CascadeBook } from './JayfallCascadeBook'
 import { type ControlCaller } from './JayfallControlCalls'
 import { type DataParts } from './JayfallDataParts'
+import { type RatingSampler } from './JayfallRatingSampler'
 import { type RequestBook } from './JayfallRequestBook'
 import { type TokenSeal } from './JayfallTokenSeal'
 
@@ -16,6 +18,8 @@
   readonly book: RequestBook
   readonly backend: BackendClient
   readonly control: ControlCaller
+  readonly cascades: CascadeBook
+  readonly ratings: RatingSampler
   readonly seal: TokenSeal
   readonly parts: DataParts
   readonly clock: Clock
--- a/packages/entry/src/JayfallDataPlane.ts
+++ b/packages/entry/src/JayfallDataPlane.ts
@@ -11,10 +11,12 @@
 
 import { BackendClient } from './JayfallBackendClient'
 import { CallerApi, type CallerApiLimits, type ListenTarget, type Readiness } from './JayfallCallerApi'
+import { CascadeBook } from './JayfallCascadeBook'
 import { ControlCaller } from './JayfallControlCalls'
 import { type ControlMessage, type DataLinkEnd } from './JayfallControlLink'
 import { type DataContext } from './JayfallDataContext'
 import { type DataParts } from './JayfallDataParts'
+import { RatingSampler } from './JayfallRatingSampler'
 import { RequestBook } from './JayfallRequestBook'
 import { type ThreadReport } from './JayfallThreadReports'
 import { TokenSeal } from './JayfallTokenSeal'
@@ -61,7 +63,8 @@
       onLoad: (address, report) => this.serverAt(address).forEach(server => this.book.router.reportLoad(server.id, report)),
       onLeaving: address => this.serverAt(address).forEach(server => this.markLeaving(server.id))
     }, parts.leaving, settings.localAddress)
-    this.context = {
+    const random = createRandomSource()
+    const context = {
       catalogue: this.catalogue,
       book: this.book,
       backend,
@@ -69,7 +72,8 @@
       parts,
       seal: new TokenSeal(settings.sealPasswords),
       clock: this.clock,
-      random: createRandomSource(),
+      random,
+      cascades: new CascadeBook(this.catalogue, this.clock, random),
       log,
       metrics: this.metrics,
       traces: this.traces,
@@ -80,6 +84,7 @@
       confirmedAt: () => this.confirmedAt,
       isBacklogFull: () => this.backlogFull
     }
+    this.context = { ...context, ratings: new RatingSampler(context) }
     this.api = new CallerApi(this.context, settings.limits, () => this.readiness())
     this.catalogue.registerInstallListener(() => this.updateServers())
     this.ticker = setInterval(() => this.book.tick(), TICK_INTERVAL_MILLISECONDS)
@@ -136,6 +141,9 @@
       case 'limit-shares':
         this.book.router.updateShares(message.shares)
         break
+      case 'cascade-quality':
+        this.context.cascades.updateRatings(message.quality)
+        break
       case 'leaving-servers':
         if (this.parts.leaving.honoursMarks) this.leavingServers = new Set(message.servers)
         this.updateServers()
--- a/packages/entry/src/JayfallModelAnswer.ts
+++ b/packages/entry/src/JayfallModelAnswer.ts
@@ -9,7 +9,7 @@
 import { type RoutedRequest, type RoutingDecision } from '#jayfall/routing'
 import { type Hop } from '#jayfall/telemetry'
 
-import { type AnswerHeaders, type AnswerSink } from './JayfallAnswerSink'
+import { parseUsage, type AnswerHeaders, type AnswerSink, type Usage } from './JayfallAnswerSink'
 import { ApiError, type RanState } from './JayfallApiError'
 import { AttemptStream } from './JayfallAttemptStream'
 import { BackendError, isBackendError } from './JayfallBackendError'
@@ -35,6 +35,11 @@
   readonly hop: Hop
   /** Headers of the answer besides the tokens. */
   readonly headers: AnswerHeaders
+  /**
+   * Judges the whole answer before it is billed. When the result is false nothing is billed and
+   * nothing is passed on, unless `deliver` is called later.
+   */
+  readonly judge?: (usage: Usage, raw: Buffer, deliver: () => Promise<void>) => boolean
 }
 
 type Dispatch = Extract<RoutingDecision, { kind: 'dispatch' }>
@@ -160,15 +165,28 @@
 
   private async complete (number: number, raw: Buffer): Promise<void> {
     if (!this.choose(number)) return
-    const { request, version, billKey } = this.work
-    const bill = await this.work.hop.measure('store bill', () => settleDraft(this.context, { workspace: request.workspace, version, billKey }, raw))
-    this.attempts.get(number)?.hop.end({ outputTokens: bill.outputTokens })
-    this.recordAnswer(bill.outputTokens)
+    const { request, version, judge } = this.work
+    const usage = parseUsage(raw)
+    this.attempts.get(number)?.hop.end({ outputTokens: usage.outputTokens })
+    this.recordAnswer(usage.outputTokens)
+    if (judge === undefined) this.context.ratings.offer(request.id, version.id)
+    if (judge?.(usage, raw, () => this.deliver(number, raw)) === false) {
+      this.context.book.observe({ kind: 'finished', requestId: request.id, attempt: number, outputTokens: usage.outputTokens })
+      this.close()
+      return
+    }
+    await this.deliver(number, raw)
+  }
+
+  /** Bills the answer and passes its end on. */
+  private async deliver (number: number, raw: Buffer): Promise<void> {
+    const { request, version, billKey, hop } = this.work
+    const bill = await hop.measure('store bill', () => settleDraft(this.context, { workspace: request.workspace, version, billKey }, raw))
     this.context.book.observe({ kind: 'finished', requestId: request.id, attempt: number, outputTokens: bill.outputTokens })
     this.close()
     if (!this.callerHasLeft) this.sink.finish(raw, this.answerHeaders(number))
     this.context.log.info('request_finished', {
-      request: request.id, trace: this.work.hop.traceId, workspace: bill.workspace, version: bill.source, server: this.attempts.get(number)?.decision.server, output_tokens: bill.outputTokens, amount: bill.amount
+      request: request.id, trace: hop.traceId, workspace: bill.workspace, version: bill.source, server: this.attempts.get(number)?.decision.server, output_tokens: bill.outputTokens, amount: bill.amount
     })
   }
 
--- a/packages/proofs/src/JayfallProofRegistry.ts
+++ b/packages/proofs/src/JayfallProofRegistry.ts
@@ -1,8 +1,10 @@
 /** All proofs by name. */
 
+import { AllowedProof } from './JayfallAllowedProof'
 import { AnswersProof } from './JayfallAnswersProof'
 import { AtMostOnceProof } from './JayfallAtMostOnceProof'
 import { BillingProof } from './JayfallBillingProof'
+import { LeasesProof } from './JayfallLeasesProof'
 import { LeavingProof } from './JayfallLeavingProof'
 import { OutageProof } from './JayfallOutageProof'
 import { PlannedStopProof } from './JayfallPlannedStopProof'
@@ -19,6 +21,8 @@
   new PlannedStopProof(),
   new LeavingProof(),
   new SessionsProof(),
+  new LeasesProof(),
   new SilentProof(),
+  new AllowedProof(),
   new OutageProof()
 ]
