Share the peak fairly, and let a new router use a pool that has room

A new router also needed about half a minute to open its window to the target size. Change: the admission margin follows the demand as a multiple of the fair share; first tokens are overdue at twice the 95th percentile; lanes share all servers below 10 % of long work; a router may fill an eighth of the slots that reports show as free; positions of servers are looked up, not searched.

--- a/packages/routing/src/JayfallConcurrencyWindow.ts
+++ b/packages/routing/src/JayfallConcurrencyWindow.ts
@@ -69,12 +69,18 @@
     this.intervalAt = now
   }
 
-  /** Lets the window follow the recent use, so that a sudden rise cannot flood the servers. */
-  run (now: number): void {
+  /**
+   * Lets the window follow the recent use, so that a sudden rise cannot flood the servers.
+   * `free` attempts are allowed in any case: a new router has no use to follow, and must not
+   * throttle itself while the pool has room.
+   */
+  run (now: number, free: number): void {
+    const floor = Math.max(INITIAL_WINDOW, free)
     this.averageOpen += (this.openAttempts - this.averageOpen) * (1 - 2 ** ((this.ranAt - now) / WINDOW_AVERAGE_HALF_LIFE_MILLISECONDS))
     this.peak = Math.max(this.averageOpen, this.peak * 2 ** ((this.ranAt - now) / WINDOW_PEAK_HALF_LIFE_MILLISECONDS))
     this.ranAt = now
-    this.size = Math.min(this.size, Math.max(INITIAL_WINDOW, this.peak * WINDOW_HEADROOM))
+    this.size = Math.min(this.size, Math.max(floor, this.peak * WINDOW_HEADROOM))
+    if (this.threshold === Infinity) this.size = Math.max(this.size, free)
     // A window that a past overload has shrunk opens again once it is not used up.
     if (this.openAttempts >= this.size / 2) return
     this.size = Math.max(this.size, Math.min(INITIAL_WINDOW, this.peak * WINDOW_HEADROOM))
--- a/packages/routing/src/JayfallLaneQueue.ts
+++ b/packages/routing/src/JayfallLaneQueue.ts
@@ -44,9 +44,9 @@
     return (this.queue.workOf(workspace) + work) / Math.max(this.availableRate(workspace, rate), rate * 0.01)
   }
 
-  /** Whether a workspace recently asked for more than its fair share. */
-  exceedsFairShare (workspace: string): boolean {
-    return this.isBinding && this.demandOf(workspace, this.clock.monotonic()) > this.fairLevel
+  /** What a workspace recently asked for as a multiple of its fair share; 0 while the window does not bind. */
+  demandToFairShare (workspace: string): number {
+    return this.isBinding ? this.demandOf(workspace, this.clock.monotonic()) / this.fairLevel : 0
   }
 
   /** The rate that a workspace gets when all others keep asking for what they recently asked for. */
--- a/packages/routing/src/JayfallModelAwareRouter.ts
+++ b/packages/routing/src/JayfallModelAwareRouter.ts
@@ -143,7 +143,7 @@
     const rate = lane.window.attemptRate
     if (rate === undefined) return 0
     const wait = lane.expectedWait(workspace, work)
-    const margin = lane.exceedsFairShare(workspace) ? EXCESS_WAIT_MARGIN : FAIR_WAIT_MARGIN
+    const margin = Math.min(EXCESS_WAIT_MARGIN, Math.max(FAIR_WAIT_MARGIN, lane.demandToFairShare(workspace)))
     return (wait * margin + work / rate) * DEADLINE_MARGIN
   }
 
--- a/packages/routing/src/JayfallPool.ts
+++ b/packages/routing/src/JayfallPool.ts
@@ -6,8 +6,8 @@
 import { LaneQueue } from './JayfallLaneQueue'
 import { FairQueueOrder, type QueueOrder } from './JayfallQueueOrder'
 import {
-  LANE_SHARE_HALF_LIFE_MILLISECONDS, LONG_SERVERS_HEADROOM, LONG_SERVERS_HYSTERESIS, LONG_SERVERS_MAXIMUM_SHARE, LONG_SERVERS_MINIMUM_SHARE, LONG_WAIT_MILLISECONDS, POOL_AVERAGE_WEIGHT,
-  POOL_LOAD_WEIGHT, SHORT_WAIT_MILLISECONDS
+  FREE_WINDOW_SHARE, LANE_SHARE_HALF_LIFE_MILLISECONDS, LONG_SERVERS_HEADROOM, LONG_SERVERS_HYSTERESIS, LONG_SERVERS_MAXIMUM_SHARE, LONG_SERVERS_MINIMUM_SHARE,
+  LONG_WAIT_MILLISECONDS, MINIMUM_LONG_WORK_SHARE, POOL_AVERAGE_WEIGHT, POOL_LOAD_WEIGHT, SHORT_WAIT_MILLISECONDS
 } from './JayfallRoutingConstants'
 import { type RoutedServer } from './JayfallRouter'
 import { type Lane } from './JayfallRoutingTables'
@@ -19,12 +19,14 @@
   private load = 0
   /** The same as a part of the slots. */
   private loadShare = 0
+  private averageSlots = 0
   /** Average time of a token, in milliseconds; 0 before any was observed. */
   private averageTokenTime = 0
   private ids: readonly string[] = []
   private shortIds: readonly string[] = []
   private longIds: readonly string[] = []
-  private longSet: ReadonlySet<string> = new Set()
+  private positions: Readonly<Record<Lane, ReadonlyMap<string, number>>> = { short: new Map(), long: new Map() }
+  private isSplit = false
   private longWork = 0
   private allWork = 0
   private arrivalsAt = 0
@@ -53,6 +55,11 @@
     return this.lanes.short.queue.size + this.lanes.long.queue.size
   }
 
+  /** Attempts that one router may open whatever it used before: a part of the slots that reports show as free. */
+  get freeAttempts (): number {
+    return this.ids.length * this.averageSlots * (1 - this.loadShare) * FREE_WINDOW_SHARE
+  }
+
   /** The servers of a lane: long work keeps to a part of the servers, short work prefers the others. */
   serversOf (lane: Lane): readonly string[] {
     return lane === 'long' ? this.longIds : this.shortIds
@@ -81,9 +88,10 @@
   /** Gives long work as many servers as its part of the observed work and the reported load call for. */
   splitServers (): void {
     const count = this.ids.length
-    if (!this.hasSplit) {
+    this.isSplit = count > 1 && this.longWork > this.allWork * MINIMUM_LONG_WORK_SHARE
+    if (!this.isSplit) {
       this.shortIds = this.longIds = this.ids
-      this.longSet = new Set(this.ids)
+      this.updatePositions()
       return
     }
     const occupied = Math.min(1, this.loadShare)
@@ -94,20 +102,26 @@
     const longCount = Math.max(1, Math.min(count - 1, isSettled ? this.longIds.length : Math.round(wanted)))
     this.longIds = this.ids.slice(0, longCount)
     this.shortIds = this.ids.slice(longCount)
-    this.longSet = new Set(this.longIds)
+    this.updatePositions()
   }
 
   /** Whether the lanes have servers of their own. */
   get hasSplit (): boolean {
-    return this.ids.length > 1 && this.longWork > 0
+    return this.isSplit
   }
 
   isLongServer (id: string): boolean {
-    return this.longSet.has(id)
+    return this.positions.long.has(id)
+  }
+
+  /** The index of a server in `serversOf(lane)`, or undefined. */
+  positionOf (lane: Lane, id: string): number | undefined {
+    return this.positions[lane].get(id)
   }
 
   /** Takes a reported load in slots. */
   noteReportedLoad (load: number, slots: number): void {
+    this.averageSlots = this.averageSlots === 0 ? slots : this.averageSlots + (slots - this.averageSlots) * POOL_AVERAGE_WEIGHT
     this.loadShare += (Math.min(1, load / slots) - this.loadShare) * POOL_LOAD_WEIGHT
     this.load += (load - this.load) * POOL_AVERAGE_WEIGHT
   }
@@ -115,4 +129,9 @@
   noteTokenTime (milliseconds: number): void {
     this.averageTokenTime = this.averageTokenTime === 0 ? milliseconds : this.averageTokenTime + (milliseconds - this.averageTokenTime) * POOL_AVERAGE_WEIGHT
   }
+
+  private updatePositions (): void {
+    const index = (ids: readonly string[]) => new Map(ids.map((id, position) => [id, position]))
+    this.positions = { short: index(this.shortIds), long: index(this.longIds) }
+  }
 }
--- a/packages/routing/src/JayfallRoutingConstants.ts
+++ b/packages/routing/src/JayfallRoutingConstants.ts
@@ -34,11 +34,13 @@
 export const TYPICAL_WORK_WEIGHT = 0.02
 /** A request is long when its work is this many times the geometric mean of its target's. */
 export const LONG_WORK_FACTOR = 6
+/** Below this part of long work all servers serve both lanes. */
+export const MINIMUM_LONG_WORK_SHARE = 0.1
 /** Bounds on the part of a pool's servers that long work may use. */
 export const LONG_SERVERS_MINIMUM_SHARE = 0.55
 export const LONG_SERVERS_MAXIMUM_SHARE = 0.75
 /** Servers for long work, as a multiple of those that it would fill. */
-export const LONG_SERVERS_HEADROOM = 1.25
+export const LONG_SERVERS_HEADROOM = 1.2
 /** Half-life of the observed part of long work. */
 export const LANE_SHARE_HALF_LIFE_MILLISECONDS = 300_000
 /** The split changes when it is off by more than this many servers. */
@@ -51,6 +53,8 @@
 
 /** The window of a pool before anything was observed. Attempts. */
 export const INITIAL_WINDOW = 16
+/** The part of a pool's free slots that one router may fill without having used as much before. */
+export const FREE_WINDOW_SHARE = 0.125
 export const WINDOW_DECREASE_FACTOR = 0.85
 /** The window is at most this many times the recent peak of the average of open attempts. */
 export const WINDOW_HEADROOM = 2
@@ -117,7 +121,7 @@
 export const DELAY_REFRESH_SAMPLES = 8
 /** Quantile of the first-token delay and factor on it after which a first token is overdue. */
 export const OVERDUE_QUANTILE = 0.95
-export const OVERDUE_FACTOR = 1.5
+export const OVERDUE_FACTOR = 2
 export const MINIMUM_OVERDUE_MILLISECONDS = 60
 /** Without observations no first token is overdue before this time. */
 export const DEFAULT_OVERDUE_MILLISECONDS = 2000
@@ -161,9 +165,9 @@
 /** Cached prompt tokens below which it does not matter where a request goes. */
 export const MINIMUM_AFFINITY_TOKENS = 64
 /**
- * Factors on expected waits in the queues, for workspaces that ask for more than their fair
- * share and for the others. A longer queue gains nothing in an overload, and errors of the
- * estimate must not make admitted requests late.
+ * Bounds on the factor by which expected waits are taken longer at admission; in between it is
+ * the workspace's demand as a multiple of its fair share. A long queue gains nothing for a
+ * workspace with far too much demand, while one slightly above its share would often run empty.
  */
-export const EXCESS_WAIT_MARGIN = 4
 export const FAIR_WAIT_MARGIN = 3
+export const EXCESS_WAIT_MARGIN = 4
--- a/packages/routing/src/JayfallRoutingSystems.ts
+++ b/packages/routing/src/JayfallRoutingSystems.ts
@@ -94,7 +94,7 @@
 
   override run (now: number): void {
     for (const pool of this.pools.values()) {
-      for (const { window } of Object.values(pool.lanes)) window.run(now)
+      for (const { window } of Object.values(pool.lanes)) window.run(now, pool.freeAttempts)
       if (pool.queued > 0) this.pump(pool)
     }
   }
--- a/packages/routing/src/JayfallServerChoice.ts
+++ b/packages/routing/src/JayfallServerChoice.ts
@@ -131,8 +131,8 @@
 
   private takeTurn (row: RequestRow, pool: Pool, id: string): void {
     const lane = row.lane === 'short' && pool.hasSplit && pool.isLongServer(id) ? 'long' : row.lane
-    const index = pool.serversOf(lane).indexOf(id)
-    if (index >= 0) this.turns.set(`${pool.id}/${lane}`, index + 1)
+    const index = pool.positionOf(lane, id)
+    if (index !== undefined) this.turns.set(`${pool.id}/${lane}`, index + 1)
   }
 
   private mayTake (row: RequestRow, id: string, now: number, isStrict: boolean): boolean {
