--- a/packages/entry/src/JayfallAttemptStream.ts
+++ b/packages/entry/src/JayfallAttemptStream.ts
@@ -50,9 +50,12 @@
     private readonly receiver: AttemptReceiver
   ) {}
 
-  /** Starts the stream. @throws BackendError when the engine does not take it. */
-  async start (call: Pick<BackendCall, 'headers' | 'payload'>): Promise<void> {
-    const response = await this.context.backend.send({
+  /**
+   * Starts the stream, and reads it once `isReady` has resolved.
+   * @throws BackendError when the engine does not take it.
+   */
+  async start (call: Pick<BackendCall, 'headers' | 'payload'>, isReady: Promise<void>): Promise<void> {
+    const sent = this.context.backend.send({
       method: 'POST',
       address: this.target.address,
       path: '/v1/chat/completions',
@@ -60,6 +63,7 @@
       payload: call.payload,
       headTimeout: FIRST_TOKEN_LIMIT_MILLISECONDS
     })
+    const [response] = await Promise.all([sent, isReady])
     this.read(response)
   }
 
--- a/packages/entry/src/JayfallModelAnswer.ts
+++ b/packages/entry/src/JayfallModelAnswer.ts
@@ -48,7 +48,7 @@
   readonly decision: Dispatch
   readonly hop: Hop
   /** Headers of the caller's answer when it comes from this attempt. */
-  readonly answerHeaders: AnswerHeaders
+  answerHeaders: AnswerHeaders
   readonly stream: AttemptStream
 }
 
@@ -116,23 +116,18 @@
     }
     const server = this.context.catalogue.get('server', decision.server)
     if (server === undefined) throw new BackendError('unsent', `${decision.server} is no longer in the catalogue`)
-    const attempt = await this.openAttempt(decision, server.address)
-    if (this.cancelled.has(decision.attempt)) return
-    await attempt.stream.start({
-      headers: { 'x-priority': String(decision.priority), 'x-model-version': version.id },
-      payload: this.work.payload
+    const attempt = this.openAttempt(decision, server.address)
+    // Sealing takes several turns of the thread pool; the engine works meanwhile.
+    const sealed = this.sealTokens(decision, attempt.stream.target.streamId).then(tokens => {
+      attempt.answerHeaders = { ...this.work.headers, ...tokens }
     })
+    const headers = { 'x-priority': String(decision.priority), 'x-model-version': version.id }
+    await attempt.stream.start({ headers, payload: this.work.payload }, sealed)
   }
 
-  private async openAttempt (decision: Dispatch, address: string): Promise<Attempt> {
-    const { request, version, model, billKey } = this.work
+  private openAttempt (decision: Dispatch, address: string): Attempt {
+    const { request, version } = this.work
     const streamId = `${request.id}.${decision.attempt}`
-    const common = { workspace: request.workspace, version: version.id, server: decision.server, issuedAt: this.context.clock.wall() }
-    const answerHeaders = {
-      ...this.work.headers,
-      [SESSION_HEADER]: await this.context.seal.seal({ kind: 'session', model, ...common }),
-      [STREAM_HEADER]: await this.context.seal.seal({ kind: 'stream', requestId: request.id, streamId, billKey, ...common })
-    }
     const hop = this.work.hop.startHop('attempt', { server: decision.server, attempt: decision.attempt, reason: decision.reason })
     const target = { requestId: request.id, workspace: request.workspace, version: version.id, server: decision.server, address, streamId, traceparent: hop.traceparent }
     const stream = new AttemptStream(this.context, target, 0, {
@@ -140,11 +135,22 @@
       onFinal: raw => { this.complete(decision.attempt, raw).catch((error: unknown) => this.failAttempt(decision.attempt, error)) },
       onFailure: error => this.failAttempt(decision.attempt, error)
     })
-    const attempt = { decision, hop, answerHeaders, stream }
+    const attempt = { decision, hop, answerHeaders: this.work.headers, stream }
     this.attempts.set(decision.attempt, attempt)
     return attempt
   }
 
+  /** The tokens by which the caller goes on with the session, or with this answer, on any instance. */
+  private async sealTokens (decision: Dispatch, streamId: string): Promise<AnswerHeaders> {
+    const { request, version, model, billKey } = this.work
+    const common = { workspace: request.workspace, version: version.id, server: decision.server, issuedAt: this.context.clock.wall() }
+    const [session, stream] = await Promise.all([
+      this.context.seal.seal({ kind: 'session', model, ...common }),
+      this.context.seal.seal({ kind: 'stream', requestId: request.id, streamId, billKey, ...common })
+    ])
+    return { [SESSION_HEADER]: session, [STREAM_HEADER]: stream }
+  }
+
   private passOn (number: number, raw: Buffer): void {
     if (!this.choose(number) || this.callerHasLeft) return
     const stream = this.attempts.get(number)?.stream
