Name the counter-proofs' mechanisms in one place, and end broken streams with their own code

Cause: three programs and a preload replaced mechanisms in three ways; a stream that failed for good ended with attempts_exhausted instead of stream_incomplete, as the router's refusal came first.

--- a/packages/entry/src/JayfallModelAnswer.ts
+++ b/packages/entry/src/JayfallModelAnswer.ts
@@ -220,8 +220,9 @@
     const hasStarted = this.sink.hasStarted
     if (!hasStarted) this.restart()
     this.context.log.warn('attempt_failed', { request: this.work.request.id, trace: this.work.hop.traceId, attempt: number, failure: failure.failure, message: failure.message })
-    this.context.book.observe({ kind: 'failed', requestId: this.work.request.id, attempt: number, failure: failure.failure, retryable: !hasStarted })
+    // The answer's own error comes first, as the router answers the event with a refusal of its own.
     if (hasStarted) this.end(new ApiError('stream_incomplete', 'the answer broke off and could not be resumed', { ran: 'yes' }, failure))
+    this.context.book.observe({ kind: 'failed', requestId: this.work.request.id, attempt: number, failure: failure.failure, retryable: !hasStarted })
   }
 
   private passDeadline (): void {
--- a/packages/proofs/src/JayfallAtMostOnceProof.ts
+++ b/packages/proofs/src/JayfallAtMostOnceProof.ts
@@ -13,6 +13,7 @@
 import { applyFaults, disturbLink, disturbPlatform, killEntry, pauseEntry, placeFault, placeInTurn, type Fault } from './JayfallFaultSchedule'
 import { type PlainRun, readPlainRuns, readTable } from './JayfallPlainRuns'
 import { Proof, type ProofOptions, type ProofResult } from './JayfallProof'
+import { counterProgram } from './JayfallProofSystem'
 import { RecordingCaller, type RecordedAnswer } from './JayfallRecordingCaller'
 
 const WORKSPACE = 'taller-uno'
@@ -51,7 +52,7 @@
       ],
       entries: ENTRIES.map(id => ({ id, zone: 'valdivia', settings: { callers: { 'request-deadline': '5s' } } })),
       catalogue: [testPlainService('desk'), testPlainService('blind-desk', false), testWorkspace(WORKSPACE, SERVICES)],
-      ...(isCounterProof ? { entryProgram: 'proofs/src/counter/claims.js' } : {})
+      ...(isCounterProof ? { entryProgram: counterProgram('claims') } : {})
     })
     try {
       return await this.drive(system, createRandomSource(seed))
--- a/packages/proofs/src/JayfallBillingProof.ts
+++ b/packages/proofs/src/JayfallBillingProof.ts
@@ -13,6 +13,7 @@
 import { applyFaults, disturbPlatform, killEntry, placeFault, type Fault } from './JayfallFaultSchedule'
 import { readPlainRuns, readTable, type PlainRun } from './JayfallPlainRuns'
 import { Proof, type ProofOptions, type ProofResult } from './JayfallProof'
+import { counterProgram } from './JayfallProofSystem'
 import { RecordingCaller, type RecordedAnswer } from './JayfallRecordingCaller'
 
 const WORKSPACE = 'taller-uno'
@@ -47,7 +48,7 @@
       ],
       entries: ENTRIES.map(id => ({ id, zone: 'valdivia', settings: { callers: { 'request-deadline': '5s' } } })),
       catalogue: [testVersion('guide-1'), testEngineService('asistente', ['guide-1']), testPlainService('desk'), testWorkspace(WORKSPACE, ['guide-1', 'desk'])],
-      ...(isCounterProof ? { entryProgram: 'proofs/src/counter/replication.js' } : {})
+      ...(isCounterProof ? { entryProgram: counterProgram('replication') } : {})
     })
     try {
       return await this.drive(system, createRandomSource(seed))
--- a/packages/proofs/src/JayfallOutageProof.ts
+++ b/packages/proofs/src/JayfallOutageProof.ts
@@ -11,6 +11,7 @@
 import { findOutageViolations, type OutageTimes, type Probe, type ProbeKind } from './JayfallOutageRules'
 import { readPlainRuns } from './JayfallPlainRuns'
 import { Proof, type ProofOptions, type ProofResult } from './JayfallProof'
+import { counterProgram } from './JayfallProofSystem'
 import { RecordingCaller } from './JayfallRecordingCaller'
 
 const WORKSPACE = 'taller-uno'
@@ -59,7 +60,7 @@
         testPlainService('desk'),
         testWorkspace(WORKSPACE, ['guide-1', 'trial-1', 'desk'])
       ],
-      ...(isCounterProof ? { entryProgram: 'proofs/src/counter/gate.js' } : {})
+      ...(isCounterProof ? { entryProgram: counterProgram('store-gate') } : {})
     })
     try {
       return await this.drive(system, seed)
--- a/packages/proofs/src/JayfallRevisionsProof.ts
+++ b/packages/proofs/src/JayfallRevisionsProof.ts
@@ -6,12 +6,11 @@
  * store are lost, instances are killed and paused, a zone is cut off and the store is down.
  */
 
-import * as path from 'node:path'
-
 import { createRandomSource, delay, type RandomSource } from '#jayfall/shared'
 import { TestSystem, testCallerKey, testEngineService, testVersion, testWorkspace } from '#jayfall/testbed'
 
 import { Proof, type ProofOptions, type ProofResult } from './JayfallProof'
+import { counterProgram } from './JayfallProofSystem'
 import { IN_FORCE_MILLISECONDS, RevisionsRecord } from './JayfallRevisionsRecord'
 import { CHURNED, RevisionsOperators, WITHDRAWN } from './JayfallRevisionsOperators'
 
@@ -23,9 +22,6 @@
 
 const ENTRIES = ZONES.flatMap(zone => Array.from({ length: INSTANCES_PER_ZONE }, (_, index) => ({ id: `${zone}-${index + 1}`, zone })))
 
-/** The program module that takes the place of the propagation in the counter-proof. */
-const COUNTER_MODULE = path.join(__dirname, 'JayfallRevisionsCounter.js')
-
 export class RevisionsProof extends Proof {
   override readonly name = 'revisions'
   override readonly promises = [2]
@@ -43,24 +39,18 @@
 }
 
 async function startSystem (seed: number, isCounterProof: boolean): Promise<TestSystem> {
-  const options = process.env.NODE_OPTIONS
-  if (isCounterProof) process.env.NODE_OPTIONS = `${options ?? ''} --require ${COUNTER_MODULE}`
   const versions = [...CHURNED, ...WITHDRAWN]
-  try {
-    return await TestSystem.start({
-      seed,
-      servers: ZONES.map(zone => ({ id: `engine-${zone}`, zone, service: 'assistant', type: 'engine' as const })),
-      entries: ENTRIES,
-      catalogue: [
-        ...versions.map(id => testVersion(id, { model: `model-${id}`, whenCutOff: 'stop' })),
-        testEngineService('assistant', versions),
-        testWorkspace(WORKSPACE, versions)
-      ]
-    })
-  } finally {
-    if (options === undefined) delete process.env.NODE_OPTIONS
-    else process.env.NODE_OPTIONS = options
-  }
+  return await TestSystem.start({
+    seed,
+    servers: ZONES.map(zone => ({ id: `engine-${zone}`, zone, service: 'assistant', type: 'engine' as const })),
+    entries: ENTRIES,
+    catalogue: [
+      ...versions.map(id => testVersion(id, { model: `model-${id}`, whenCutOff: 'stop' })),
+      testEngineService('assistant', versions),
+      testWorkspace(WORKSPACE, versions)
+    ],
+    ...(isCounterProof ? { entryProgram: counterProgram('propagation') } : {})
+  })
 }
 
 /** One run of the load, the operators and the faults. */
--- a/packages/testbed/src/JayfallTestSystem.ts
+++ b/packages/testbed/src/JayfallTestSystem.ts
@@ -48,7 +48,7 @@
   readonly catalogue: readonly CatalogueEntry[]
   readonly seed?: number
   /** The program of the entry instances; a counter-proof starts one with a mechanism replaced. */
-  readonly entryProgram?: string
+  readonly entryProgram?: readonly string[]
 }
 
 /** The caller key of a workspace in tests. */
@@ -217,7 +217,7 @@
 
   private spawnEntry (running: RunningEntry): TestProcess {
     fs.writeFileSync(running.settingsFile, this.formatSettings(running))
-    const { id, program = [this.settings.entryProgram ?? 'command/src/main.js'] } = running.entry
+    const { id, program = this.settings.entryProgram ?? ['command/src/main.js'] } = running.entry
     const [script, ...programArguments] = program
     return new TestProcess(id, script, [...programArguments, 'entry', '--settings', running.settingsFile])
   }
