--- a/packages/routing/src/JayfallModelAwareRouter.ts
+++ b/packages/routing/src/JayfallModelAwareRouter.ts
@@ -59,7 +59,7 @@
     this.choice = options.createChoice?.(usual) ?? usual
     this.hedges = options.createHedges?.(this.delays) ?? new OverdueHedges(this.delays)
     const systems: readonly System[] = [
-      new ExpirySystem(this.pools, row => this.trySendNow(row), (row, code) => this.refuse(row.request.id, code, MINIMUM_RETRY_MILLISECONDS)),
+      new ExpirySystem(this.pools, row => this.trySendNow(row), (row, code) => this.refuse(row.request.id, code, this.timeToComeBack(row))),
       new OverdueSystem(this.tables, this.hedges, (row, attempt, delay) => this.takeOverdue(row, attempt, delay)),
       new SplitSystem(this.pools),
       new WindowSystem(this.pools, pool => this.pump(pool))
@@ -147,6 +147,11 @@
     return (wait * margin + work / rate) * DEADLINE_MARGIN
   }
 
+  /** Milliseconds after which a request like this one would be sent. */
+  private timeToComeBack (row: RequestRow): number {
+    return Math.max(MINIMUM_RETRY_MILLISECONDS, this.laneOf(row)?.expectedWait(row.request.workspace, row.work) ?? 0)
+  }
+
   /** Sends waiting requests while the windows of the lanes have room. */
   private pump (pool: Pool): void {
     for (const lane of Object.values(pool.lanes)) {
