--- a/packages/bench/src/JayfallOverheadBench.ts
+++ b/packages/bench/src/JayfallOverheadBench.ts
@@ -12,6 +12,8 @@
 import { createRandomSource, type RandomSource } from '#jayfall/shared'
 import { build, type Histogram } from 'hdr-histogram-js'
 
+import { DEFAULT_DATA_THREADS } from '#jayfall/settings'
+
 import { Bench, type BenchFigure, type BenchOptions, type BenchResult } from './JayfallBench'
 import { MICROSECONDS_PER_MILLISECOND, TARGET_REQUESTS_PER_SECOND } from './JayfallBenchConstants'
 import { readProcessUsage } from './JayfallProcessUsage'
@@ -60,7 +62,7 @@
 
   override async run ({ seed, parameters }: BenchOptions): Promise<BenchResult> {
     const random = createRandomSource(seed)
-    const system = await startSystem(parameters.threads)
+    const system = await startSystem(parameters.threads ?? String(DEFAULT_DATA_THREADS))
     try {
       const figures: BenchFigure[] = []
       const report: string[] = []
@@ -127,9 +129,9 @@
   }
 }
 
-async function startSystem (threads: string | undefined): Promise<TestSystem> {
+async function startSystem (threads: string): Promise<TestSystem> {
   const limits = { requestsPerSecond: 100_000, tokensPerSecond: 1e9, concurrentRequests: 10_000 }
-  const settings = threads === undefined ? undefined : { threads: { 'data-threads': threads } }
+  const settings = { threads: { 'data-threads': threads } }
   const system = await TestSystem.start({
     servers: SERVERS,
     // A second instance of the zone holds copies of the bills, as in any deployment.
--- a/packages/bench/src/JayfallRelayBench.ts
+++ b/packages/bench/src/JayfallRelayBench.ts
@@ -10,6 +10,8 @@
 import { TestSystem, testCallerKey, testEngineService, testVersion, testWorkspace, type TestServer } from '#jayfall/testbed'
 import { type Histogram } from 'hdr-histogram-js'
 
+import { DEFAULT_DATA_THREADS } from '#jayfall/settings'
+
 import { Bench, type BenchOptions, type BenchResult } from './JayfallBench'
 import { MICROSECONDS_PER_MILLISECOND, TARGET_EVENTS_PER_SECOND, TARGET_STREAMS } from './JayfallBenchConstants'
 import { readProcessUsage, type ProcessUsage } from './JayfallProcessUsage'
@@ -48,20 +50,20 @@
   override readonly isDeterministic = false
 
   override async run ({ parameters }: BenchOptions): Promise<BenchResult> {
-    const threads = parameters.threads
+    const threads = parameters.threads ?? String(DEFAULT_DATA_THREADS)
     const system = await startSystem(threads)
     try {
       const idleMemory = readProcessUsage(system.entryProcess(ENTRY).processId).memory
       const direct = await measureSide(system, engineTargets(system))
       const relayed = await measureSide(system, entryTargets(system))
-      return createResult(direct, relayed, idleMemory, threads ?? 'default')
+      return createResult(direct, relayed, idleMemory, threads)
     } finally {
       await system.stop()
     }
   }
 }
 
-async function startSystem (threads: string | undefined): Promise<TestSystem> {
+async function startSystem (threads: string): Promise<TestSystem> {
   // One instance uses a small part of its zone's slots; a pool that it filled alone would be guarded against it.
   const slots = Math.ceil(TARGET_STREAMS * ZONE_SLOTS_FACTOR / ENGINES)
   const servers = engineNames().map((id): TestServer => ({
@@ -73,7 +75,7 @@
   }))
   const limits = { requestsPerSecond: 100_000, tokensPerSecond: 1e9, concurrentRequests: 10_000 }
   const version = testVersion(VERSION, { limits: { maximumPromptTokens: 10_000, maximumOutputTokens: OUTPUT_TOKENS, concurrentRequests: 10_000 } })
-  const settings = threads === undefined ? undefined : { threads: { 'data-threads': threads } }
+  const settings = { threads: { 'data-threads': threads } }
   const system = await TestSystem.start({
     servers,
     // A second instance of the zone holds copies of the bills, as in any deployment.
--- a/packages/command/src/JayfallEntryCommand.ts
+++ b/packages/command/src/JayfallEntryCommand.ts
@@ -1,14 +1,18 @@
 /** `jayfall entry`: the daemon. */
 
+import * as fs from 'node:fs'
+
 import { ENTRY_LOG, ENTRY_PARTS, ENTRY_SETTINGS, EntryInstance, createDataParts } from '#jayfall/entry'
 import { readEntrySettings } from '#jayfall/settings'
-import { createLog } from '#jayfall/telemetry'
+import { createLog, type Log } from '#jayfall/telemetry'
 import { command, flag, option, string } from 'cmd-ts'
 import { container } from 'tsyringe'
 
-import { EXIT_STATUS } from './JayfallCommandError'
+import { EXIT_STATUS, toCommandError } from './JayfallCommandError'
 import { runReporting } from './JayfallCommandOutput'
 
+const KEY_RELOAD_INTERVAL_MILLISECONDS = 1000
+
 export const entryCommand = command({
   name: 'entry',
   description: 'Run an entry instance until SIGTERM or SIGINT; a second signal stops at once.',
@@ -30,10 +34,26 @@
     const instance = container.resolve(EntryInstance)
     // A signal during the start must lead to a planned stop too.
     const started = instance.start()
+    const stopWatching = registerKeyReload(path, instance, log)
     await Promise.all([started, stopOnSignal(instance, started)])
+    stopWatching()
   })
 })
 
+/** Gives the instance the keys of its settings file whenever that changes; returns a function that ends it. */
+function registerKeyReload (path: string, instance: EntryInstance, log: Log): () => void {
+  const reload = (): void => {
+    try {
+      instance.replaceKeys(readEntrySettings(path).keys)
+    } catch (error) {
+      log.error('keys_not_replaced', { message: toCommandError(error).message })
+    }
+  }
+  // Polling also notices a file that is replaced by another one.
+  fs.watchFile(path, { interval: KEY_RELOAD_INTERVAL_MILLISECONDS }, reload)
+  return () => fs.unwatchFile(path, reload)
+}
+
 /** Resolves when the instance has stopped. The first signal, or a failed data thread, starts a planned stop; the next signal ends it. */
 function stopOnSignal (instance: EntryInstance, started: Promise<void>): Promise<void> {
   return new Promise((resolve, reject) => {
--- a/packages/entry/src/JayfallControlLink.ts
+++ b/packages/entry/src/JayfallControlLink.ts
@@ -10,6 +10,14 @@
 
 import { type ThreadReport } from './JayfallThreadReports'
 
+/** Keys that may change while an instance runs. */
+export interface ReplaceableKeys {
+  /** SHA-256 of operators' keys in hexadecimal. */
+  readonly operatorHashes: readonly string[]
+  /** `identifier:password`, newest first. */
+  readonly sealPasswords: readonly string[]
+}
+
 /** From the control thread to a data thread. */
 export type ControlMessage =
   | { readonly kind: 'catalogue-changes', readonly changes: readonly CatalogueChange[] }
@@ -22,6 +30,7 @@
   | { readonly kind: 'leaving-servers', readonly servers: readonly string[] }
   /** While the backlog of bills is full no new billable work is taken. */
   | { readonly kind: 'billing-backlog', readonly full: boolean }
+  | { readonly kind: 'keys', readonly keys: ReplaceableKeys }
   | { readonly kind: 'lifecycle', readonly state: 'serving' | 'leaving' }
   /** Asks for a report, with the spans of a trace. */
   | { readonly kind: 'collect', readonly id: number, readonly traceId?: string }
--- a/packages/entry/src/JayfallControlPlane.ts
+++ b/packages/entry/src/JayfallControlPlane.ts
@@ -11,7 +11,7 @@
 
 import { type CallHandlers, type ControlCallName } from './JayfallControlCalls'
 import { ControlDuties } from './JayfallControlDuties'
-import { type ControlLinkEnd, type ControlMessage, type DataMessage } from './JayfallControlLink'
+import { type ControlLinkEnd, type ControlMessage, type DataMessage, type ReplaceableKeys } from './JayfallControlLink'
 import { InstanceLedger, type InstanceLedgerSettings } from './JayfallInstanceLedger'
 import { LeavingServers } from './JayfallLeavingServers'
 import { PeerControl, type PeerControlSettings } from './JayfallPeerControl'
@@ -61,7 +61,7 @@
       catalogue: this.catalogue,
       clock: this.clock,
       log,
-      isCandidate: () => this.peers.node.isZoneWriter,
+      isCandidate: () => this.peers.node.isStoreReader,
       onQuality: quality => this.post({ kind: 'cascade-quality', quality })
     })
     this.ledger = new InstanceLedger({ ...settings, incarnation }, this.catalogue, this.peers.directory, this.duties.recoveryRight, log)
@@ -95,6 +95,11 @@
     this.passShares()
   }
 
+  /** Gives the data threads other keys; open requests go on with those they began with. */
+  replaceKeys (keys: ReplaceableKeys): void {
+    this.post({ kind: 'keys', keys })
+  }
+
   /** Tells the data threads, the other instances and the platform that the instance is leaving for good. */
   announceLeaving (): void {
     this.isStopping = true
--- a/packages/entry/src/JayfallDataContext.ts
+++ b/packages/entry/src/JayfallDataContext.ts
@@ -28,7 +28,7 @@
   readonly metrics: Metrics
   readonly traces: Traces
   /** SHA-256 hashes of the operators' keys. */
-  readonly operatorHashes: readonly string[]
+  operatorHashes (): readonly string[]
   readonly instanceId: string
   /** Milliseconds that a caller's request may take. */
   readonly requestDeadline: number
--- a/packages/entry/src/JayfallDataPlane.ts
+++ b/packages/entry/src/JayfallDataPlane.ts
@@ -53,11 +53,13 @@
   private readonly traces: Traces
   private confirmedAt = -Infinity
   private backlogFull = false
+  private operatorHashes: readonly string[]
   private lifecycle: 'serving' | 'leaving' = 'serving'
   private leavingServers: ReadonlySet<string> = new Set()
 
   constructor (settings: DataPlaneSettings, private readonly link: DataLinkEnd, log: Log, private readonly parts: DataParts) {
     this.control = new ControlCaller(link)
+    this.operatorHashes = settings.operatorHashes
     this.traces = new Traces(settings.traces)
     const backend = new BackendClient(this.clock, {
       onLoad: (address, report) => this.serverAt(address).forEach(server => this.book.router.reportLoad(server.id, report)),
@@ -77,7 +79,7 @@
       log,
       metrics: this.metrics,
       traces: this.traces,
-      operatorHashes: settings.operatorHashes,
+      operatorHashes: () => this.operatorHashes,
       instanceId: settings.instanceId,
       requestDeadline: settings.requestDeadline,
       idleStreamTimeout: settings.idleStreamTimeout,
@@ -151,6 +153,10 @@
       case 'billing-backlog':
         this.backlogFull = message.full
         break
+      case 'keys':
+        this.operatorHashes = message.keys.operatorHashes
+        this.context.seal.replacePasswords(message.keys.sealPasswords)
+        break
       case 'lifecycle':
         this.lifecycle = message.state
         break
--- a/packages/entry/src/JayfallEntryInstance.ts
+++ b/packages/entry/src/JayfallEntryInstance.ts
@@ -76,6 +76,12 @@
     this.log.info('instance_started', { zone: this.settings.instance.zone, callers: this.settings.callers.address })
   }
 
+  /** Takes other keys while the instance runs. */
+  replaceKeys (keys: EntrySettings['keys']): void {
+    this.controlPlane.replaceKeys({ operatorHashes: keys['operator-hashes'], sealPasswords: keys['seal-passwords'] })
+    this.log.info('keys_replaced', { operator_keys: keys['operator-hashes'].length, seal_passwords: keys['seal-passwords'].length })
+  }
+
   /** Reports itself unready, waits until the balancer has seen it, and finishes what is open. */
   async stop (): Promise<void> {
     const { 'drain-notice': notice, 'stop-limit': limit } = this.settings.stop
--- a/packages/entry/src/JayfallOperatorRoutes.ts
+++ b/packages/entry/src/JayfallOperatorRoutes.ts
@@ -10,7 +10,7 @@
 /** Adds `GET /metrics`, `GET /status` and `GET /traces/{id}`; the last two need an operator's key. */
 export function registerOperatorRoutes (server: Server, context: DataContext): void {
   const forOperators = (handler: (request: Request) => Promise<object>) => (request: Request): Promise<object> => {
-    authenticateOperator(context.operatorHashes, headerValue(request, 'authorization'))
+    authenticateOperator(context.operatorHashes(), headerValue(request, 'authorization'))
     return handler(request)
   }
   server.route([
--- a/packages/entry/src/JayfallTokenSeal.ts
+++ b/packages/entry/src/JayfallTokenSeal.ts
@@ -34,11 +34,15 @@
 
 /** Seals and opens tokens. The first password seals; all of them open, so that passwords can be replaced. */
 export class TokenSeal {
-  private readonly passwords: Readonly<Record<string, string>>
-  private readonly current: string
+  private passwords: Readonly<Record<string, string>> = {}
+  private current = ''
 
   /** @param passwords `identifier:password`, newest first. */
   constructor (passwords: readonly string[]) {
+    this.replacePasswords(passwords)
+  }
+
+  replacePasswords (passwords: readonly string[]): void {
     const pairs = passwords.map(text => [text.slice(0, text.indexOf(':')), text.slice(text.indexOf(':') + 1)] as const)
     this.passwords = Object.fromEntries(pairs)
     this.current = pairs[0][0]
--- a/packages/proofs/src/JayfallProofSystem.ts
+++ b/packages/proofs/src/JayfallProofSystem.ts
@@ -15,12 +15,14 @@
 /** Settings of a system with engines and entry instances in two zones. */
 export function engineSystemSettings (engines: number, entries: number, options: { readonly seed: number, readonly replacedPart?: string, readonly tokenInterval?: number }): TestSystemSettings {
   const zoneOf = (index: number): string => ['valdivia', 'osorno'][index % 2]
+  // Parts are replaced in the main thread only.
+  const settings = options.replacedPart === undefined ? {} : { settings: { threads: { 'data-threads': '0' } } }
   const program = options.replacedPart === undefined ? undefined : counterProgram(options.replacedPart)
   return {
     seed: options.seed,
     servers: Array.from({ length: engines }, (_, index) =>
       ({ id: `engine-${index + 1}`, zone: zoneOf(index), service: 'asistente-tallado', type: 'engine' as const, options: ['--token-interval', String(options.tokenInterval ?? DEFAULT_TOKEN_INTERVAL_MILLISECONDS)] })),
-    entries: Array.from({ length: entries }, (_, index) => ({ id: `entry-${index + 1}`, zone: zoneOf(index), program })),
+    entries: Array.from({ length: entries }, (_, index) => ({ id: `entry-${index + 1}`, zone: zoneOf(index), program, ...settings })),
     catalogue: [
       testVersion('guide-1', { trafficShare: 50 }),
       testVersion('guide-2', { trafficShare: 50, version: '2' }),
--- a/packages/settings/src/JayfallEntrySettings.ts
+++ b/packages/settings/src/JayfallEntrySettings.ts
@@ -23,6 +23,9 @@
   return z.coerce.number({ error: 'expected a whole number' }).int().min(lowest).max(highest).prefault(fallback)
 }
 
+/** The smallest number that relays a node's share of the target; see the bench `relay`. */
+export const DEFAULT_DATA_THREADS = 3
+
 const schema = z.strictObject({
   instance: z.strictObject({
     id: text,
@@ -60,7 +63,7 @@
   }).prefault({}).readonly(),
   threads: z.strictObject({
     // One thread saturates its core below the events of a node at the target size; two carry them (docs/decisions/031).
-    'data-threads': wholeNumber(0, 64, 2)
+    'data-threads': wholeNumber(0, 64, DEFAULT_DATA_THREADS)
   }).prefault({}).readonly(),
   ledger: z.strictObject({
     'bill-memory': sizeSetting('24MiB'),
--- a/packages/testbed/src/JayfallTestSystem.ts
+++ b/packages/testbed/src/JayfallTestSystem.ts
@@ -138,6 +138,12 @@
     await this.waitUntilReady(id)
   }
 
+  /** Writes an instance's settings file anew with other values, as an operator would. */
+  changeSettings (id: string, changes: TestEntry['settings']): void {
+    const running = this.runningEntry(id)
+    fs.writeFileSync(running.settingsFile, this.formatSettings({ ...running, entry: { ...running.entry, settings: { ...running.entry.settings, ...changes } } }))
+  }
+
   /** Changes the faults of a link: `platform`, a server's identifier, or `peer-` and an entry's. */
   async changeLink (name: string, change: LinkFaultChange): Promise<void> {
     await this.post(`${this.directAddress('proxy')}/links/${name}`, change)
@@ -230,7 +236,9 @@
       peers: { address: `${host}:${peersPort}`, announce: this.linkAddress(`peer-${entry.id}`), seeds: seeds.join(',') },
       platform: { address: this.linkAddress('platform') },
       keys: { 'seal-passwords': SEAL_PASSWORD, 'operator-hashes': createHash('sha256').update(TEST_OPERATOR_KEY).digest('hex') },
-      stop: { 'drain-notice': '200ms' }
+      stop: { 'drain-notice': '200ms' },
+      // One data thread keeps systems of many instances small.
+      threads: { 'data-threads': '1' }
     }
     for (const [section, values] of Object.entries(entry.settings ?? {})) sections[section] = { ...sections[section], ...values }
     return Object.entries(sections).map(([section, values]) =>
