Check a version again when a stream is resumed; tell two peers of a change at once

Change: a forbidden version ends the stream with stream_incomplete; a new change is told to 2 peers instead of 3, and exchanges bring it to the others.

--- a/packages/control/src/JayfallControlConstants.ts
+++ b/packages/control/src/JayfallControlConstants.ts
@@ -9,7 +9,7 @@
 export const EXCHANGE_TIMEOUT_MILLISECONDS = 1000
 
 /** Peers that are told at once of a newly installed change. */
-export const TRIGGERED_PEERS = 3
+export const TRIGGERED_PEERS = 2
 /** Changes installed within this time share their triggered exchanges. */
 export const TRIGGER_COALESCING_MILLISECONDS = 250
 
--- a/packages/entry/src/JayfallAttemptStream.ts
+++ b/packages/entry/src/JayfallAttemptStream.ts
@@ -10,7 +10,7 @@
 import { type AnswerReader, type StreamBreak } from './JayfallAnswerReader'
 import { BackendError } from './JayfallBackendError'
 import { type BackendCall } from './JayfallBackendClient'
-import { type DataContext } from './JayfallDataContext'
+import { refusalNow, type DataContext } from './JayfallDataContext'
 import { FIRST_TOKEN_LIMIT_MILLISECONDS, MAXIMUM_RESUMPTIONS, TRACE_HEADER } from './JayfallEntryConstants'
 
 /** Which stream is read, and from where. */
@@ -132,11 +132,21 @@
     if (this.resumptionsWithoutProgress >= MAXIMUM_RESUMPTIONS) {
       throw new BackendError(reason === 'silent' ? 'silent' : 'broken', `the stream broke off (${reason}) and made no progress on ${MAXIMUM_RESUMPTIONS} new connections`)
     }
+    this.assertStillAllowed()
     this.resumptionsWithoutProgress++
     this.context.log.warn('stream_resumed', { request: this.target.requestId, server: this.target.server, reason, index: this.nextIndex })
     await this.resume()
   }
 
+  /** A running stream may finish on a version that was withdrawn, but not on one that was forbidden. @throws BackendError. */
+  private assertStillAllowed (): void {
+    const { workspace, version } = this.target
+    const refusal = refusalNow(this.context, workspace, version)
+    if (refusal === 'version_forbidden' || refusal === 'version_unknown') {
+      throw new BackendError('broken', `the workspace may no longer use ${version}`)
+    }
+  }
+
   private fail (error: unknown): void {
     if (this.stopped) return
     this.stop()
