--- a/packages/entry/src/JayfallModelAnswer.ts
+++ b/packages/entry/src/JayfallModelAnswer.ts
@@ -65,12 +65,11 @@
   /** Monotonic milliseconds. */
   private firstTokenAt = 0
   private callerHasLeft = false
-  private readonly deadlineTimer: NodeJS.Timeout
+  private deadlineTimer: NodeJS.Timeout
 
   constructor (private readonly context: DataContext, private readonly work: ModelWork, private readonly sink: AnswerSink) {
-    const { deadline } = work.request
     this.queueHop = work.hop.startHop('queue')
-    this.deadlineTimer = setTimeout(() => this.passDeadline(), deadline - context.clock.monotonic())
+    this.deadlineTimer = this.startDeadline()
   }
 
   dispatch (decision: Dispatch): void {
@@ -110,6 +109,8 @@
   private async start (decision: Dispatch): Promise<void> {
     const { request, version } = this.work
     const refusal = refusalNow(this.context, request.workspace, version.id)
+    // A hedge that may not be sent must not end the attempt that runs.
+    if (refusal !== undefined && decision.reason === 'hedge') throw new BackendError('unsent', `a hedge may not run: ${refusal}`)
     if (refusal !== undefined) {
       this.abandonAtRouter()
       return this.end(refusalError(refusal, version.id, this.ranState()))
@@ -204,6 +205,7 @@
   }
 
   private restart (): void {
+    if (this.chosen !== undefined) this.deadlineTimer = this.startDeadline()
     this.chosen = undefined
     this.sink.restart()
   }
@@ -225,6 +227,10 @@
     this.context.book.observe({ kind: 'failed', requestId: this.work.request.id, attempt: number, failure: failure.failure, retryable: !hasStarted })
   }
 
+  private startDeadline (): NodeJS.Timeout {
+    return setTimeout(() => this.passDeadline(), this.work.request.deadline - this.context.clock.monotonic())
+  }
+
   private passDeadline (): void {
     if (this.sink.isEnded) return
     this.cancelAll()
