Remove code without callers and end proofs' systems in one place

Cause: reading the whole change again found five pieces that nothing calls (findServers, findServicesOfVersion, hashKey, NoHedges, the count of a request book), a constant beside its setting, a comment that named two data threads, and four proofs that started and ended their system by hand beside withSystem. Change: these are removed, and the four proofs use withSystem. Behaviour is unchanged.

--- a/packages/catalogue/src/JayfallCatalogueRules.ts
+++ b/packages/catalogue/src/JayfallCatalogueRules.ts
@@ -1,7 +1,7 @@
 /** Questions that the data path asks of the installed catalogue. */
 
 import { type ReadonlyCatalogue } from './JayfallCatalogue'
-import { type ServerEntry, type ServiceEntry, type VersionEntry, type WorkspaceEntry } from './JayfallCatalogueEntry'
+import { type VersionEntry, type WorkspaceEntry } from './JayfallCatalogueEntry'
 
 /** Why new work on a version is refused. */
 export type VersionRefusal = 'version_unknown' | 'version_forbidden' | 'version_withdrawn' | 'version_unconfirmed'
@@ -42,16 +42,6 @@
     version.model === model && version.state !== 'withdrawn' && isVersionAllowed(catalogue, workspace, version.id))
 }
 
-/** The engine services that run `versionId`. */
-export function findServicesOfVersion (catalogue: ReadonlyCatalogue, versionId: string): readonly ServiceEntry[] {
-  return catalogue.all('service').filter(service => service.type === 'engine' && service.versions.includes(versionId))
-}
-
-/** The backend servers of the given services, those marked as leaving left out. */
-export function findServers (catalogue: ReadonlyCatalogue, serviceIds: readonly string[]): readonly ServerEntry[] {
-  return catalogue.all('server').filter(server => serviceIds.includes(server.service) && !server.leaving)
-}
-
 /**
  * Chooses a version for a new session by the versions' traffic shares.
  * `position` is uniform in [0, 1).
--- a/packages/catalogue/src/index.ts
+++ b/packages/catalogue/src/index.ts
@@ -2,4 +2,4 @@
 export { MAXIMUM_CHANGES_BEFORE_SNAPSHOT } from './JayfallCatalogueConstants'
 export { entryKey, parseEntry, type CascadeEntry, type CatalogueEntry, type EntryKind, type InstanceMarkEntry, type ServerEntry, type ServiceCall, type ServiceEntry, type VersionEntry, type WorkspaceEntry } from './JayfallCatalogueEntry'
 export { CatalogueError, type CatalogueErrorCode } from './JayfallCatalogueError'
-export { chooseByTrafficShare, findAllowedVersions, findServers, findServicesOfVersion, findVersionRefusal, isVersionAllowed, type DispatchConditions, type VersionRefusal } from './JayfallCatalogueRules'
+export { chooseByTrafficShare, findAllowedVersions, findVersionRefusal, isVersionAllowed, type DispatchConditions, type VersionRefusal } from './JayfallCatalogueRules'
--- a/packages/entry/src/JayfallAuthentication.ts
+++ b/packages/entry/src/JayfallAuthentication.ts
@@ -6,11 +6,6 @@
 
 import { ApiError } from './JayfallApiError'
 
-/** The SHA-256 of a key in hexadecimal, as the catalogue and the settings hold it. */
-export function hashKey (key: string): string {
-  return createHash('sha256').update(key).digest('hex')
-}
-
 /**
  * Finds the workspace of the key in an `Authorization` header.
  * Every known hash is compared, so that the time does not tell how close a key was.
--- a/packages/entry/src/JayfallRequestBook.ts
+++ b/packages/entry/src/JayfallRequestBook.ts
@@ -24,11 +24,6 @@
 
   constructor (readonly router: Router) {}
 
-  /** Requests that have not ended. */
-  get size (): number {
-    return this.handlers.size
-  }
-
   open (request: RoutedRequest, handler: DecisionHandler): void {
     this.handlers.set(request.id, handler)
     this.countDemand(request)
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,5 +1,4 @@
 export { AnswerReader, AnswerReaderFactory, type ReaderOptions } from './JayfallAnswerReader'
-export { hashKey } from './JayfallAuthentication'
 export { createDataParts, type DataParts } from './JayfallDataParts'
 export { ENTRY_LOG, ENTRY_PARTS, ENTRY_SETTINGS, EntryInstance } from './JayfallEntryInstance'
 export { LeavingPolicy } from './JayfallLeavingPolicy'
--- a/packages/ledger/src/JayfallLedgerConstants.ts
+++ b/packages/ledger/src/JayfallLedgerConstants.ts
@@ -28,7 +28,6 @@
 /** Rows that one recovery works on at a time. */
 export const RECOVERY_CONCURRENCY = 16
 
-export const BATCH_INTERVAL_MILLISECONDS = 5000
 export const MAXIMUM_BILLS_PER_BATCH = 500
 /** Bills that wait behind a message to a witness, or have none, are sent at this interval. */
 export const REPLICATION_INTERVAL_MILLISECONDS = 20
--- a/packages/proofs/src/JayfallAtMostOnceProof.ts
+++ b/packages/proofs/src/JayfallAtMostOnceProof.ts
@@ -8,12 +8,12 @@
 
 import { type CallRow, type OpenCall } from '#jayfall/ledger'
 import { createRandomSource, delay, type RandomSource } from '#jayfall/shared'
-import { testPlainService, TestSystem, testWorkspace } from '#jayfall/testbed'
+import { testPlainService, type TestSystem, testWorkspace } from '#jayfall/testbed'
 
 import { applyFaults, disturbLink, disturbPlatform, killEntry, pauseEntry, placeFault, placeInTurn, type Fault } from './JayfallFaultSchedule'
 import { type PlainRun, readPlainRuns, readTable } from './JayfallPlainRuns'
 import { Proof, type ProofOptions, type ProofResult } from './JayfallProof'
-import { counterProgram } from './JayfallProofSystem'
+import { counterProgram, withSystem } from './JayfallProofSystem'
 import { RecordingCaller, type RecordedAnswer } from './JayfallRecordingCaller'
 
 const WORKSPACE = 'taller-uno'
@@ -43,7 +43,7 @@
   override readonly promises = [7, 6]
 
   override async run ({ seed, isCounterProof }: ProofOptions): Promise<ProofResult> {
-    const system = await TestSystem.start({
+    return await withSystem({
       seed,
       servers: [
         { id: 'desk-1', zone: 'valdivia', service: 'desk', type: 'plain', options: ['--call-time', '80'] },
@@ -53,12 +53,7 @@
       entries: ENTRIES.map(id => ({ id, zone: 'valdivia', settings: { callers: { 'request-deadline': '5s' } } })),
       catalogue: [testPlainService('desk'), testPlainService('blind-desk', false), testWorkspace(WORKSPACE, SERVICES)],
       ...(isCounterProof ? { entryProgram: counterProgram('claims') } : {})
-    })
-    try {
-      return await this.drive(system, createRandomSource(seed))
-    } finally {
-      await system.stop()
-    }
+    }, system => this.drive(system, createRandomSource(seed)))
   }
 
   private async drive (system: TestSystem, random: RandomSource): Promise<ProofResult> {
--- a/packages/proofs/src/JayfallBillingProof.ts
+++ b/packages/proofs/src/JayfallBillingProof.ts
@@ -8,12 +8,12 @@
 
 import { type Bill, type BillPart, type CallRow, type OpenCall } from '#jayfall/ledger'
 import { createRandomSource, delay, type RandomSource } from '#jayfall/shared'
-import { TestProcess, TestSystem, testEngineService, testPlainService, testVersion, testWorkspace } from '#jayfall/testbed'
+import { TestProcess, type TestSystem, testEngineService, testPlainService, testVersion, testWorkspace } from '#jayfall/testbed'
 
 import { applyFaults, disturbPlatform, killEntry, placeFault, type Fault } from './JayfallFaultSchedule'
 import { readPlainRuns, readTable, type PlainRun } from './JayfallPlainRuns'
 import { Proof, type ProofOptions, type ProofResult } from './JayfallProof'
-import { counterProgram } from './JayfallProofSystem'
+import { counterProgram, withSystem } from './JayfallProofSystem'
 import { RecordingCaller, type RecordedAnswer } from './JayfallRecordingCaller'
 
 const WORKSPACE = 'taller-uno'
@@ -39,7 +39,7 @@
   override readonly promises = [4]
 
   override async run ({ seed, isCounterProof }: ProofOptions): Promise<ProofResult> {
-    const system = await TestSystem.start({
+    return await withSystem({
       seed,
       servers: [
         { id: 'engine-1', zone: 'valdivia', service: 'asistente', type: 'engine' },
@@ -49,12 +49,7 @@
       entries: ENTRIES.map(id => ({ id, zone: 'valdivia', settings: { callers: { 'request-deadline': '5s' } } })),
       catalogue: [testVersion('guide-1'), testEngineService('asistente', ['guide-1']), testPlainService('desk'), testWorkspace(WORKSPACE, ['guide-1', 'desk'])],
       ...(isCounterProof ? { entryProgram: counterProgram('replication') } : {})
-    })
-    try {
-      return await this.drive(system, createRandomSource(seed))
-    } finally {
-      await system.stop()
-    }
+    }, system => this.drive(system, createRandomSource(seed)))
   }
 
   private async drive (system: TestSystem, random: RandomSource): Promise<ProofResult> {
--- a/packages/proofs/src/JayfallLeasesProof.ts
+++ b/packages/proofs/src/JayfallLeasesProof.ts
@@ -9,10 +9,11 @@
 import { type VersionEntry } from '#jayfall/catalogue'
 import { HttpTableStore, LEASES_TABLE, PlatformHttp, type LeaseRow } from '#jayfall/platform'
 import { createRandomSource, delay, type RandomSource } from '#jayfall/shared'
-import { TestSystem, testEngineService, testVersion, testWorkspace } from '#jayfall/testbed'
+import { type TestSystem, testEngineService, testVersion, testWorkspace } from '#jayfall/testbed'
 import Wreck from '@hapi/wreck'
 
 import { Proof, type ProofOptions, type ProofResult } from './JayfallProof'
+import { withSystem } from './JayfallProofSystem'
 
 const ROUNDS = 1
 const SETTLE_MILLISECONDS = 45_000
@@ -135,16 +136,11 @@
   override readonly promises = [10]
 
   override async run ({ seed, isCounterProof }: ProofOptions): Promise<ProofResult> {
-    const system = await TestSystem.start({
+    return await withSystem({
       seed,
       servers: ENGINES.map(id => ({ id, zone: 'valdivia', service: 'scribes', type: 'engine', checksFencing: id === 'engine-checking' && !isCounterProof })),
       entries: ENTRIES.map(id => ({ id, zone: 'valdivia' })),
       catalogue: [testVersion('guide-1'), testVersion('guide-2', { trafficShare: 0 }), testEngineService('scribes', ['guide-1', 'guide-2']), testWorkspace('taller-uno', ['guide-1'])]
-    })
-    try {
-      return await new LeasesRun(system, createRandomSource(seed), isCounterProof).run()
-    } finally {
-      await system.stop()
-    }
+    }, system => new LeasesRun(system, createRandomSource(seed), isCounterProof).run())
   }
 }
--- a/packages/proofs/src/JayfallOutageProof.ts
+++ b/packages/proofs/src/JayfallOutageProof.ts
@@ -6,12 +6,12 @@
  */
 
 import { createRandomSource, delay } from '#jayfall/shared'
-import { testEngineService, testPlainService, TestSystem, testVersion, testWorkspace } from '#jayfall/testbed'
+import { testEngineService, testPlainService, type TestSystem, testVersion, testWorkspace } from '#jayfall/testbed'
 
 import { findOutageViolations, type OutageTimes, type Probe, type ProbeKind } from './JayfallOutageRules'
 import { readPlainRuns } from './JayfallPlainRuns'
 import { Proof, type ProofOptions, type ProofResult } from './JayfallProof'
-import { counterProgram } from './JayfallProofSystem'
+import { counterProgram, withSystem } from './JayfallProofSystem'
 import { RecordingCaller } from './JayfallRecordingCaller'
 
 const WORKSPACE = 'taller-uno'
@@ -49,7 +49,7 @@
   override readonly promises = [12, 6]
 
   override async run ({ seed, isCounterProof }: ProofOptions): Promise<ProofResult> {
-    const system = await TestSystem.start({
+    return await withSystem({
       seed,
       servers: SERVERS,
       entries: ENTRIES,
@@ -61,12 +61,7 @@
         testWorkspace(WORKSPACE, ['guide-1', 'trial-1', 'desk'])
       ],
       ...(isCounterProof ? { entryProgram: counterProgram('store-gate') } : {})
-    })
-    try {
-      return await this.drive(system, seed)
-    } finally {
-      await system.stop()
-    }
+    }, system => this.drive(system, seed))
   }
 
   private async drive (system: TestSystem, seed: number): Promise<ProofResult> {
--- a/packages/routing/src/JayfallHedgePolicy.ts
+++ b/packages/routing/src/JayfallHedgePolicy.ts
@@ -26,10 +26,3 @@
     return row.request.repeatable && !row.hasFirstToken && row.open.length === 1
   }
 }
-
-/** Never hedges; overdue first tokens still make a server avoided. */
-export class NoHedges extends OverdueHedges {
-  override wantsHedge (): boolean {
-    return false
-  }
-}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,5 +1,5 @@
 export { computeFairLevel, computeFairShares } from './JayfallFairShare'
-export { HedgePolicy, NoHedges, OverdueHedges } from './JayfallHedgePolicy'
+export { HedgePolicy, OverdueHedges } from './JayfallHedgePolicy'
 export { ModelAwareRouter, type ModelAwareRouterOptions } from './JayfallModelAwareRouter'
 export { FairQueueOrder, QueueOrder } from './JayfallQueueOrder'
 export { Router, type AttemptEvent, type AttemptFailure, type LoadReport, type RefusalCode, type RoutedRequest, type RoutedServer, type RoutingDecision, type WorkspaceShare } from './JayfallRouter'
--- a/packages/settings/src/JayfallEntrySettings.ts
+++ b/packages/settings/src/JayfallEntrySettings.ts
@@ -62,7 +62,6 @@
     'stop-limit': durationSetting('60s')
   }).prefault({}).readonly(),
   threads: z.strictObject({
-    // One thread saturates its core below the events of a node at the target size; two carry them (docs/decisions/031).
     'data-threads': wholeNumber(0, 64, DEFAULT_DATA_THREADS)
   }).prefault({}).readonly(),
   ledger: z.strictObject({
