--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,9 +1,9 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['build/**', 'node_modules/**', 'dist/**'] }),
+  ...neostandard({ ts: true, ignores: ['target/**', 'node_modules/**', 'dist/**'] }),
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     rules: {
       'max-lines': ['error', { max: 350, skipBlankLines: false, skipComments: false }],
       'no-restricted-imports': ['error', {
--- a/packages/bench/src/JayfallControlBenchRun.ts
+++ b/packages/bench/src/JayfallControlBenchRun.ts
@@ -6,7 +6,7 @@
 import * as path from 'node:path'
 
 import { entryKey, parseEntry, type CatalogueEntry } from '#jayfall/catalogue'
-import { CatalogueStore, HttpTableStore, PlatformHttp } from '#jayfall/platform'
+import { CatalogueStore, HttpTableStore, PlatformHttp } from '#jayfall/store'
 import { createRandomSource, delay, SystemClock } from '#jayfall/shared'
 import { startPlatformStandIn, type PlatformCounts } from '#jayfall/standins'
 import { testVersion, testWorkspace } from '#jayfall/testbed'
--- a/packages/bench/src/JayfallControlBenchWorker.ts
+++ b/packages/bench/src/JayfallControlBenchWorker.ts
@@ -6,7 +6,7 @@
 
 import { ControlService, type ExchangeMessage } from '#jayfall/control'
 import { PeerControl } from '#jayfall/entry'
-import { CatalogueStore, HttpTableStore, PlatformHttp, PlatformServices } from '#jayfall/platform'
+import { CatalogueStore, HttpTableStore, PlatformHttp, PlatformServices } from '#jayfall/store'
 import { createRandomSource, delay, SystemClock } from '#jayfall/shared'
 import { createLog } from '#jayfall/telemetry'
 
--- a/packages/command/src/JayfallBillCommands.ts
+++ b/packages/command/src/JayfallBillCommands.ts
@@ -1,7 +1,7 @@
 /** `jayfall bill`: what workspaces owe. */
 
 import { readLedger } from '#jayfall/ledger'
-import { HttpObjectStore, HttpTableStore, PlatformHttp } from '#jayfall/platform'
+import { HttpObjectStore, HttpTableStore, PlatformHttp } from '#jayfall/store'
 import { command, subcommands } from 'cmd-ts'
 
 import { jsonOption, platformOption } from './JayfallCommandOptions'
--- a/packages/command/src/JayfallCatalogueCommands.ts
+++ b/packages/command/src/JayfallCatalogueCommands.ts
@@ -3,7 +3,7 @@
 import * as fs from 'node:fs'
 
 import { entryKey, parseEntry, type CatalogueEntry } from '#jayfall/catalogue'
-import { type CatalogueStore } from '#jayfall/platform'
+import { type CatalogueStore } from '#jayfall/store'
 import { command, flag, number, option, optional, positional, string, subcommands } from 'cmd-ts'
 
 import { CommandError } from './JayfallCommandError'
--- a/packages/command/src/JayfallCommandError.ts
+++ b/packages/command/src/JayfallCommandError.ts
@@ -1,7 +1,7 @@
 /** Errors of the command line, each with its exit status. */
 
 import { CatalogueError } from '#jayfall/catalogue'
-import { isPlatformError } from '#jayfall/platform'
+import { isPlatformError } from '#jayfall/store'
 import { SettingsError } from '#jayfall/settings'
 import { JayfallError } from '#jayfall/shared'
 
--- a/packages/command/src/JayfallCommandOptions.ts
+++ b/packages/command/src/JayfallCommandOptions.ts
@@ -2,7 +2,7 @@
 
 import { userInfo } from 'node:os'
 
-import { CatalogueStore, HttpTableStore, PlatformHttp } from '#jayfall/platform'
+import { CatalogueStore, HttpTableStore, PlatformHttp } from '#jayfall/store'
 import { flag, option, string } from 'cmd-ts'
 
 export const jsonOption = flag({ long: 'json', description: 'print JSON' })
--- a/packages/command/src/JayfallStatusCommands.ts
+++ b/packages/command/src/JayfallStatusCommands.ts
@@ -1,7 +1,7 @@
 /** `jayfall status` and `jayfall version status`: what is accepted, and where it is in force. */
 
 import { CONFIRMATION_LIMIT_MILLISECONDS, STATUS_FORGOTTEN_AFTER_MILLISECONDS, ZONE_STATUS_TABLE, reportPropagation, type MissingInstance, type ZonePropagation, type ZoneStatus } from '#jayfall/control'
-import { CatalogueStore, HttpTableStore, PlatformHttp, listRows, type TableStore } from '#jayfall/platform'
+import { CatalogueStore, HttpTableStore, PlatformHttp, listRows, type TableStore } from '#jayfall/store'
 import { command, positional, string } from 'cmd-ts'
 
 import { CommandError } from './JayfallCommandError'
--- a/packages/command/src/JayfallVersionCommands.ts
+++ b/packages/command/src/JayfallVersionCommands.ts
@@ -1,7 +1,7 @@
 /** `jayfall version`: roll a version out, and withdraw it. */
 
 import { entryKey, type CatalogueEntry, type VersionEntry } from '#jayfall/catalogue'
-import { type CatalogueStore } from '#jayfall/platform'
+import { type CatalogueStore } from '#jayfall/store'
 import { shareAgainst, trafficShareOf, createRollout } from '#jayfall/rollout'
 import { delay } from '#jayfall/shared'
 import { command, flag, number, option, positional, string, subcommands } from 'cmd-ts'
--- a/packages/control/src/JayfallStoreReader.ts
+++ b/packages/control/src/JayfallStoreReader.ts
@@ -1,7 +1,7 @@
 /** Reads the catalogue's head, and what is new, from the store while this instance is a reader. */
 
 import { type CatalogueChange, type CatalogueSnapshot } from '#jayfall/catalogue'
-import { type CatalogueStore } from '#jayfall/platform'
+import { type CatalogueStore } from '#jayfall/store'
 import { type Clock, type RandomSource } from '#jayfall/shared'
 
 import { backoffDelay } from './JayfallBackoff'
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -4,7 +4,7 @@
 
 import { type VersionEntry } from '#jayfall/catalogue'
 import { readLedger } from '#jayfall/ledger'
-import { HttpObjectStore, HttpTableStore, PlatformHttp } from '#jayfall/platform'
+import { HttpObjectStore, HttpTableStore, PlatformHttp } from '#jayfall/store'
 import { TestSystem, testCallerKey } from '#jayfall/testbed'
 
 import { DEPLOYMENTS, type Deployment } from './JayfallDeployment'
--- a/packages/entry/src/JayfallControlDuties.ts
+++ b/packages/entry/src/JayfallControlDuties.ts
@@ -4,7 +4,7 @@
 
 import { type ReadonlyCatalogue } from '#jayfall/catalogue'
 import { RecoveryRight } from '#jayfall/ledger'
-import { DEFAULT_LEASE_TERM_MILLISECONDS, Lease, PlatformServices, type CatalogueStore, type PlatformHttp, type TableStore } from '#jayfall/platform'
+import { DEFAULT_LEASE_TERM_MILLISECONDS, Lease, PlatformServices, type CatalogueStore, type PlatformHttp, type TableStore } from '#jayfall/store'
 import { type QualitySnapshot } from '#jayfall/rollout'
 import { type Clock } from '#jayfall/shared'
 import { type Log } from '#jayfall/telemetry'
--- a/packages/entry/src/JayfallControlPlane.ts
+++ b/packages/entry/src/JayfallControlPlane.ts
@@ -5,7 +5,7 @@
  */
 
 import { type ReadonlyCatalogue } from '#jayfall/catalogue'
-import { CatalogueStore, HttpTableStore, PlatformHttp, PlatformServices } from '#jayfall/platform'
+import { CatalogueStore, HttpTableStore, PlatformHttp, PlatformServices } from '#jayfall/store'
 import { JayfallError, SystemClock } from '#jayfall/shared'
 import { type Log } from '#jayfall/telemetry'
 
--- a/packages/entry/src/JayfallInstanceLedger.ts
+++ b/packages/entry/src/JayfallInstanceLedger.ts
@@ -3,7 +3,7 @@
 import { type ReadonlyCatalogue } from '#jayfall/catalogue'
 import { BillBatches, BillMemory, BillWitness, CallClaims, CallRecovery, createLedgerRouter, PeerWitnessClient, REPLICATION_INTERVAL_MILLISECONDS, RowCommitter, StoreGate, type LedgerRouter, type RecoveryRight } from '#jayfall/ledger'
 import { type PeerDirectory } from '#jayfall/peers'
-import { HttpObjectStore, HttpTableStore, PlatformHttp } from '#jayfall/platform'
+import { HttpObjectStore, HttpTableStore, PlatformHttp } from '#jayfall/store'
 import { createRandomSource, delay, SystemClock } from '#jayfall/shared'
 import { type Log } from '#jayfall/telemetry'
 
--- a/packages/entry/src/JayfallOrderRunner.ts
+++ b/packages/entry/src/JayfallOrderRunner.ts
@@ -7,7 +7,7 @@
  */
 
 import { type ReadonlyCatalogue, type ServerEntry } from '#jayfall/catalogue'
-import { isPlatformError, type Lease, type PlatformServices } from '#jayfall/platform'
+import { isPlatformError, type Lease, type PlatformServices } from '#jayfall/store'
 import { type Clock } from '#jayfall/shared'
 import { type Log } from '#jayfall/telemetry'
 
--- a/packages/entry/src/JayfallPeerControl.ts
+++ b/packages/entry/src/JayfallPeerControl.ts
@@ -6,7 +6,7 @@
 import { type Server } from '@hapi/hapi'
 import { ANNOUNCE_MILLISECONDS, ControlNode, ControlService, INSTANCE_LIST_BYTES_PER_SECOND, INSTANCE_LIST_MILLISECONDS, LISTED_INSTANCE_BYTES, ZONE_STATUS_MILLISECONDS, ZONE_STATUS_TABLE, createControlRouter, createPeerSender, createZoneStatus, type KnownAddress, type PeerSender } from '#jayfall/control'
 import { createPeerRouter, startPeerServer, type PeerDirectory, type PeerRouter } from '#jayfall/peers'
-import { type CatalogueStore, type ListedInstance, type PlatformServices, type TableStore } from '#jayfall/platform'
+import { type CatalogueStore, type ListedInstance, type PlatformServices, type TableStore } from '#jayfall/store'
 import { createRandomSource, type Clock } from '#jayfall/shared'
 import { type Log } from '#jayfall/telemetry'
 
--- a/packages/entry/src/JayfallRolloutRows.ts
+++ b/packages/entry/src/JayfallRolloutRows.ts
@@ -1,7 +1,7 @@
 /** Rows of the `rollouts` table, and how ratings change them. */
 
 import { type ReadonlyCatalogue, type VersionEntry } from '#jayfall/catalogue'
-import { type AnswerRating } from '#jayfall/platform'
+import { type AnswerRating } from '#jayfall/store'
 import { advanceMonitor, advanceRollout, createRollout, NEW_MONITOR, QualityEstimates, type MonitorState, type QualitySnapshot, type RolloutState } from '#jayfall/rollout'
 
 import { parseOfferedId, type RatedAnswer } from './JayfallRatingOffer'
--- a/packages/entry/src/JayfallRolloutRunner.ts
+++ b/packages/entry/src/JayfallRolloutRunner.ts
@@ -7,7 +7,7 @@
  */
 
 import { entryKey, type ReadonlyCatalogue, type VersionEntry } from '#jayfall/catalogue'
-import { isPlatformError, listRows, type CatalogueStore, type Lease, type PlatformServices, type TableStore } from '#jayfall/platform'
+import { isPlatformError, listRows, type CatalogueStore, type Lease, type PlatformServices, type TableStore } from '#jayfall/store'
 import { createMonitorAfter, shareAgainst, trafficShareOf } from '#jayfall/rollout'
 import { type Clock } from '#jayfall/shared'
 import { type Log } from '#jayfall/telemetry'
--- a/packages/entry/src/__tests__/integration/JayfallCascadePath.test.ts
+++ b/packages/entry/src/__tests__/integration/JayfallCascadePath.test.ts
@@ -2,7 +2,7 @@
 import { after, before, describe, it } from 'node:test'
 
 import { QualityEstimates, requestKind } from '#jayfall/rollout'
-import { HttpTableStore, PlatformHttp } from '#jayfall/platform'
+import { HttpTableStore, PlatformHttp } from '#jayfall/store'
 import { delay } from '#jayfall/shared'
 import { TestSystem, testCallerKey, testEngineService, testVersion, testWorkspace } from '#jayfall/testbed'
 
--- a/packages/entry/src/__tests__/unit/JayfallOrderRunner.test.ts
+++ b/packages/entry/src/__tests__/unit/JayfallOrderRunner.test.ts
@@ -3,7 +3,7 @@
 import { describe, it } from 'node:test'
 
 import { entryKey, InstalledCatalogue, parseEntry } from '#jayfall/catalogue'
-import { PlatformError, type Lease } from '#jayfall/platform'
+import { PlatformError, type Lease } from '#jayfall/store'
 import { ManualClock } from '#jayfall/shared'
 import { createLog } from '#jayfall/telemetry'
 
--- a/packages/entry/src/__tests__/unit/JayfallRolloutRunner.test.ts
+++ b/packages/entry/src/__tests__/unit/JayfallRolloutRunner.test.ts
@@ -2,7 +2,7 @@
 import { beforeEach, describe, it } from 'node:test'
 
 import { entryKey, InstalledCatalogue, type VersionEntry } from '#jayfall/catalogue'
-import { CatalogueStore, Lease, PlatformError, TableStore, type AnswerRating, type TableRow, type TableWrite } from '#jayfall/platform'
+import { CatalogueStore, Lease, PlatformError, TableStore, type AnswerRating, type TableRow, type TableWrite } from '#jayfall/store'
 import { ManualClock, RandomSource } from '#jayfall/shared'
 import { createLog } from '#jayfall/telemetry'
 
--- /dev/null
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -0,0 +1,183 @@
+/**
+ * The course of one request as a generator that touches no network.
+ *
+ * It yields one attempt at a time and is resumed with the attempt's result, until it returns the
+ * final decision. What may be repeated follows from the route: a request that is not repeatable
+ * is sent once more only when it certainly did not run.
+ */
+
+import { type Clock } from '#jayfall/shared'
+
+import { type BackendChoice, type BackendChoiceResult } from './JayfallBackendChoice'
+import { estimateLoad, slotsOf, type BackendDirectory } from './JayfallBackendDirectory'
+import { type BackendServer, type ForwardingRoute } from './JayfallForwardingCatalogue'
+import {
+  ANSWER_SILENCE_OBJECTIVES, DEFAULT_RETRY_AFTER, EVENT_SILENCE_GAPS, FIRST_EVENT_SILENCE_OBJECTIVES, MINIMUM_ANSWER_SILENCE, MINIMUM_ATTEMPT_TIME,
+  MINIMUM_EVENT_SILENCE, MINIMUM_FIRST_EVENT_SILENCE
+} from './JayfallForwardingConstants'
+import { type CallerFields } from './JayfallForwardingProtocol'
+import { chooseFirstModel, chooseSurerModel, type LadderStep } from './JayfallModelLadder'
+import { type RetryBudget } from './JayfallRetryBudget'
+import { type VersionPolicy } from './JayfallVersionPolicy'
+
+/** One attempt at one server. */
+export interface AttemptPlan {
+  readonly number: number
+  readonly server: BackendServer
+  readonly model: string | undefined
+  /** Answers with less confidence are dropped before the caller has any of them. */
+  readonly minimumConfidence: number
+  /** The event after which the stream goes on; undefined for what the caller asked for. */
+  readonly resumeAfter: string | undefined
+  /** Monotonic milliseconds at which the attempt ends at the latest. */
+  readonly deadline: number
+  /** Milliseconds without an answer, or without a first event, after which the server counts as silent. */
+  readonly answerSilence: number
+  /** Milliseconds without a further event after which the server counts as silent. */
+  readonly eventSilence: number
+  /** Why this server was chosen; for the log. */
+  readonly choice: BackendChoiceResult
+}
+
+/** How an attempt ended. */
+export type AttemptResult =
+  /** The caller has the whole answer, or the answer is ready for it. */
+  | { readonly kind: 'answered' }
+  /** The server failed the request with an answer of its own, which is ready for the caller. */
+  | { readonly kind: 'failed', readonly status: number }
+  /** No byte was sent. */
+  | { readonly kind: 'unsent' }
+  /** The server states that it did not run the request. */
+  | { readonly kind: 'not_run', readonly status: number }
+  /** The answer broke off, or is not the server's; the request may have run. */
+  | { readonly kind: 'broken', readonly cause: string }
+  | { readonly kind: 'silent' }
+  /** The answer was dropped because its model was not sure enough. */
+  | { readonly kind: 'unsure', readonly confidence: number }
+  /** The request's time ended during the attempt. */
+  | { readonly kind: 'expired' }
+  | { readonly kind: 'caller_left' }
+
+/** What the caller gets in the end. */
+export type FinalDecision =
+  /** The answer of the last attempt. */
+  | { readonly kind: 'deliver' }
+  | { readonly kind: 'refuse', readonly code: RefusalCode, readonly retryAfter: number }
+  /** The outcome is not known, or known to be a failure that was not the server's own answer. */
+  | { readonly kind: 'fail', readonly code: FailureCode }
+  | { readonly kind: 'none' }
+
+/** Refusals promise that the request has not run. */
+export type RefusalCode = 'no_server' | 'servers_full' | 'too_late' | 'starting' | 'stopping'
+export type FailureCode = 'answer_lost' | 'timeout'
+
+export interface PlanContext {
+  readonly route: ForwardingRoute
+  readonly service: string
+  /** Requests of one session stay on one version. */
+  readonly session: string
+  readonly fields: CallerFields
+  /** Monotonic milliseconds. */
+  readonly arrivedAt: number
+  readonly deadline: number
+  readonly clock: Clock
+  readonly directory: BackendDirectory
+  readonly choice: BackendChoice
+  readonly budget: RetryBudget
+  readonly versions: VersionPolicy
+  /** The last event that the caller has; undefined before the first. */
+  readonly lastDelivered: () => string | undefined
+}
+
+export function * planAttempts (context: PlanContext): Generator<AttemptPlan, FinalDecision, AttemptResult> {
+  const { route, clock, deadline } = context
+  const tried = new Set<string>()
+  let sends = 0
+  let mayHaveRun = false
+  let step: LadderStep | undefined = firstStep(context)
+  for (let number = 1; ; number++) {
+    if (deadline - clock.monotonic() < MINIMUM_ATTEMPT_TIME) return endWithoutAnswer(mayHaveRun, 'too_late')
+    const choice = chooseServer(context, step?.model, tried)
+    if (choice === undefined) return endWithoutAnswer(mayHaveRun, tried.size === 0 ? 'no_server' : 'servers_full')
+    const result: AttemptResult = yield createPlan(context, choice, step, number)
+    if (result.kind !== 'unsent') sends++
+    const mayRunElsewhere = result.kind === 'unsent' || result.kind === 'not_run' || route.isRepeatable
+    switch (result.kind) {
+      case 'answered':
+        return { kind: 'deliver' }
+      case 'caller_left':
+        return { kind: 'none' }
+      case 'expired':
+        return { kind: 'fail', code: 'timeout' }
+      case 'unsure':
+        // A server that was not sure is a good choice for the larger model, whose answer is another one.
+        step = chooseSurerModel(route.models)
+        mayHaveRun = true
+        continue
+      case 'failed':
+      case 'broken':
+      case 'silent':
+        mayHaveRun = true
+    }
+    tried.add(choice.row.server.id)
+    const isUnsent = result.kind === 'unsent'
+    const mayRepeat = mayRunElsewhere && sends < route.maximumAttempts && (isUnsent || context.budget.trySpend(context.service, clock.monotonic()))
+    if (mayRepeat) {
+      if (step !== undefined && step.minimumConfidence > 0 && sends + 1 >= route.maximumAttempts) step = { ...step, minimumConfidence: 0 }
+      continue
+    }
+    if (result.kind === 'failed') return { kind: 'deliver' }
+    return endWithoutAnswer(mayHaveRun, 'servers_full')
+  }
+}
+
+function firstStep ({ route, fields, directory, service, budget, clock, arrivedAt, deadline, lastDelivered }: PlanContext): LadderStep | undefined {
+  if (route.models.length === 0) return fields.model === undefined ? undefined : { model: fields.model, minimumConfidence: 0 }
+  const now = clock.monotonic()
+  const mayAskAgain = route.isRepeatable && route.maximumAttempts > 1 && lastDelivered() === undefined && budget.hasRoom(service, now)
+  return chooseFirstModel({ models: route.models, load: serviceLoad(directory, service, now), timeLeftShare: (deadline - now) / Math.max(1, deadline - arrivedAt), mayAskAgain })
+}
+
+/** The estimated part of the service's slots that is taken. */
+export function serviceLoad (directory: BackendDirectory, service: string, now: number): number {
+  let load = 0
+  let slots = 0
+  for (const row of directory.ofService(service)) {
+    if (row.server.isLeaving) continue
+    load += estimateLoad(row, now)
+    slots += slotsOf(row)
+  }
+  return slots === 0 ? 0 : load / slots
+}
+
+function chooseServer (context: PlanContext, model: string | undefined, tried: ReadonlySet<string>): BackendChoiceResult | undefined {
+  const { service, session, fields, clock, choice, versions } = context
+  const now = clock.monotonic()
+  const rule = versions.ruleFor(service, session, now)
+  const request = { service, model, promptTokens: fields.promptTokens, outputTokens: fields.maximumOutputTokens, parts: fields.promptParts, tried }
+  return choice.choose({ ...request, allowsVersion: rule.prefers }, now) ?? choice.choose({ ...request, allowsVersion: rule.allows }, now)
+}
+
+function createPlan ({ route, deadline, lastDelivered }: PlanContext, choice: BackendChoiceResult, step: LadderStep | undefined, number: number): AttemptPlan {
+  const resumeAfter = lastDelivered()
+  const answerSilence = route.isStream
+    ? Math.max(MINIMUM_FIRST_EVENT_SILENCE, route.objective * FIRST_EVENT_SILENCE_OBJECTIVES)
+    : Math.max(MINIMUM_ANSWER_SILENCE, route.objective * ANSWER_SILENCE_OBJECTIVES)
+  return {
+    number,
+    server: choice.row.server,
+    model: step?.model,
+    minimumConfidence: resumeAfter === undefined ? step?.minimumConfidence ?? 0 : 0,
+    resumeAfter,
+    deadline,
+    // A request that must not run twice has nowhere else to go, so silence does not end it.
+    answerSilence: route.isRepeatable ? answerSilence : Infinity,
+    eventSilence: route.isRepeatable ? Math.max(MINIMUM_EVENT_SILENCE, route.gapObjective * EVENT_SILENCE_GAPS) : Infinity,
+    choice
+  }
+}
+
+function endWithoutAnswer (mayHaveRun: boolean, code: RefusalCode): FinalDecision {
+  if (!mayHaveRun) return { kind: 'refuse', code, retryAfter: DEFAULT_RETRY_AFTER }
+  return { kind: 'fail', code: code === 'too_late' ? 'timeout' : 'answer_lost' }
+}
--- /dev/null
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -0,0 +1,177 @@
+/** Carries out attempts: sends the request, reads the answer, and passes events on to the caller. */
+
+import { type IncomingMessage } from 'node:http'
+
+import { type AttemptPlan, type AttemptResult, type PlanContext } from './JayfallAttemptPlan'
+import { BackendExchange, ExchangeError } from './JayfallBackendExchange'
+import { waitFor, type WaitEnd } from './JayfallBoundedWait'
+import { type CallerAnswer, type WholeAnswer } from './JayfallCallerAnswer'
+import { EventSplitter, type StreamEvent } from './JayfallEventSplitter'
+import { type ForwardingWorkspace } from './JayfallForwardingCatalogue'
+import { type ForwardingContext } from './JayfallForwardingContext'
+import { type AnswerFields } from './JayfallForwardingProtocol'
+
+/** The request as the caller sent it. */
+export interface CallerRequest {
+  readonly requestId: string
+  readonly method: string
+  readonly path: string
+  readonly rawHeaders: readonly string[]
+  readonly body: Buffer
+  readonly workspace: ForwardingWorkspace | undefined
+}
+
+interface AnswerHead {
+  readonly response: IncomingMessage
+  readonly status: number
+  readonly fields: AnswerFields
+}
+
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([421])
+/** Statuses that promise to callers that the request has not run. */
+export const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
+
+export class AttemptRunner {
+  /** The answer of the last attempt, ready for the caller. */
+  ready: WholeAnswer | undefined
+  /** Milliseconds from the attempt's start to its first event or whole answer. */
+  private answeredAfter: number | undefined
+
+  constructor (
+    private readonly context: ForwardingContext,
+    private readonly plan: PlanContext,
+    private readonly request: CallerRequest,
+    private readonly answer: CallerAnswer
+  ) {}
+
+  async run (attempt: AttemptPlan): Promise<AttemptResult> {
+    const { clock, directory, holders, versions, protocol } = this.context
+    const { server, model } = attempt
+    const startedAt = clock.monotonic()
+    this.ready = undefined
+    this.answeredAfter = undefined
+    directory.noteSent(server.id)
+    if (model !== undefined) holders.noteSent(server.id, model, this.plan.fields.promptParts, startedAt)
+    versions.noteRun(this.plan.service, this.plan.session, server.version, startedAt)
+    const rawHeaders = protocol.writeAttempt(this.request.rawHeaders, {
+      requestId: this.request.requestId,
+      patience: Math.max(1, Math.floor(attempt.deadline - startedAt)),
+      server: server.id,
+      workspace: this.request.workspace,
+      model,
+      lastEventId: attempt.resumeAfter ?? this.plan.fields.lastEventId,
+      priority: this.request.workspace?.priority ?? this.plan.route.priority,
+      bodyLength: this.request.body.length
+    })
+    const result = await this.exchange(attempt, rawHeaders, startedAt)
+    directory.noteEnded(server.id)
+    this.learn(attempt, result)
+    return result
+  }
+
+  private async exchange (attempt: AttemptPlan, rawHeaders: readonly string[], startedAt: number): Promise<AttemptResult> {
+    let exchange: BackendExchange | undefined
+    const headPromise = new Promise<IncomingMessage>((resolve, reject) => {
+      exchange = BackendExchange.open({ method: this.request.method, address: attempt.server.address, path: this.request.path, rawHeaders, body: this.request.body }, resolve, reject)
+    })
+    try {
+      const end = await this.waitWithin(headPromise, attempt, attempt.answerSilence)
+      if (end.kind !== 'value') return this.endOfWait(end, attempt)
+      const response = end.value
+      // Errors are read from the iteration over the body; an answer that is dropped needs none.
+      response.on('error', () => {})
+      return await this.readAnswer(attempt, response, startedAt)
+    } catch (error) {
+      if (error instanceof ExchangeError && error.failure === 'unsent') return { kind: 'unsent' }
+      return { kind: 'broken', cause: error instanceof Error ? error.message : String(error) }
+    } finally {
+      exchange?.destroy()
+    }
+  }
+
+  private async readAnswer (attempt: AttemptPlan, response: IncomingMessage, startedAt: number): Promise<AttemptResult> {
+    const { protocol, directory, clock } = this.context
+    const head: AnswerHead = { response, status: response.statusCode ?? 0, fields: protocol.readAnswer(response.headers) }
+    const { fields, status } = head
+    if (fields.load !== undefined && (fields.server === undefined || fields.server === attempt.server.id)) directory.noteLoad(attempt.server.id, fields.load, clock.monotonic())
+    if (fields.isNotRun || NOT_RUN_STATUSES.has(status)) return { kind: 'not_run', status }
+    if (fields.requestId !== this.request.requestId) return { kind: 'broken', cause: 'the answer belongs to another request' }
+    if (fields.isEncoded) return { kind: 'broken', cause: 'the answer is encoded' }
+    const isSuccess = status >= 200 && status < 300
+    if (isSuccess && !fields.isSealed) return { kind: 'broken', cause: 'the answer has no signature' }
+    if (isSuccess && fields.confidence !== undefined && fields.confidence < attempt.minimumConfidence && !this.answer.hasBegun) {
+      this.answeredAfter = clock.monotonic() - startedAt
+      return { kind: 'unsure', confidence: fields.confidence }
+    }
+    return isSuccess && this.plan.route.isStream ? this.relayEvents(attempt, head, startedAt) : this.readWhole(attempt, head, startedAt)
+  }
+
+  private async readWhole (attempt: AttemptPlan, { response, status }: AnswerHead, startedAt: number): Promise<AttemptResult> {
+    const chunks: Buffer[] = []
+    const iterator = response[Symbol.asyncIterator]()
+    for (;;) {
+      const end = await this.waitWithin(iterator.next(), attempt, attempt.answerSilence)
+      if (end.kind !== 'value') return this.endOfWait(end, attempt)
+      if (end.value.done === true) break
+      chunks.push(end.value.value as Buffer)
+    }
+    if (!response.complete) return { kind: 'broken', cause: 'the answer broke off' }
+    // A stream that has begun cannot become another answer.
+    if (this.answer.hasBegun) return { kind: 'broken', cause: `the stream could not be resumed: status ${status}` }
+    this.answeredAfter = this.context.clock.monotonic() - startedAt
+    this.ready = { status, rawHeaders: response.rawHeaders, body: Buffer.concat(chunks) }
+    return status >= 500 ? { kind: 'failed', status } : { kind: 'answered' }
+  }
+
+  private async relayEvents (attempt: AttemptPlan, { response, status }: AnswerHead, startedAt: number): Promise<AttemptResult> {
+    const splitter = new EventSplitter()
+    const iterator = response[Symbol.asyncIterator]()
+    let silence = attempt.answerSilence
+    for (;;) {
+      const end = await this.waitWithin(iterator.next(), attempt, silence)
+      if (end.kind !== 'value') return this.endOfWait(end, attempt)
+      if (end.value.done === true) break
+      for (const event of splitter.push(end.value.value as Buffer)) {
+        this.answeredAfter ??= this.context.clock.monotonic() - startedAt
+        silence = attempt.eventSilence
+        if (!isAfter(event, this.answer.lastEventId)) continue
+        this.answer.beginStream(status, response.rawHeaders)
+        if (!this.answer.writeEvent(event.bytes, event.id)) await this.answer.drained()
+      }
+    }
+    if (!response.complete || splitter.pendingBytes > 0) return { kind: 'broken', cause: 'the stream broke off' }
+    this.answer.beginStream(status, response.rawHeaders)
+    this.answer.endStream()
+    return { kind: 'answered' }
+  }
+
+  /** Waits until the attempt's deadline or `silence` milliseconds, whichever is earlier. */
+  private waitWithin<Value> (promise: Promise<Value>, attempt: AttemptPlan, silence: number): Promise<WaitEnd<Value>> {
+    // The promise may fail after the wait has ended.
+    promise.catch(() => {})
+    return waitFor(promise, Math.min(silence, attempt.deadline - this.context.clock.monotonic()), this.answer.callerLeft)
+  }
+
+  private endOfWait (end: WaitEnd<unknown>, attempt: AttemptPlan): AttemptResult {
+    if (end.kind === 'stopped') return { kind: 'caller_left' }
+    return this.context.clock.monotonic() >= attempt.deadline - 1 ? { kind: 'expired' } : { kind: 'silent' }
+  }
+
+  /** Takes note of what the result tells about the server and its version. */
+  private learn ({ server, model }: AttemptPlan, result: AttemptResult): void {
+    const { directory, evidence, clock } = this.context
+    const now = clock.monotonic()
+    const hasFailed = result.kind === 'failed' || result.kind === 'broken' || result.kind === 'silent'
+    if (hasFailed || result.kind === 'unsent') directory.noteFailure(server.id, now)
+    else if (result.kind === 'answered' || result.kind === 'unsure') directory.noteSuccess(server.id, now)
+    if (hasFailed || result.kind === 'answered' || result.kind === 'unsure') {
+      evidence.note({ service: this.plan.service, version: server.version, route: this.plan.route.name, model, hasFailed, milliseconds: this.answeredAfter })
+    }
+  }
+}
+
+/** Whether an event comes after the last one that the caller has; streams have increasing numbers. */
+function isAfter ({ id }: StreamEvent, last: string | undefined): boolean {
+  if (id === undefined || last === undefined) return true
+  return Number(id) > Number(last)
+}
--- /dev/null
+++ b/packages/forwarding/src/JayfallBackendDirectory.ts
@@ -0,0 +1,122 @@
+/**
+ * The backend servers of all services, with what this instance knows of each.
+ *
+ * Rows are replaced as a whole. A server's load is its last report, moved on by this instance's
+ * own work since then and fading with the report's age.
+ */
+
+import { type ReadonlyTable, Table } from '#jayfall/shared'
+
+import { type BackendServer } from './JayfallForwardingCatalogue'
+import { AVOID_INITIAL, AVOID_MAXIMUM, FAILURES_UNTIL_AVOIDED, FAILURE_RATE_HALF_LIFE, FAILURE_RATE_WEIGHT, LOAD_REPORT_HALF_LIFE } from './JayfallForwardingConstants'
+import { type ServerLoad } from './JayfallForwardingProtocol'
+
+export interface BackendRow {
+  readonly server: BackendServer
+  /** Own requests that have not ended. */
+  readonly open: number
+  readonly report: ServerLoad | undefined
+  /** Monotonic milliseconds. */
+  readonly reportedAt: number
+  /** Own open requests when the report arrived. */
+  readonly openAtReport: number
+  readonly failuresInRow: number
+  /** Recent part of outcomes that were failures, as of `outcomeAt`. */
+  readonly failureRate: number
+  readonly outcomeAt: number
+  /** Monotonic milliseconds until which new work is kept away. */
+  readonly avoidedUntil: number
+  readonly avoidedFor: number
+}
+
+export class BackendDirectory {
+  private readonly table = new Table<BackendRow>()
+  /** Identifiers by service. */
+  private readonly byService = new Map<string, Set<string>>()
+
+  get rows (): ReadonlyTable<BackendRow> {
+    return this.table
+  }
+
+  get size (): number {
+    return this.table.size
+  }
+
+  /** Adds a server or replaces its entry. */
+  set (server: BackendServer, now: number): void {
+    const known = this.table.get(server.id)
+    if (known !== undefined && known.server.service !== server.service) this.delete(server.id)
+    this.table.set(server.id, known === undefined ? createRow(server, now) : { ...known, server })
+    const ids = this.byService.get(server.service) ?? new Set()
+    this.byService.set(server.service, ids.add(server.id))
+  }
+
+  delete (id: string): void {
+    const row = this.table.get(id)
+    if (row === undefined) return
+    this.byService.get(row.server.service)?.delete(id)
+    this.table.delete(id)
+  }
+
+  get (id: string): BackendRow | undefined {
+    return this.table.get(id)
+  }
+
+  * ofService (service: string): Generator<BackendRow> {
+    for (const id of this.byService.get(service) ?? []) {
+      const row = this.table.get(id)
+      if (row !== undefined) yield row
+    }
+  }
+
+  noteSent (id: string): void {
+    this.table.update(id, row => ({ ...row, open: row.open + 1 }))
+  }
+
+  noteEnded (id: string): void {
+    this.table.update(id, row => ({ ...row, open: Math.max(0, row.open - 1) }))
+  }
+
+  noteLoad (id: string, report: ServerLoad, now: number): void {
+    this.table.update(id, row => ({ ...row, report, reportedAt: now, openAtReport: row.open }))
+  }
+
+  noteSuccess (id: string, now: number): void {
+    this.table.update(id, row => ({
+      ...row, failuresInRow: 0, avoidedUntil: -Infinity, avoidedFor: 0, failureRate: currentFailureRate(row, now) * (1 - FAILURE_RATE_WEIGHT), outcomeAt: now
+    }))
+  }
+
+  noteFailure (id: string, now: number): void {
+    this.table.update(id, row => {
+      const failuresInRow = row.failuresInRow + 1
+      const failureRate = currentFailureRate(row, now) * (1 - FAILURE_RATE_WEIGHT) + FAILURE_RATE_WEIGHT
+      const counted = { ...row, failuresInRow, failureRate, outcomeAt: now }
+      if (failuresInRow < FAILURES_UNTIL_AVOIDED || now < row.avoidedUntil) return counted
+      const avoidedFor = Math.min(AVOID_MAXIMUM, row.avoidedFor === 0 ? AVOID_INITIAL : row.avoidedFor * 2)
+      return { ...counted, avoidedFor, avoidedUntil: now + avoidedFor }
+    })
+  }
+}
+
+function createRow (server: BackendServer, now: number): BackendRow {
+  return { server, open: 0, report: undefined, reportedAt: now, openAtReport: 0, failuresInRow: 0, failureRate: 0, outcomeAt: now, avoidedUntil: -Infinity, avoidedFor: 0 }
+}
+
+/** The recent part of outcomes that were failures, fading with time. */
+export function currentFailureRate ({ failureRate, outcomeAt }: BackendRow, now: number): number {
+  return failureRate * 2 ** ((outcomeAt - now) / FAILURE_RATE_HALF_LIFE)
+}
+
+/** Requests that likely run or wait at the server. */
+export function estimateLoad (row: BackendRow, now: number): number {
+  if (row.report === undefined) return row.open
+  const weight = 2 ** ((row.reportedAt - now) / LOAD_REPORT_HALF_LIFE)
+  const reported = row.report.running + row.report.waiting + row.open - row.openAtReport
+  return Math.max(row.open, weight * reported + (1 - weight) * row.open)
+}
+
+/** The slots that the server reports, or else registered. */
+export function slotsOf ({ report, server }: BackendRow): number {
+  return Math.max(1, report?.slots ?? server.slots)
+}
--- /dev/null
+++ b/packages/forwarding/src/JayfallCallerAnswer.ts
@@ -0,0 +1,93 @@
+/** The answer to one caller, written whole or event by event. */
+
+import { type IncomingMessage, type ServerResponse } from 'node:http'
+
+import { endToEndHeaders } from './JayfallForwardingProtocol'
+
+/** A backend server's whole answer. */
+export interface WholeAnswer {
+  readonly status: number
+  readonly rawHeaders: readonly string[]
+  readonly body: Buffer
+}
+
+const NOT_COPIED: ReadonlySet<string> = new Set(['content-length'])
+
+export class CallerAnswer {
+  private readonly left = new AbortController()
+  private hasEnded = false
+  /** The last event that was written. */
+  lastEventId: string | undefined
+  eventsWritten = 0
+
+  constructor (private readonly request: IncomingMessage, private readonly response: ServerResponse, private readonly isClosing: () => boolean) {
+    const onLeave = (): void => {
+      if (!this.hasEnded) this.left.abort()
+    }
+    response.once('close', onLeave)
+    request.once('aborted', onLeave)
+    request.socket.once('end', onLeave)
+    response.once('finish', () => request.socket.off('end', onLeave))
+  }
+
+  /** Aborted when the caller left before its answer ended. */
+  get callerLeft (): AbortSignal {
+    return this.left.signal
+  }
+
+  get hasBegun (): boolean {
+    return this.response.headersSent
+  }
+
+  sendWhole ({ status, rawHeaders, body }: WholeAnswer): void {
+    this.hasEnded = true
+    const headers = [...this.copyHeaders(rawHeaders)]
+    const hasBody = this.request.method !== 'HEAD' && status !== 204 && status !== 304
+    if (hasBody) headers.push('Content-Length', String(body.length))
+    this.response.writeHead(status, headers)
+    this.response.end(hasBody ? body : undefined)
+  }
+
+  beginStream (status: number, rawHeaders: readonly string[]): void {
+    if (this.response.headersSent) return
+    this.response.writeHead(status, [...this.copyHeaders(rawHeaders), 'Transfer-Encoding', 'chunked'])
+  }
+
+  /** @returns false when the caller reads more slowly than events arrive; wait for `drained` then. */
+  writeEvent (bytes: Buffer, id: string | undefined): boolean {
+    this.lastEventId = id ?? this.lastEventId
+    this.eventsWritten++
+    return this.response.write(bytes)
+  }
+
+  drained (): Promise<void> {
+    return new Promise(resolve => {
+      this.response.once('drain', resolve)
+      this.response.once('close', resolve)
+    })
+  }
+
+  endStream (): void {
+    this.hasEnded = true
+    this.response.end()
+  }
+
+  /** Breaks the connection off, so that a partial answer does not look complete. */
+  cut (): void {
+    this.hasEnded = true
+    this.response.destroy()
+  }
+
+  /** Sends an answer of the router's own. */
+  sendOwn (status: number, headers: Readonly<Record<string, string>>, text: string): void {
+    this.hasEnded = true
+    const body = Buffer.from(text)
+    this.response.writeHead(status, { ...headers, 'Content-Type': 'text/plain; charset=utf-8', 'Content-Length': String(body.length), ...(this.isClosing() ? { Connection: 'close' } : {}) })
+    this.response.end(body)
+  }
+
+  private * copyHeaders (rawHeaders: readonly string[]): Generator<string> {
+    for (const header of endToEndHeaders(rawHeaders, name => NOT_COPIED.has(name))) yield * header
+    if (this.isClosing()) yield * ['Connection', 'close']
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -0,0 +1,121 @@
+/** Constants of the forwarding face. Durations are milliseconds unless a name says otherwise. */
+
+/** A connection within a region opens within a few milliseconds; a lost first packet is sent again after a second. */
+export const CONNECT_TIMEOUT = 250
+/** Shortest time without an answer after which a repeatable plain request is sent elsewhere: several times a usual answer of the plain services. */
+export const MINIMUM_ANSWER_SILENCE = 400
+/** The part of the objective that a repeatable plain request waits for its answer before it is sent elsewhere. */
+export const ANSWER_SILENCE_OBJECTIVES = 2
+/** Shortest time without a first event after which a stream is sent elsewhere: longer than a full engine's queue moves. */
+export const MINIMUM_FIRST_EVENT_SILENCE = 2500
+/** The same in objectives of the route. */
+export const FIRST_EVENT_SILENCE_OBJECTIVES = 2
+/** Shortest pause between events after which a stream goes on elsewhere; callers give up after two seconds at the earliest. */
+export const MINIMUM_EVENT_SILENCE = 1500
+/** The same in pauses that a timely stream may have. */
+export const EVENT_SILENCE_GAPS = 2
+/** With less time left another attempt cannot end before the caller leaves. */
+export const MINIMUM_ATTEMPT_TIME = 30
+
+/** Failures in a row that keep new work away from a server. */
+export const FAILURES_UNTIL_AVOIDED = 2
+/** How long a failing server is avoided at first; doubled with each failed trial. */
+export const AVOID_INITIAL = 500
+export const AVOID_MAXIMUM = 4000
+/** Weight of one outcome in a server's failure rate: about the last ten outcomes count. */
+export const FAILURE_RATE_WEIGHT = 0.1
+/** A server whose recent failure rate is above this is used only when no other is left. */
+export const MAXIMUM_FAILURE_RATE = 0.25
+/** Half-life with which a server's failure rate fades while it gets no work. */
+export const FAILURE_RATE_HALF_LIFE = 3000
+/** Half-life of the weight of a load report: a report is mostly past after one answer of usual length. */
+export const LOAD_REPORT_HALF_LIFE = 1500
+
+/** Prompt tokens that an engine reads in a millisecond with the reference model; the sheets of the engines in use give 112 to 125. */
+export const PROMPT_TOKENS_PER_MILLISECOND = 115
+/** Milliseconds that one more running request adds to each step of an engine's batch; the sheets give 0.08. */
+export const STEP_MILLISECONDS_PER_REQUEST = 0.08
+/** Time that a request waits for each request already waiting at an engine: a slot becomes free about this often. */
+export const WAITING_MILLISECONDS_PER_REQUEST = 60
+/** Usual time of a plain request; only compares servers of one service with each other. */
+export const PLAIN_WORK_MILLISECONDS = 60
+/** Cost of leaving the availability zone: bytes between zones are priced, and its latency is one to two milliseconds. */
+export const OTHER_ZONE_MILLISECONDS = 25
+/** Prompt parts whose last server is remembered, the least recently used go first. */
+export const MAXIMUM_REMEMBERED_PARTS = 20_000
+/** How long an engine is assumed to keep a prompt part that was last used there. */
+export const PART_LIFETIME = 60_000
+
+/** An answer with less confidence is asked of a larger model, while the engines have room. */
+export const CONFIDENCE_THRESHOLD = 60
+/** Occupied part of the engines' slots above which the threshold falls, and at which every answer is taken. */
+export const CASCADE_FULL_EFFORT_LOAD = 0.5
+export const CASCADE_NO_EFFORT_LOAD = 1.2
+/** The part of the caller's time that must be left for a second model. */
+export const CASCADE_MINIMUM_TIME_SHARE = 0.3
+
+/** Span over which repeats are counted against requests. */
+export const RETRY_WINDOW = 10_000
+/** The part of the allowed ratio of repeats that one instance uses: the rest covers uneven shares between instances. */
+export const RETRY_RATIO_SHARE = 0.8
+/** Repeats that an instance may make beyond the ratio in one window. */
+export const RETRY_FREE_COUNT = 3
+
+/** Time to come back that a refusal names when nothing better is known. */
+export const DEFAULT_RETRY_AFTER = 300
+/** Time to come back while the catalogue is not known yet. */
+export const STARTING_RETRY_AFTER = 1000
+
+/** How long a session keeps its version after its last request, beyond the deployment's figure. */
+export const SESSION_MARGIN = 2000
+/** Part of the allowed exposure that a rollout's trial uses; the rest is left for its ramp and for requests under way. */
+export const TRIAL_EXPOSURE_SHARE = 0.6
+/** Part of the rollout's period after which sessions may move to the new version. */
+export const RAMP_START_SHARE = 0.53
+/** Part of the rollout's period by which all requests go to the new version. */
+export const RAMP_END_SHARE = 0.68
+/** Part of the rollout's period from which the old servers are checked for remaining work. */
+export const COMPLETION_START_SHARE = 0.72
+/** Before the rollout's deadline, the time at which it is completed even if old servers still have work. */
+export const COMPLETION_RESERVE = 1200
+/** Interval of the rollout duty. */
+export const ROLLOUT_INTERVAL = 500
+/** Chance that an instance makes a due step at one interval, so that few of them race for it. */
+export const STEP_PROBABILITY = 0.3
+/** Pause after changed evidence, so that the reports of many instances are read together. */
+export const EVIDENCE_COALESCE_PAUSE = 800
+/** How long a load probe may take. */
+export const PROBE_TIMEOUT = 400
+/** Interval at which beliefs that depend on time are renewed. */
+export const STATE_INTERVAL = 100
+/** Interval at which an instance publishes what it saw of a rollout without failures. */
+export const EVIDENCE_INTERVAL = 5000
+/** Failures of the new version, over all instances, below which no verdict is passed. */
+export const VERDICT_FAILURES = 4
+/** Failure rate of the new version above which it is bad. */
+export const VERDICT_FAILURE_RATE = 0.15
+/** Failure rate of the new version, in those of the old one, above which it is bad. */
+export const VERDICT_RELATIVE_RATE = 3
+/** A first event, or a plain answer, later than this many usual ones counts as a failure of the version. */
+export const SLOW_ANSWER_FACTOR = 4
+/** Answers faster than this are never counted as slow. */
+export const SLOW_ANSWER_MINIMUM = 300
+/** Weight of one answer in the usual time of the old version. */
+export const USUAL_TIME_WEIGHT = 0.1
+
+/** Longest wait of one reading of the store's changes: a connection that went silent is noticed this late. */
+export const FEED_WAIT = 3000
+/** Time beyond the wait after which a reading is given up. */
+export const FEED_TIMEOUT_MARGIN = 900
+/** Pause after a reading that brought changes, so that changes in quick succession are read together. */
+export const FEED_COALESCE_PAUSE = 60
+/** Pauses after a failed reading. */
+export const FEED_RETRY_MINIMUM = 150
+export const FEED_RETRY_MAXIMUM = 1000
+/** Entries that lapsed during an outage of the store are back within about this time after it. */
+export const LAPSED_ENTRY_GRACE = 2200
+
+/** After SIGTERM the listening address stays open this long: the balancer notices after two questions a second apart. */
+export const STOP_MINIMUM = 2600
+/** Time before the platform's SIGKILL at which the process ends by itself. */
+export const STOP_RESERVE = 400
--- /dev/null
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -0,0 +1,195 @@
+/**
+ * An instance that forwards requests: follows the store, serves callers and takes its part in rollouts.
+ *
+ * Everything it knows comes from the store or from answers; nothing outlives the process.
+ */
+
+import { type Clock, delay, type RandomSource } from '#jayfall/shared'
+import { type WatchableTableStore } from '#jayfall/store'
+import { type Log, Metrics } from '#jayfall/telemetry'
+
+import { EstimatedTimeChoice } from './JayfallBackendChoice'
+import { BackendDirectory } from './JayfallBackendDirectory'
+import { type DeploymentSource } from './JayfallDeploymentSource'
+import { type RolloutOrder } from './JayfallForwardingCatalogue'
+import { EVIDENCE_COALESCE_PAUSE, ROLLOUT_INTERVAL, STATE_INTERVAL, STOP_MINIMUM, STOP_RESERVE } from './JayfallForwardingConstants'
+import { type ForwardingProtocol } from './JayfallForwardingProtocol'
+import { ForwardingServer } from './JayfallForwardingServer'
+import { ForwardingState } from './JayfallForwardingState'
+import { HealthProbe } from './JayfallHealthProbe'
+import { PromptHolders } from './JayfallPromptHolders'
+import { RetryBudget } from './JayfallRetryBudget'
+import { RolloutDuty } from './JayfallRolloutDuty'
+import { RolloutEvidence } from './JayfallRolloutEvidence'
+import { EVIDENCE_TABLE, ROLLOUTS_TABLE, type TableFeedRow } from './JayfallRolloutRows'
+import { followTable, type FeedEvent } from './JayfallTableFeed'
+import { VersionPolicy } from './JayfallVersionPolicy'
+
+/** An address to listen on. */
+export interface ListenAddress {
+  readonly host: string
+  readonly port: number
+}
+
+export interface ForwardingSettings {
+  readonly instance: string
+  readonly zone: string
+  readonly callers: ListenAddress
+  /** Repeats that a service may get for each request. */
+  readonly retryRatio: number
+  /** The part of a service's requests that a bad version may get. */
+  readonly exposureShare: number
+  /** How long two requests of one session may be apart. Milliseconds. */
+  readonly sessionGap: number
+  /** Time between SIGTERM and SIGKILL. Milliseconds. */
+  readonly stopTime: number
+}
+
+export interface ForwardingParts {
+  readonly store: WatchableTableStore
+  readonly source: DeploymentSource
+  readonly protocol: ForwardingProtocol
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly log: Log
+}
+
+export class ForwardingInstance {
+  readonly metrics = new Metrics()
+  private readonly directory = new BackendDirectory()
+  private readonly state: ForwardingState
+  private readonly versions: VersionPolicy
+  private readonly budget: RetryBudget
+  private readonly duty: RolloutDuty
+  private readonly server: ForwardingServer
+  private readonly orders = new Map<string, RolloutOrder>()
+  private readonly timers: NodeJS.Timeout[] = []
+  /** The store's clock less the own monotonic one. */
+  private storeTimeOffset = -Infinity
+  private isStopping = false
+  private isFollowingRollouts = false
+  private settings: ForwardingSettings
+
+  constructor (settings: ForwardingSettings, private readonly parts: ForwardingParts) {
+    const { clock, log, protocol } = parts
+    const storeTime = (): number => clock.monotonic() + this.storeTimeOffset
+    this.settings = settings
+    this.state = new ForwardingState(this.directory, clock, log)
+    this.versions = new VersionPolicy(settings, storeTime)
+    this.budget = new RetryBudget(settings.retryRatio)
+    const holders = new PromptHolders()
+    const evidence = new RolloutEvidence(this.versions, clock)
+    this.duty = new RolloutDuty({
+      ...parts,
+      instance: settings.instance,
+      store: () => parts.store,
+      status: { statusWrite: (order, outcome) => parts.source.writeStatus(order, outcome) },
+      probe: new HealthProbe(protocol, this.state, log),
+      directory: this.directory,
+      versions: this.versions,
+      evidence,
+      storeTime
+    })
+    this.server = new ForwardingServer({
+      clock, log, protocol, evidence, holders, metrics: this.metrics, directory: this.directory, choice: new EstimatedTimeChoice(this.directory, holders, settings.zone), budget: this.budget, versions: this.versions
+    }, this.state)
+  }
+
+  /** Whether new callers may be sent here. */
+  get isReady (): boolean {
+    return this.state.isReady && !this.isStopping
+  }
+
+  get port (): number {
+    return this.server.port
+  }
+
+  /** Listens, and begins to follow the store. */
+  async start (): Promise<void> {
+    const { callers, instance, zone } = this.settings
+    await this.server.listen(callers.host, callers.port)
+    this.parts.log.info('started', { instance, zone, address: `${callers.host}:${callers.port}` })
+    const { source } = this.parts
+    this.follow(source.operatorTable, event => this.takeOperatorRows(event))
+    this.follow(source.serverTable, event => this.takeServerRows(event))
+    this.timers.push(setInterval(() => this.state.dropLapsed(), STATE_INTERVAL), setInterval(() => this.runRollouts(), ROLLOUT_INTERVAL))
+  }
+
+  replaceSettings (settings: ForwardingSettings): void {
+    this.settings = settings
+    this.versions.setSettings(settings)
+    this.budget.setRatio(settings.retryRatio)
+    this.parts.log.info('settings_reloaded', { retry_ratio: settings.retryRatio, exposure_share: settings.exposureShare, session_gap_ms: settings.sessionGap })
+  }
+
+  /** Takes no new callers, waits for open requests within the stop time, and ends. */
+  async stop (): Promise<void> {
+    if (this.isStopping) return
+    const { clock, log } = this.parts
+    const startedAt = clock.monotonic()
+    this.isStopping = true
+    this.server.beginClosing()
+    log.info('stopping', { open: this.server.open })
+    const age = (): number => clock.monotonic() - startedAt
+    // The balancer goes on sending new connections until it has noticed.
+    while (age() < STOP_MINIMUM || (this.server.open > 0 && age() < this.settings.stopTime - STOP_RESERVE)) await delay(STATE_INTERVAL)
+    for (const timer of this.timers) clearInterval(timer)
+    this.server.close()
+    log.info('stopped', { open: this.server.open, after_ms: Math.round(age()) })
+  }
+
+  private runRollouts (): void {
+    if (this.storeTimeOffset === -Infinity) return
+    if (this.duty.isActive && !this.isFollowingRollouts) this.followRollouts()
+    this.duty.run()
+  }
+
+  /** Follows the rows that instances share about rollouts, as long as one is under way. */
+  private followRollouts (): void {
+    this.isFollowingRollouts = true
+    const isStopped = (): boolean => this.isStopping || !this.duty.isActive
+    const ended = [
+      this.follow(ROLLOUTS_TABLE, event => this.duty.takeRollouts(rowsOf(event)), isStopped),
+      this.follow(EVIDENCE_TABLE, event => this.duty.takeEvidence(rowsOf(event)), isStopped, EVIDENCE_COALESCE_PAUSE)
+    ]
+    Promise.all(ended).then(() => { this.isFollowingRollouts = false })
+  }
+
+  private async follow (table: string, take: (event: FeedEvent) => void, isStopped = () => this.isStopping, coalescePause?: number): Promise<void> {
+    const { store, random, log, clock } = this.parts
+    for await (const event of followTable({ store, table, random, isStopped, coalescePause })) {
+      if (event.kind === 'lost') {
+        log.warn('store_lost', { table, message: event.cause instanceof Error ? event.cause.message : String(event.cause) })
+        continue
+      }
+      if (event.isAfterLoss) log.info('store_regained', { table, revision: event.revision })
+      this.storeTimeOffset = Math.max(this.storeTimeOffset, event.storeTime - clock.monotonic())
+      take(event)
+    }
+  }
+
+  private takeOperatorRows (event: FeedEvent): void {
+    for (const { key, value, revision } of rowsOf(event)) {
+      if (value === undefined) {
+        for (const [service, order] of this.orders) if (order.revision <= revision && key.endsWith(service)) this.orders.delete(service)
+        continue
+      }
+      const row = this.parts.source.readOperatorRow(key, value, revision)
+      if (row.kind === 'catalogue') this.state.takeCatalogue(row.catalogue)
+      else if (row.kind === 'rollout') this.orders.set(row.order.service, row.order)
+      else if (row.reason !== undefined) this.parts.log.warn('operator_row_ignored', { key, revision, reason: row.reason })
+    }
+    this.duty.takeOrders(new Map(this.orders))
+  }
+
+  private takeServerRows (event: FeedEvent): void {
+    if (event.kind === 'lost') return
+    const changes = event.rows.map(({ key, value }) => ({ id: key, server: value === undefined ? undefined : this.parts.source.readServerRow(key, value) }))
+    if (event.kind === 'snapshot') this.state.takeAllServers(changes, event.isAfterLoss)
+    else this.state.takeServers(changes, event.isAfterLoss)
+  }
+}
+
+function rowsOf (event: FeedEvent): readonly TableFeedRow[] {
+  return event.kind === 'lost' ? [] : event.rows
+}
--- /dev/null
+++ b/packages/forwarding/src/JayfallForwardingState.ts
@@ -0,0 +1,95 @@
+/**
+ * What this instance believes: catalogue, backend servers and rollouts, from the store.
+ *
+ * The catalogue never goes back to an older version. Entries of servers that lapse around an
+ * outage of the store stay for a moment, because living servers register again after it.
+ */
+
+import { type Clock } from '#jayfall/shared'
+import { type Log } from '#jayfall/telemetry'
+
+import { type BackendDirectory } from './JayfallBackendDirectory'
+import { type BackendServer, type ForwardingCatalogue } from './JayfallForwardingCatalogue'
+import { LAPSED_ENTRY_GRACE } from './JayfallForwardingConstants'
+import { RouteTable } from './JayfallRouteTable'
+
+/** A change of the list of backend servers; `server` is undefined when the entry is gone or names no server to use. */
+export interface ServerChange {
+  readonly id: string
+  readonly server: BackendServer | undefined
+}
+
+export class ForwardingState {
+  private table: RouteTable | undefined
+  private hasServers = false
+  /** Servers whose entries lapsed, with the monotonic time until which they are still used. */
+  private readonly lapsed = new Map<string, number>()
+  /** Until this time, entries that are missing may still come back. Monotonic milliseconds. */
+  private graceUntil = -Infinity
+
+  constructor (private readonly directory: BackendDirectory, private readonly clock: Clock, private readonly log: Log) {}
+
+  /** undefined until the first catalogue is known. */
+  get routes (): RouteTable | undefined {
+    return this.table
+  }
+
+  get isReady (): boolean {
+    return this.table !== undefined && this.hasServers
+  }
+
+  takeCatalogue (catalogue: ForwardingCatalogue): void {
+    const known = this.table?.catalogue.version
+    if (known !== undefined && catalogue.version <= known) return
+    this.table = new RouteTable(catalogue)
+    this.log.info('catalogue_in_force', { version: catalogue.version, replaced: known, routes: catalogue.routes.length, keys: catalogue.workspacesByKey?.size })
+  }
+
+  /** @param isAfterLoss whether the store was out of reach just before. */
+  takeServers (changes: readonly ServerChange[], isAfterLoss: boolean): void {
+    const now = this.clock.monotonic()
+    if (isAfterLoss) this.graceUntil = now + LAPSED_ENTRY_GRACE
+    this.hasServers = true
+    for (const { id, server } of changes) {
+      if (server === undefined) this.lapse(id, now)
+      else this.keep(server, now)
+    }
+  }
+
+  /** Takes all entries; servers that are not among them have lapsed. */
+  takeAllServers (servers: readonly ServerChange[], isAfterLoss: boolean): void {
+    const listed = new Set(servers.map(({ id }) => id))
+    const missing = [...this.directory.rows.entries()].map(([id]) => id).filter(id => !listed.has(id))
+    this.takeServers([...servers, ...missing.map(id => ({ id, server: undefined }))], isAfterLoss)
+  }
+
+  /** Removes the servers whose grace has ended; called every tick. */
+  dropLapsed (): void {
+    const now = this.clock.monotonic()
+    for (const [id, until] of this.lapsed) {
+      if (now < until) continue
+      this.lapsed.delete(id)
+      this.remove(id)
+    }
+  }
+
+  private keep (server: BackendServer, now: number): void {
+    const known = this.directory.get(server.id)
+    this.lapsed.delete(server.id)
+    this.directory.set(server, now)
+    if (known?.server.isLeaving === server.isLeaving && known.server.address === server.address) return
+    this.log.info('server_known', { server: server.id, service: server.service, version: server.version, zone: server.zone, address: server.address, leaving: server.isLeaving })
+  }
+
+  private lapse (id: string, now: number): void {
+    if (this.directory.get(id) === undefined || this.lapsed.has(id)) return
+    if (now >= this.graceUntil) return this.remove(id)
+    this.lapsed.set(id, this.graceUntil)
+    this.log.info('server_lapsed', { server: id, kept_ms: Math.round(this.graceUntil - now) })
+  }
+
+  private remove (id: string): void {
+    this.directory.delete(id)
+    this.log.info('server_gone', { server: id })
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/JayfallHealthProbe.ts
@@ -0,0 +1,28 @@
+/** Asks backend servers for their load by their health path. */
+
+import Wreck from '@hapi/wreck'
+import { type Log } from '#jayfall/telemetry'
+
+import { PROBE_TIMEOUT } from './JayfallForwardingConstants'
+import { type ForwardingProtocol } from './JayfallForwardingProtocol'
+import { type ForwardingState } from './JayfallForwardingState'
+import { LoadProbe } from './JayfallRolloutDuty'
+
+export class HealthProbe extends LoadProbe {
+  constructor (private readonly protocol: ForwardingProtocol, private readonly state: ForwardingState, private readonly log: Log) {
+    super()
+  }
+
+  override async load (address: string, service: string): Promise<number | undefined> {
+    const path = this.state.routes?.catalogue.services.get(service)?.healthPath ?? '/'
+    try {
+      const response = await Wreck.request('GET', `http://${address}${path}`, { timeout: PROBE_TIMEOUT })
+      response.resume()
+      const { load } = this.protocol.readAnswer(response.headers)
+      return load === undefined ? undefined : load.running + load.waiting
+    } catch (error) {
+      this.log.info('probe_failed', { address, service, message: error instanceof Error ? error.message : String(error) })
+      return undefined
+    }
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/JayfallRolloutDuty.ts
@@ -0,0 +1,227 @@
+/**
+ * The duty of carrying a rollout out, which every instance does alike.
+ *
+ * There is no leader: each step is a conditional write of the rollout's row together with the
+ * status that operators read, so exactly one instance makes it, and the loss of any instance
+ * stops nothing. Steps are the start, the completion and the roll-back; everything between them
+ * follows from the start time.
+ */
+
+import { type Clock, type RandomSource } from '#jayfall/shared'
+import { isPlatformError, type TableStore } from '#jayfall/store'
+import { type Log } from '#jayfall/telemetry'
+
+import { type BackendDirectory } from './JayfallBackendDirectory'
+import { type RolloutOrder } from './JayfallForwardingCatalogue'
+import { EVIDENCE_INTERVAL, STEP_PROBABILITY } from './JayfallForwardingConstants'
+import { type RolloutEvidence } from './JayfallRolloutEvidence'
+import { mayComplete, mustComplete, type Rollout, type RolloutOutcome } from './JayfallRolloutPlan'
+import { EVIDENCE_TABLE, ROLLOUTS_TABLE, readEvidenceRow, readRolloutRow, type EvidenceRow, type RolloutRow, type TableFeedRow } from './JayfallRolloutRows'
+import { isBadVersion, sumEvidence, type EvidenceCounts } from './JayfallVersionEvidence'
+import { type VersionPolicy } from './JayfallVersionPolicy'
+
+/** Writes the status of a rollout as operators read it. */
+export abstract class RolloutStatusWriter {
+  /** The write that goes into the same transaction as the step. */
+  abstract statusWrite (order: RolloutOrder, outcome: RolloutOutcome): { readonly table: string, readonly key: string, readonly value: unknown }
+}
+
+/** Asks a backend server how much work it has. */
+export abstract class LoadProbe {
+  /** Requests that run or wait at the server; undefined when it does not answer. */
+  abstract load (address: string, service: string): Promise<number | undefined>
+}
+
+export interface RolloutDutyParts {
+  readonly instance: string
+  readonly store: () => TableStore
+  readonly status: RolloutStatusWriter
+  readonly probe: LoadProbe
+  readonly directory: BackendDirectory
+  readonly versions: VersionPolicy
+  readonly evidence: RolloutEvidence
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly log: Log
+  /** The store's clock as this instance estimates it. */
+  readonly storeTime: () => number
+}
+
+interface KnownRow {
+  readonly row: RolloutRow
+  readonly revision: number
+}
+
+interface Published {
+  readonly counts: EvidenceCounts
+  readonly bad: number
+  readonly total: number
+  readonly at: number
+}
+
+export class RolloutDuty {
+  private orders: ReadonlyMap<string, RolloutOrder> = new Map()
+  private readonly rows = new Map<string, KnownRow>()
+  /** Evidence of other instances by row key. */
+  private readonly reports = new Map<string, EvidenceRow>()
+  private readonly published = new Map<string, Published>()
+  private isBusy = false
+
+  constructor (private readonly parts: RolloutDutyParts) {}
+
+  /** Whether a rollout is under way, so that its rows are worth following. */
+  get isActive (): boolean {
+    return [...this.orders.values()].some(order => this.outcomeOf(order) === 'running')
+  }
+
+  takeOrders (orders: ReadonlyMap<string, RolloutOrder>): void {
+    for (const [service, order] of orders) {
+      if (this.orders.get(service)?.revision === order.revision) continue
+      this.parts.evidence.of(service).reset()
+      this.published.delete(service)
+      this.parts.log.info('rollout_ordered', { service, version: order.version, period_ms: order.period, revision: order.revision })
+    }
+    this.orders = orders
+    this.apply()
+  }
+
+  /** Takes the rollouts that the instances agreed on. */
+  takeRollouts (rows: readonly TableFeedRow[]): void {
+    for (const { key, value, revision } of rows) {
+      const row = readRolloutRow(value)
+      if (row === undefined) this.rows.delete(key)
+      else this.takeRow(key, row, revision)
+    }
+    this.apply()
+  }
+
+  takeEvidence (rows: readonly TableFeedRow[]): void {
+    for (const { key, value } of rows) {
+      const row = readEvidenceRow(value)
+      if (row === undefined) this.reports.delete(key)
+      else if (row.instance !== this.parts.instance) this.reports.set(key, row)
+    }
+  }
+
+  /** Makes the steps that are due; called at an interval. */
+  async run (): Promise<void> {
+    if (this.isBusy) return
+    this.isBusy = true
+    try {
+      for (const order of this.orders.values()) await this.advance(order)
+    } catch (error) {
+      // The store's feeds report its loss; the step is due again at the next interval.
+      this.parts.log.warn('rollout_step_failed', { message: error instanceof Error ? error.message : String(error) })
+    } finally {
+      this.isBusy = false
+    }
+  }
+
+  private async advance (order: RolloutOrder): Promise<void> {
+    const known = this.rows.get(order.service)
+    if (known === undefined || known.row.orderRevision !== order.revision) {
+      if (this.parts.random.chance(STEP_PROBABILITY)) await this.step(order, 'running', 'ordered')
+      return
+    }
+    if (known.row.outcome !== 'running') return
+    const rollout = toRollout(order, known.row)
+    await this.publish(order)
+    if (isBadVersion(this.pooledEvidence(order))) {
+      this.parts.versions.suspend(order.service, order.version)
+      return this.step(order, 'rolled_back', JSON.stringify(this.pooledEvidence(order)))
+    }
+    const storeTime = this.parts.storeTime()
+    if (mustComplete(rollout, storeTime)) return this.step(order, 'complete', 'deadline')
+    if (mayComplete(rollout, storeTime) && this.parts.random.chance(STEP_PROBABILITY) && await this.isOldIdle(order)) return this.step(order, 'complete', 'old servers are idle')
+  }
+
+  private async step (order: RolloutOrder, outcome: RolloutOutcome, reason: string): Promise<void> {
+    const { service } = order
+    const known = this.rows.get(service)
+    const row: RolloutRow = {
+      version: order.version,
+      orderRevision: order.revision,
+      startedAt: known?.row.orderRevision === order.revision ? known.row.startedAt : this.parts.storeTime(),
+      outcome
+    }
+    const writes = [{ table: ROLLOUTS_TABLE, key: service, value: row, ifRevision: known?.revision ?? 0 }, this.parts.status.statusWrite(order, outcome)]
+    try {
+      const [revision] = await this.parts.store().transact(writes)
+      this.parts.log.info('rollout_step', { service, version: order.version, outcome, reason })
+      this.takeRow(service, row, revision)
+      this.apply()
+    } catch (error) {
+      if (!isPlatformError(error, 'conflict', 'outcome_unknown')) throw error
+      // Another instance made a step, or this one's answer was lost; the row tells.
+      await this.refresh(service)
+    }
+  }
+
+  private async refresh (service: string): Promise<void> {
+    const found = await this.parts.store().read(ROLLOUTS_TABLE, service)
+    const row = readRolloutRow(found?.value)
+    if (found !== undefined && row !== undefined) this.takeRow(service, row, found.revision)
+    this.apply()
+  }
+
+  private takeRow (service: string, row: RolloutRow, revision: number): void {
+    const known = this.rows.get(service)
+    if (known !== undefined && known.revision >= revision) return
+    this.rows.set(service, { row, revision })
+    this.parts.log.info('rollout_known', { service, version: row.version, outcome: row.outcome, revision })
+  }
+
+  /** Publishes what this instance saw: failures at the next interval, everything else from time to time. */
+  private async publish ({ service, revision }: RolloutOrder): Promise<void> {
+    const { evidence, clock, instance } = this.parts
+    const { newBad: bad, newTotal: total, current: counts } = evidence.of(service)
+    const last = this.published.get(service) ?? { counts: {}, bad: 0, total: 0, at: clock.monotonic() }
+    const now = clock.monotonic()
+    const isDue = bad > last.bad || (total > last.total && now - last.at >= EVIDENCE_INTERVAL)
+    if (!isDue) {
+      this.published.set(service, last)
+      return
+    }
+    const row: EvidenceRow = { instance, orderRevision: revision, counts }
+    await this.parts.store().transact([{ table: EVIDENCE_TABLE, key: `${service}/${instance}`, value: row }])
+    this.published.set(service, { counts, bad, total, at: now })
+  }
+
+  private pooledEvidence ({ service, revision }: RolloutOrder): EvidenceCounts {
+    const others = [...this.reports].filter(([key, row]) => key.startsWith(`${service}/`) && row.orderRevision === revision).map(([, row]) => row.counts)
+    return sumEvidence([this.parts.evidence.of(service).current, ...others])
+  }
+
+  /** Whether no server of an old version has work left. */
+  private async isOldIdle ({ service, version }: RolloutOrder): Promise<boolean> {
+    const rows = [...this.parts.directory.ofService(service)]
+    const old = rows.filter(({ server }) => server.version !== version)
+    if (!rows.some(({ server }) => server.version === version && !server.isLeaving)) return false
+    if (old.some(({ open }) => open > 0)) return false
+    for (const { server } of old) {
+      // A server that does not answer has nothing that could be waited for.
+      if ((await this.parts.probe.load(server.address, service) ?? 0) > 0) return false
+    }
+    return true
+  }
+
+  private outcomeOf (order: RolloutOrder): RolloutOutcome {
+    const row = this.rows.get(order.service)?.row
+    return row !== undefined && row.orderRevision === order.revision ? row.outcome : 'running'
+  }
+
+  private apply (): void {
+    const rollouts = new Map<string, Rollout>()
+    for (const [service, order] of this.orders) {
+      const row = this.rows.get(service)?.row
+      const isStarted = row !== undefined && row.orderRevision === order.revision
+      // Until the start is agreed on, nothing goes to the new version beyond the trial share.
+      rollouts.set(service, isStarted ? toRollout(order, row) : { order, startedAt: Infinity, outcome: 'running' })
+    }
+    this.parts.versions.setRollouts(rollouts)
+  }
+}
+
+function toRollout (order: RolloutOrder, { startedAt, outcome }: RolloutRow): Rollout {
+  return { order, startedAt, outcome }
+}
--- /dev/null
+++ b/packages/forwarding/src/JayfallRolloutEvidence.ts
@@ -0,0 +1,35 @@
+/** The evidence of this instance on the rollouts of all services. */
+
+import { type Clock } from '#jayfall/shared'
+
+import { VersionEvidence } from './JayfallVersionEvidence'
+import { type VersionPolicy } from './JayfallVersionPolicy'
+
+export interface VersionOutcome {
+  readonly service: string
+  readonly version: string
+  readonly route: string
+  readonly model: string | undefined
+  readonly hasFailed: boolean
+  /** Milliseconds until the first event or the answer; undefined when there was none. */
+  readonly milliseconds: number | undefined
+}
+
+export class RolloutEvidence {
+  private readonly byService = new Map<string, VersionEvidence>()
+
+  constructor (private readonly versions: VersionPolicy, readonly clock: Clock) {}
+
+  of (service: string): VersionEvidence {
+    const known = this.byService.get(service) ?? new VersionEvidence()
+    this.byService.set(service, known)
+    return known
+  }
+
+  note ({ service, version, route, model, hasFailed, milliseconds }: VersionOutcome): void {
+    const rollout = this.versions.rolloutOf(service)
+    const evidence = this.of(service)
+    if (rollout !== undefined && rollout.outcome === 'running') evidence.noteOutcome(route, model, version === rollout.order.version, hasFailed, milliseconds)
+    else if (!hasFailed && milliseconds !== undefined) evidence.noteUsual(route, model, milliseconds)
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/JayfallRolloutPlan.ts
@@ -0,0 +1,44 @@
+/**
+ * The course of a rollout as pure functions of the store's clock.
+ *
+ * A small trial share of new sessions goes to the new version from the order on. In the second
+ * half of the period the share grows to everything, old sessions included. Each instance computes
+ * the share from the same start time, so the ramp needs no messages.
+ */
+
+import { COMPLETION_RESERVE, COMPLETION_START_SHARE, RAMP_END_SHARE, RAMP_START_SHARE, TRIAL_EXPOSURE_SHARE } from './JayfallForwardingConstants'
+import { type RolloutOrder } from './JayfallForwardingCatalogue'
+
+export type RolloutOutcome = 'running' | 'complete' | 'rolled_back'
+
+/** A rollout as the instances agreed on it in the store. */
+export interface Rollout {
+  readonly order: RolloutOrder
+  /** The store's clock when the first instance saw the order. */
+  readonly startedAt: number
+  readonly outcome: RolloutOutcome
+}
+
+/** The part of sessions that belongs to the new version at a moment of the store's clock. */
+export function newVersionShare ({ order, startedAt, outcome }: Rollout, storeTime: number, exposureShare: number): number {
+  if (outcome !== 'running') return outcome === 'complete' ? 1 : 0
+  const trial = exposureShare * TRIAL_EXPOSURE_SHARE
+  const progress = (storeTime - startedAt) / order.period
+  const ramp = (progress - RAMP_START_SHARE) / (RAMP_END_SHARE - RAMP_START_SHARE)
+  return trial + (1 - trial) * Math.min(1, Math.max(0, ramp))
+}
+
+/** Whether sessions of the old version may move to the new one. */
+export function mayMoveSessions ({ order, startedAt, outcome }: Rollout, storeTime: number): boolean {
+  return outcome !== 'running' || storeTime - startedAt >= order.period * RAMP_START_SHARE
+}
+
+/** Whether the old servers' remaining work is worth a check. */
+export function mayComplete ({ order, startedAt }: Rollout, storeTime: number): boolean {
+  return storeTime - startedAt >= order.period * COMPLETION_START_SHARE
+}
+
+/** Whether the rollout must be completed now, whatever still runs on old servers. */
+export function mustComplete ({ order, startedAt }: Rollout, storeTime: number): boolean {
+  return storeTime - startedAt >= order.period - COMPLETION_RESERVE
+}
--- /dev/null
+++ b/packages/forwarding/src/JayfallTableFeed.ts
@@ -0,0 +1,52 @@
+/**
+ * Follows one table of the store.
+ *
+ * The feed begins with all rows and goes on with changes. A reading that fails is repeated with a
+ * growing pause; when the store has forgotten the changes, all rows are read again. Between a
+ * failure and the next success the store counts as lost.
+ */
+
+import { isPlatformError, type TableChange, type TableChanges, type WatchableTableStore } from '#jayfall/store'
+import { delay, type RandomSource } from '#jayfall/shared'
+
+import { FEED_COALESCE_PAUSE, FEED_RETRY_MAXIMUM, FEED_RETRY_MINIMUM, FEED_WAIT } from './JayfallForwardingConstants'
+
+export type FeedEvent =
+  /** All rows of the table. */
+  | { readonly kind: 'snapshot', readonly rows: readonly TableChange[], readonly revision: number, readonly storeTime: number, readonly isAfterLoss: boolean }
+  | { readonly kind: 'changes', readonly rows: readonly TableChange[], readonly revision: number, readonly storeTime: number, readonly isAfterLoss: boolean }
+  /** The first failure since the last success. */
+  | { readonly kind: 'lost', readonly cause: unknown }
+
+export interface FeedOptions {
+  readonly store: WatchableTableStore
+  readonly table: string
+  readonly random: RandomSource
+  /** Ends the feed when it returns true. */
+  readonly isStopped: () => boolean
+  /** Pause after a reading that brought changes. Milliseconds. */
+  readonly coalescePause?: number
+}
+
+export async function * followTable ({ store, table, random, isStopped, coalescePause = FEED_COALESCE_PAUSE }: FeedOptions): AsyncGenerator<FeedEvent> {
+  let revision: number | undefined
+  let failures = 0
+  while (!isStopped()) {
+    try {
+      const isSnapshot = revision === undefined
+      const reading: TableChanges = revision === undefined ? await store.snapshot(table) : await store.changes(table, revision, FEED_WAIT)
+      revision = reading.revision
+      const isAfterLoss = failures > 0
+      failures = 0
+      yield { kind: isSnapshot ? 'snapshot' : 'changes', rows: reading.changes, revision, storeTime: reading.storeTime, isAfterLoss }
+      if (reading.changes.length > 0) await delay(coalescePause)
+    } catch (error) {
+      if (isPlatformError(error, 'history_lost')) {
+        revision = undefined
+        continue
+      }
+      if (failures++ === 0) yield { kind: 'lost', cause: error }
+      await delay(Math.min(FEED_RETRY_MAXIMUM, FEED_RETRY_MINIMUM * 2 ** Math.min(failures - 1, 8)) * (0.5 + random.uniform()))
+    }
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/JayfallVersionPolicy.ts
@@ -0,0 +1,90 @@
+/**
+ * Which version of a service a request may run on.
+ *
+ * Sessions keep the version of their last request, except when its rollout ended otherwise or,
+ * in the second half of a rollout, moves them to the new version.
+ */
+
+import { rendezvousWeight } from '#jayfall/shared'
+import { LRUCache } from 'lru-cache'
+
+import { SESSION_MARGIN } from './JayfallForwardingConstants'
+import { mayMoveSessions, newVersionShare, type Rollout } from './JayfallRolloutPlan'
+
+const MAXIMUM_REMEMBERED_SESSIONS = 20_000
+
+export interface VersionRule {
+  /** Versions that the request should run on. */
+  readonly prefers: (version: string) => boolean
+  /** Versions that it may run on when no server of those can take it. */
+  readonly allows: (version: string) => boolean
+}
+
+const ANY_VERSION: VersionRule = { prefers: () => true, allows: () => true }
+
+interface SessionVersion {
+  readonly version: string
+  /** Monotonic milliseconds. */
+  readonly at: number
+}
+
+export interface VersionPolicySettings {
+  /** How long two requests of one session may be apart. Milliseconds. */
+  readonly sessionGap: number
+  /** The part of a service's requests that a bad version may get. */
+  readonly exposureShare: number
+}
+
+export class VersionPolicy {
+  private readonly sessions = new LRUCache<string, SessionVersion>({ max: MAXIMUM_REMEMBERED_SESSIONS })
+  private rollouts: ReadonlyMap<string, Rollout> = new Map()
+  /** Versions that this instance keeps new work away from before all agreed on that, by service. */
+  private readonly suspended = new Map<string, string>()
+
+  constructor (private settings: VersionPolicySettings, private readonly storeTime: () => number) {}
+
+  setSettings (settings: VersionPolicySettings): void {
+    this.settings = settings
+  }
+
+  setRollouts (rollouts: ReadonlyMap<string, Rollout>): void {
+    this.rollouts = rollouts
+    for (const [service, version] of this.suspended) if (rollouts.get(service)?.order.version !== version) this.suspended.delete(service)
+  }
+
+  rolloutOf (service: string): Rollout | undefined {
+    return this.rollouts.get(service)
+  }
+
+  /** Keeps new work away from the new version of a running rollout. */
+  suspend (service: string, version: string): void {
+    this.suspended.set(service, version)
+  }
+
+  ruleFor (service: string, session: string, now: number): VersionRule {
+    const rollout = this.rollouts.get(service)
+    if (rollout === undefined) return ANY_VERSION
+    const target = rollout.order.version
+    const isNew = (version: string): boolean => version === target
+    const isOld = (version: string): boolean => version !== target
+    if (rollout.outcome === 'complete') return { prefers: isNew, allows: () => true }
+    if (rollout.outcome === 'rolled_back' || this.suspended.has(service)) return { prefers: isOld, allows: isOld }
+    const known = this.knownVersion(service, session, now)
+    const storeTime = this.storeTime()
+    const isInShare = rendezvousWeight(session, `${service}/${target}`) / 2 ** 48 < newVersionShare(rollout, storeTime, this.settings.exposureShare)
+    const mayMove = mayMoveSessions(rollout, storeTime)
+    const goesToNew = known === target || (isInShare && (known === undefined || mayMove))
+    if (!goesToNew) return { prefers: isOld, allows: mayMove ? () => true : isOld }
+    return { prefers: isNew, allows: () => true }
+  }
+
+  /** Takes note that a request of the session runs on a version. */
+  noteRun (service: string, session: string, version: string, now: number): void {
+    this.sessions.set(`${service}/${session}`, { version, at: now })
+  }
+
+  private knownVersion (service: string, session: string, now: number): string | undefined {
+    const known = this.sessions.get(`${service}/${session}`)
+    return known === undefined || now - known.at > this.settings.sessionGap + SESSION_MARGIN ? undefined : known.version
+  }
+}
--- a/packages/ledger/src/JayfallBillBatches.ts
+++ b/packages/ledger/src/JayfallBillBatches.ts
@@ -4,7 +4,7 @@
  * A bill is safe when a witness holds it or the store does. The end of an answer waits for that.
  */
 
-import { type ObjectStore } from '#jayfall/platform'
+import { type ObjectStore } from '#jayfall/store'
 import { type Peer, type PeerDirectory } from '#jayfall/peers'
 import { rendezvousRank, type Clock, type RandomSource } from '#jayfall/shared'
 
--- a/packages/ledger/src/JayfallBillObjects.ts
+++ b/packages/ledger/src/JayfallBillObjects.ts
@@ -6,7 +6,7 @@
  * an origin and its witnesses can write the same batch at any moment without storing a bill twice.
  */
 
-import { type ObjectStore } from '#jayfall/platform'
+import { type ObjectStore } from '#jayfall/store'
 
 import { type Bill } from './JayfallBill'
 import { BILLS_PREFIX } from './JayfallLedgerConstants'
--- a/packages/ledger/src/JayfallBillWitness.ts
+++ b/packages/ledger/src/JayfallBillWitness.ts
@@ -5,7 +5,7 @@
  * Writing is safe at any moment (see `writeBills`), so a wrong suspicion costs two store calls and no more.
  */
 
-import { type ObjectStore } from '#jayfall/platform'
+import { type ObjectStore } from '#jayfall/store'
 import { type PeerDirectory } from '#jayfall/peers'
 import { type Clock, type RandomSource } from '#jayfall/shared'
 
--- a/packages/ledger/src/JayfallCallClaims.ts
+++ b/packages/ledger/src/JayfallCallClaims.ts
@@ -6,7 +6,7 @@
  * long its sender is paused.
  */
 
-import { isPlatformError, type TableRow } from '#jayfall/platform'
+import { isPlatformError, type TableRow } from '#jayfall/store'
 import { type Clock, type RandomSource } from '#jayfall/shared'
 
 import { CALLS_TABLE, MAXIMUM_WRITE_ROUNDS } from './JayfallLedgerConstants'
--- a/packages/ledger/src/JayfallCallRecovery.ts
+++ b/packages/ledger/src/JayfallCallRecovery.ts
@@ -6,7 +6,7 @@
  * by several instances at once, or by a paused holder of the lease, does no harm.
  */
 
-import { listRows, type TableRow } from '#jayfall/platform'
+import { listRows, type TableRow } from '#jayfall/store'
 import { type Clock } from '#jayfall/shared'
 
 import { changeRow, createDoneRow, createRow, type CallOutcome, type CallRow, type OpenCall } from './JayfallCallRow'
--- a/packages/ledger/src/JayfallCallRow.ts
+++ b/packages/ledger/src/JayfallCallRow.ts
@@ -1,6 +1,6 @@
 /** Rows of the `calls` table, and the writes that change them. */
 
-import { type TableRow } from '#jayfall/platform'
+import { type TableRow } from '#jayfall/store'
 
 import { type Bill } from './JayfallBill'
 import { CALLS_TABLE, OPEN_CALLS_TABLE } from './JayfallLedgerConstants'
--- a/packages/ledger/src/JayfallLedgerReader.ts
+++ b/packages/ledger/src/JayfallLedgerReader.ts
@@ -1,6 +1,6 @@
 /** The ledger: what each workspace owes, read from the platform. */
 
-import { listRows, type ObjectStore, type TableStore } from '#jayfall/platform'
+import { listRows, type ObjectStore, type TableStore } from '#jayfall/store'
 
 import { type Bill } from './JayfallBill'
 import { readParts } from './JayfallBillObjects'
--- a/packages/ledger/src/JayfallRowCommitter.ts
+++ b/packages/ledger/src/JayfallRowCommitter.ts
@@ -4,7 +4,7 @@
  * The table service carries out a few hundred transactions a second, fewer than there are calls.
  */
 
-import { conflictsOf, isPlatformError, type TableConflict, type TableWrite } from '#jayfall/platform'
+import { conflictsOf, isPlatformError, type TableConflict, type TableWrite } from '#jayfall/store'
 
 import { MAXIMUM_ROWS_PER_COMMIT } from './JayfallLedgerConstants'
 import { type StoreGate } from './JayfallStoreGate'
--- a/packages/ledger/src/JayfallStoreGate.ts
+++ b/packages/ledger/src/JayfallStoreGate.ts
@@ -5,7 +5,7 @@
  * would wait for the timeout of a silent store. While the gate is shut only probes reach the store.
  */
 
-import { PlatformError, TableStore, isPlatformError } from '#jayfall/platform'
+import { PlatformError, TableStore, isPlatformError } from '#jayfall/store'
 import { type Clock, type RandomSource } from '#jayfall/shared'
 
 import { Backoff } from './JayfallBackoff'
--- a/packages/ledger/src/__tests__/unit/JayfallFakeStores.ts
+++ b/packages/ledger/src/__tests__/unit/JayfallFakeStores.ts
@@ -1,6 +1,6 @@
 /** Stores in memory whose calls fail as the test tells them to. */
 
-import { ObjectStore, PlatformError, TableStore, type TableConflict, type TableRow, type TableWrite } from '#jayfall/platform'
+import { ObjectStore, PlatformError, TableStore, type TableConflict, type TableRow, type TableWrite } from '#jayfall/store'
 
 /**
  * - `down`: refused; nothing happens.
--- a/packages/proofs/src/JayfallAllowedProof.ts
+++ b/packages/proofs/src/JayfallAllowedProof.ts
@@ -6,7 +6,7 @@
  * goes on with the old catalogue.
  */
 
-import { HttpTableStore, PlatformHttp } from '#jayfall/platform'
+import { HttpTableStore, PlatformHttp } from '#jayfall/store'
 import { ANSWER_SIGNALS, QualityEstimates, requestKind } from '#jayfall/rollout'
 import { createRandomSource, delay, type RandomSource } from '#jayfall/shared'
 import { TestSystem, testCallerKey, testEngineService, testVersion, testWorkspace } from '#jayfall/testbed'
--- a/packages/proofs/src/JayfallLeasesProof.ts
+++ b/packages/proofs/src/JayfallLeasesProof.ts
@@ -7,7 +7,7 @@
  */
 
 import { type VersionEntry } from '#jayfall/catalogue'
-import { HttpTableStore, LEASES_TABLE, PlatformHttp, type LeaseRow } from '#jayfall/platform'
+import { HttpTableStore, LEASES_TABLE, PlatformHttp, type LeaseRow } from '#jayfall/store'
 import { createRandomSource, delay, type RandomSource } from '#jayfall/shared'
 import { type TestSystem, testEngineService, testVersion, testWorkspace } from '#jayfall/testbed'
 import Wreck from '@hapi/wreck'
--- a/packages/proofs/src/JayfallRevisionsOperators.ts
+++ b/packages/proofs/src/JayfallRevisionsOperators.ts
@@ -1,7 +1,7 @@
 /** Operators who race for the same catalogue entries. */
 
 import { type VersionEntry } from '#jayfall/catalogue'
-import { isPlatformError } from '#jayfall/platform'
+import { isPlatformError } from '#jayfall/store'
 import { delay, type RandomSource } from '#jayfall/shared'
 import { type TestSystem } from '#jayfall/testbed'
 
--- a/packages/platform/src/JayfallCatalogueStore.ts
+++ b/packages/store/src/JayfallCatalogueStore.ts
@@ -9,8 +9,8 @@
 
 import { CatalogueError, changeKey, entryKey, type CatalogueChange, type CatalogueEntry, type CatalogueSnapshot, type RevisedEntry } from '#jayfall/catalogue'
 
-import { CATALOGUE_TABLE, CHANGES_TABLE, HEAD_KEY, HEAD_TABLE, MAXIMUM_HEAD_ATTEMPTS } from './JayfallPlatformConstants'
-import { PlatformError, isPlatformError } from './JayfallPlatformError'
+import { CATALOGUE_TABLE, CHANGES_TABLE, HEAD_KEY, HEAD_TABLE, MAXIMUM_HEAD_ATTEMPTS } from './JayfallStoreConstants'
+import { PlatformError, isPlatformError } from './JayfallStoreError'
 import { conflictsOf, listRows, type TableRow, type TableStore } from './JayfallTableStore'
 
 interface HeadRow {
--- a/packages/platform/src/JayfallLease.ts
+++ b/packages/store/src/JayfallLease.ts
@@ -12,9 +12,9 @@
 
 import { type Clock } from '#jayfall/shared'
 
-import { DEFAULT_LEASE_TERM_MILLISECONDS, LEASES_TABLE, MAXIMUM_PENDING_LEASE_WRITES } from './JayfallPlatformConstants'
+import { DEFAULT_LEASE_TERM_MILLISECONDS, LEASES_TABLE, MAXIMUM_PENDING_LEASE_WRITES } from './JayfallStoreConstants'
 import { conflictsOf, type TableRow, type TableStore } from './JayfallTableStore'
-import { isPlatformError } from './JayfallPlatformError'
+import { isPlatformError } from './JayfallStoreError'
 
 /** The value of a lease's row. */
 export interface LeaseRow {
--- a/packages/platform/src/JayfallObjectStore.ts
+++ b/packages/store/src/JayfallObjectStore.ts
@@ -1,7 +1,7 @@
 /** The platform's object store. */
 
-import { PlatformError } from './JayfallPlatformError'
-import { type PlatformHttp } from './JayfallPlatformHttp'
+import { PlatformError } from './JayfallStoreError'
+import { type PlatformHttp } from './JayfallStoreHttp'
 
 /** Objects by name, written once. */
 export abstract class ObjectStore {
--- a/packages/platform/src/JayfallPlatformError.ts
+++ b/packages/store/src/JayfallStoreError.ts
@@ -7,9 +7,10 @@
  * - `outcome_unknown`: the call was sent and no answer came; a write may have taken effect.
  * - `conflict`: a condition of a write did not hold; nothing was written.
  * - `rate_limited`: refused because of the platform's rate; nothing was written.
+ * - `history_lost`: the store no longer has the changes that were asked for.
  * - `malformed`: the answer could not be understood.
  */
-export type PlatformErrorCode = 'unavailable' | 'outcome_unknown' | 'conflict' | 'rate_limited' | 'malformed'
+export type PlatformErrorCode = 'unavailable' | 'outcome_unknown' | 'conflict' | 'rate_limited' | 'history_lost' | 'malformed'
 
 /** A call to the platform failed. */
 export class PlatformError extends JayfallError {
--- a/packages/platform/src/JayfallPlatformHttp.ts
+++ b/packages/store/src/JayfallStoreHttp.ts
@@ -4,8 +4,8 @@
 
 import Wreck from '@hapi/wreck'
 
-import { DEFAULT_PLATFORM_TIMEOUT_MILLISECONDS, MAXIMUM_PLATFORM_CONNECTIONS } from './JayfallPlatformConstants'
-import { PlatformError } from './JayfallPlatformError'
+import { DEFAULT_PLATFORM_TIMEOUT_MILLISECONDS, MAXIMUM_PLATFORM_CONNECTIONS } from './JayfallStoreConstants'
+import { PlatformError } from './JayfallStoreError'
 
 /** Where the platform is and how long to wait for it. */
 export interface PlatformSettings {
@@ -38,14 +38,14 @@
   }
 
   /**
-   * Sends one call. Statuses below 500 other than 429 are returned for the caller to interpret.
+   * Sends one call. @param timeout milliseconds; that of the settings by default. Statuses below 500 other than 429 are returned for the caller to interpret.
    * @throws PlatformError `unavailable`, `rate_limited`, `outcome_unknown` or `malformed`.
    */
-  async call (method: string, path: string, payload?: unknown, headers: Readonly<Record<string, string>> = {}): Promise<PlatformReply> {
-    const deadline = Date.now() + this.timeout
-    const response = await this.send(method, path, payload, headers)
+  async call (method: string, path: string, payload?: unknown, headers: Readonly<Record<string, string>> = {}, timeout = this.timeout): Promise<PlatformReply> {
+    const deadline = performance.now() + timeout
+    const response = await this.send(method, path, payload, headers, timeout)
     const status = response.statusCode ?? 0
-    const text = await this.read(response, deadline - Date.now())
+    const text = await this.read(response, deadline - performance.now())
     if (status === 429) throw new PlatformError('rate_limited', `the platform refused ${method} ${path} because of its rate limit`)
     if (status === 503) throw new PlatformError('unavailable', `the platform refused ${method} ${path} with status 503`)
     if (status >= 500) throw new PlatformError('outcome_unknown', `the platform failed ${method} ${path} with status ${status}`)
@@ -57,12 +57,12 @@
     this.agent.destroy()
   }
 
-  private async send (method: string, path: string, payload: unknown, headers: Readonly<Record<string, string>>): Promise<http.IncomingMessage> {
+  private async send (method: string, path: string, payload: unknown, headers: Readonly<Record<string, string>>, timeout: number): Promise<http.IncomingMessage> {
     try {
       return await this.client.request(method, path, {
         payload: payload === undefined ? undefined : JSON.stringify(payload),
         headers: { 'content-type': 'application/json', ...headers },
-        timeout: this.timeout
+        timeout
       })
     } catch (error) {
       throw new PlatformError(isSurelyUnsent(error) ? 'unavailable' : 'outcome_unknown', `the platform did not answer ${method} ${path}`, error)
--- a/packages/platform/src/JayfallPlatformServices.ts
+++ b/packages/store/src/JayfallStoreServices.ts
@@ -1,7 +1,7 @@
 /** The platform's smaller services: the list of instances, the weight store and the answer ratings. */
 
-import { PlatformError } from './JayfallPlatformError'
-import { type PlatformHttp } from './JayfallPlatformHttp'
+import { PlatformError } from './JayfallStoreError'
+import { type PlatformHttp } from './JayfallStoreHttp'
 
 /** An instance as the platform's lagging list shows it. */
 export interface ListedInstance {
--- a/packages/platform/src/JayfallTableStore.ts
+++ b/packages/store/src/JayfallTableStore.ts
@@ -1,8 +1,8 @@
 /** The platform's transactional table service. */
 
-import { LISTING_PAGE_ROWS } from './JayfallPlatformConstants'
-import { PlatformError } from './JayfallPlatformError'
-import { type PlatformHttp } from './JayfallPlatformHttp'
+import { LISTING_PAGE_ROWS } from './JayfallStoreConstants'
+import { PlatformError } from './JayfallStoreError'
+import { type PlatformHttp } from './JayfallStoreHttp'
 
 /** A row and its revision, which grows with each write of the row and is never 0. */
 export interface TableRow<Value = unknown> {
@@ -43,6 +43,33 @@
   abstract list<Value> (table: string, prefix: string, after?: string, limit?: number): Promise<readonly TableRow<Value>[]>
 }
 
+/** A row that changed; `value` is undefined when the row was removed. */
+export interface TableChange<Value = unknown> {
+  readonly key: string
+  readonly value: Value | undefined
+  readonly revision: number
+}
+
+/** Changes of a table up to a revision. */
+export interface TableChanges<Value = unknown> {
+  readonly changes: readonly TableChange<Value>[]
+  /** Where the next reading goes on. */
+  readonly revision: number
+  /** The store's own steady clock, in milliseconds. */
+  readonly storeTime: number
+}
+
+/** A table store that tells what has changed. */
+export abstract class WatchableTableStore extends TableStore {
+  /** Reads all rows of a table, and the revision as of which they hold. */
+  abstract snapshot<Value> (table: string): Promise<TableChanges<Value>>
+  /**
+   * Waits up to `wait` milliseconds for changes after `revision`.
+   * @throws PlatformError `history_lost` when the store no longer has them.
+   */
+  abstract changes<Value> (table: string, revision: number, wait: number): Promise<TableChanges<Value>>
+}
+
 /** The table service over HTTP. */
 export class HttpTableStore extends TableStore {
   constructor (private readonly http: PlatformHttp) {
--- a/packages/platform/src/__tests__/unit/JayfallLease.test.ts
+++ b/packages/store/src/__tests__/unit/JayfallLease.test.ts
@@ -6,7 +6,7 @@
 import { ManualClock } from '#jayfall/shared'
 
 import { Lease } from '../../JayfallLease'
-import { PlatformError } from '../../JayfallPlatformError'
+import { PlatformError } from '../../JayfallStoreError'
 import { TableStore, type TableRow, type TableWrite } from '../../JayfallTableStore'
 
 const TERM = 15_000
--- /dev/null
+++ b/packages/telemetry/src/JayfallBoundedLog.ts
@@ -0,0 +1,44 @@
+/**
+ * A log for processes whose reader may be slow: JSON lines that are written in the background.
+ *
+ * Lines beyond the buffer are left out and counted, so that a reader that stops never holds a
+ * request up. A line tells how many were left out once there is room again.
+ */
+
+import pino from 'pino'
+
+import { LOG_BUFFER_BYTES, LOG_FLUSH_INTERVAL_MILLISECONDS, LOG_WRITE_BYTES } from './JayfallTelemetryConstants'
+import { type Log, type LogFields } from './JayfallLog'
+
+export interface BoundedLog extends Log {
+  /** Writes what is buffered and calls `done`. */
+  close (done: () => void): void
+}
+
+/** Creates a log of JSON lines on `destination`, a file descriptor; the standard output by default. */
+export function createBoundedLog (fixed: LogFields, destination = 1): BoundedLog {
+  const output = pino.destination({ dest: destination, sync: false, minLength: LOG_WRITE_BYTES, maxLength: LOG_BUFFER_BYTES, periodicFlush: LOG_FLUSH_INTERVAL_MILLISECONDS })
+  const logger = pino({ base: fixed, timestamp: pino.stdTimeFunctions.isoTime, formatters: { level: label => ({ level: label }) } }, output)
+  let dropped = 0
+  output.on('drop', () => { dropped++ })
+  // A closed reader must not end the process.
+  output.on('error', () => { dropped++ })
+  const report = (): void => {
+    if (dropped === 0) return
+    const lines = dropped
+    dropped = 0
+    logger.warn({ event: 'log_lines_dropped', lines })
+  }
+  const timer = setInterval(report, LOG_FLUSH_INTERVAL_MILLISECONDS)
+  timer.unref()
+  return {
+    debug: (event, fields) => logger.debug({ event, ...fields }),
+    info: (event, fields) => logger.info({ event, ...fields }),
+    warn: (event, fields) => logger.warn({ event, ...fields }),
+    error: (event, fields) => logger.error({ event, ...fields }),
+    close: done => {
+      clearInterval(timer)
+      output.flush(() => done())
+    }
+  }
+}
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,3 +1,4 @@
+export { createBoundedLog, type BoundedLog } from './JayfallBoundedLog'
 export { createLog, formatLine, type Log, type LogFields, type LogLevel } from './JayfallLog'
 export { formatPrometheus, Metrics, sumMetrics, type DurationSummary, type MetricLabels, type MetricsSnapshot } from './JayfallMetrics'
 export { type SpanRecord } from './JayfallSpanProcessors'
--- a/packages/testbed/src/JayfallTestSystem.ts
+++ b/packages/testbed/src/JayfallTestSystem.ts
@@ -14,7 +14,7 @@
 
 import Wreck from '@hapi/wreck'
 import { entryKey, parseEntry, type CatalogueEntry, type ServerEntry } from '#jayfall/catalogue'
-import { CatalogueStore, HttpTableStore, PlatformHttp } from '#jayfall/platform'
+import { CatalogueStore, HttpTableStore, PlatformHttp } from '#jayfall/store'
 import { delay } from '#jayfall/shared'
 import { type LinkFaultChange, type PlatformFaults } from '#jayfall/standins'
 
--- a/scripts/run-demo.sh
+++ b/scripts/run-demo.sh
@@ -5,4 +5,4 @@
 
 [ -d node_modules ] || npm ci --no-audit --no-fund
 npm run --silent build
-node --enable-source-maps build/demo/src/main.js
+node --enable-source-maps target/packages/demo/src/main.js
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -9,7 +9,7 @@
 known_red=$(sed -n 's/^test=\([^ ]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null || true)
 files=()
 while IFS= read -r file; do
-  source="packages/${file#build/}"
+  source="${file#target/}"
   source="${source%.js}.ts"
   # A compiled test whose source is gone is a leftover of an earlier build.
   [ -f "$source" ] || continue
@@ -18,6 +18,6 @@
     continue
   fi
   files+=("$file")
-done < <(find build -path '*__tests__*' -name '*.test.js' | sort)
+done < <(find target -path '*__tests__*' -name '*.test.js' | sort)
 
 node --enable-source-maps --test --test-concurrency="${TEST_CONCURRENCY:-4}" --test-reporter=spec "${files[@]}"
