Place prompts by estimated reading time, and ask larger models by the time left

Ruled out: slots (never full). The choice now adds reading times by model, what waits, and homes of shared parts; a larger model is asked only while it can answer in time.

--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -9,14 +9,13 @@
 import { type Clock } from '#jayfall/shared'
 
 import { type BackendChoice, type BackendChoiceResult } from './JayfallBackendChoice'
-import { estimateLoad, slotsOf, type BackendDirectory } from './JayfallBackendDirectory'
 import { type BackendServer, type ForwardingRoute } from './JayfallForwardingCatalogue'
 import {
   ANSWER_SILENCE_OBJECTIVES, DEFAULT_RETRY_AFTER, EVENT_SILENCE_GAPS, FIRST_EVENT_SILENCE_OBJECTIVES, MINIMUM_ANSWER_SILENCE, MINIMUM_ATTEMPT_TIME,
   MINIMUM_EVENT_SILENCE, MINIMUM_FIRST_EVENT_SILENCE
 } from './JayfallForwardingConstants'
 import { type CallerFields } from './JayfallForwardingProtocol'
-import { chooseFirstModel, chooseSurerModel, type LadderStep } from './JayfallModelLadder'
+import { confidenceThreshold } from './JayfallModelLadder'
 import { type RetryBudget } from './JayfallRetryBudget'
 import { type VersionPolicy } from './JayfallVersionPolicy'
 
@@ -26,7 +25,7 @@
   readonly server: BackendServer
   readonly model: string | undefined
   /** Answers with less confidence are dropped before the caller has any of them. */
-  readonly minimumConfidence: number
+  readonly minimumConfidence: () => number
   /** The event after which the stream goes on; undefined for what the caller asked for. */
   readonly resumeAfter: string | undefined
   /** Monotonic milliseconds at which the attempt ends at the latest. */
@@ -81,7 +80,6 @@
   readonly arrivedAt: number
   readonly deadline: number
   readonly clock: Clock
-  readonly directory: BackendDirectory
   readonly choice: BackendChoice
   readonly budget: RetryBudget
   readonly versions: VersionPolicy
@@ -94,12 +92,12 @@
   const tried = new Set<string>()
   let sends = 0
   let mayHaveRun = false
-  let step: LadderStep | undefined = firstStep(context)
+  let model = route.models[0] ?? context.fields.model
   for (let number = 1; ; number++) {
     if (deadline - clock.monotonic() < MINIMUM_ATTEMPT_TIME) return endWithoutAnswer(mayHaveRun, 'too_late')
-    const choice = chooseServer(context, step?.model, tried)
+    const choice = chooseServer(context, model, tried)
     if (choice === undefined) return endWithoutAnswer(mayHaveRun, tried.size === 0 ? 'no_server' : 'servers_full')
-    const result: AttemptResult = yield createPlan(context, choice, step, number)
+    const result: AttemptResult = yield createPlan(context, choice, model, number, sends)
     if (result.kind !== 'unsent') sends++
     const mayRunElsewhere = result.kind === 'unsent' || result.kind === 'not_run' || route.isRepeatable
     switch (result.kind) {
@@ -110,8 +108,8 @@
       case 'expired':
         return { kind: 'fail', code: 'timeout' }
       case 'unsure':
-        // A server that was not sure is a good choice for the larger model, whose answer is another one.
-        step = chooseSurerModel(route.models)
+        context.budget.trySpend(context.service, clock.monotonic())
+        model = route.models[route.models.length - 1]
         mayHaveRun = true
         continue
       case 'failed':
@@ -122,32 +120,23 @@
     tried.add(choice.row.server.id)
     const isUnsent = result.kind === 'unsent'
     const mayRepeat = mayRunElsewhere && sends < route.maximumAttempts && (isUnsent || context.budget.trySpend(context.service, clock.monotonic()))
-    if (mayRepeat) {
-      if (step !== undefined && step.minimumConfidence > 0 && sends + 1 >= route.maximumAttempts) step = { ...step, minimumConfidence: 0 }
-      continue
-    }
+    if (mayRepeat) continue
     if (result.kind === 'failed') return { kind: 'deliver' }
     return endWithoutAnswer(mayHaveRun, 'servers_full')
   }
 }
 
-function firstStep ({ route, fields, directory, service, budget, clock, arrivedAt, deadline, lastDelivered }: PlanContext): LadderStep | undefined {
-  if (route.models.length === 0) return fields.model === undefined ? undefined : { model: fields.model, minimumConfidence: 0 }
+/**
+ * How sure the answer of `model` must be, asked when the model has said how sure it is.
+ * Asking a larger model takes one repeat out of the budget, and one attempt of the route.
+ */
+function minimumConfidence (context: PlanContext, model: string | undefined, sends: number): number {
+  const { route, clock, budget, service, arrivedAt, lastDelivered } = context
+  const largest = route.models.at(-1)
+  if (largest === undefined || model === largest || !route.isRepeatable || sends + 1 >= route.maximumAttempts || lastDelivered() !== undefined) return 0
   const now = clock.monotonic()
-  const mayAskAgain = route.isRepeatable && route.maximumAttempts > 1 && lastDelivered() === undefined && budget.hasRoom(service, now)
-  return chooseFirstModel({ models: route.models, load: serviceLoad(directory, service, now), timeLeftShare: (deadline - now) / Math.max(1, deadline - arrivedAt), mayAskAgain })
-}
-
-/** The estimated part of the service's slots that is taken. */
-export function serviceLoad (directory: BackendDirectory, service: string, now: number): number {
-  let load = 0
-  let slots = 0
-  for (const row of directory.ofService(service)) {
-    if (row.server.isLeaving) continue
-    load += estimateLoad(row, now)
-    slots += slotsOf(row)
-  }
-  return slots === 0 ? 0 : load / slots
+  const next = budget.hasRoom(service, now) ? chooseServer(context, largest, new Set()) : undefined
+  return next === undefined ? 0 : confidenceThreshold(next.firstEvent, arrivedAt + route.objective - now)
 }
 
 function chooseServer (context: PlanContext, model: string | undefined, tried: ReadonlySet<string>): BackendChoiceResult | undefined {
@@ -158,7 +147,8 @@
   return choice.choose({ ...request, allowsVersion: rule.prefers }, now) ?? choice.choose({ ...request, allowsVersion: rule.allows }, now)
 }
 
-function createPlan ({ route, deadline, lastDelivered }: PlanContext, choice: BackendChoiceResult, step: LadderStep | undefined, number: number): AttemptPlan {
+function createPlan (context: PlanContext, choice: BackendChoiceResult, model: string | undefined, number: number, sends: number): AttemptPlan {
+  const { route, deadline, lastDelivered } = context
   const resumeAfter = lastDelivered()
   const answerSilence = route.isStream
     ? Math.max(MINIMUM_FIRST_EVENT_SILENCE, route.objective * FIRST_EVENT_SILENCE_OBJECTIVES)
@@ -166,8 +156,8 @@
   return {
     number,
     server: choice.row.server,
-    model: step?.model,
-    minimumConfidence: resumeAfter === undefined ? step?.minimumConfidence ?? 0 : 0,
+    model,
+    minimumConfidence: () => minimumConfidence(context, model, sends),
     resumeAfter,
     deadline,
     // A request that must not run twice has nowhere else to go, so silence does not end it.
--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -8,6 +8,7 @@
 import { type CallerAnswer, type WholeAnswer } from './JayfallCallerAnswer'
 import { EventSplitter, type StreamEvent } from './JayfallEventSplitter'
 import { type ForwardingWorkspace } from './JayfallForwardingCatalogue'
+import { FIRST_EVENT_MILLISECONDS } from './JayfallForwardingConstants'
 import { type ForwardingContext } from './JayfallForwardingContext'
 import { type AnswerFields } from './JayfallForwardingProtocol'
 
@@ -35,7 +36,10 @@
   /** The answer of the last attempt, ready for the caller. */
   ready: WholeAnswer | undefined
   /** Milliseconds from the attempt's start to its first event or whole answer. */
-  private answeredAfter: number | undefined
+  answeredAfter: number | undefined
+  /** The confidence that the attempt's answer had to have. */
+  minimumConfidence = 0
+  private isRead = false
 
   constructor (
     private readonly context: ForwardingContext,
@@ -50,7 +54,9 @@
     const startedAt = clock.monotonic()
     this.ready = undefined
     this.answeredAfter = undefined
-    directory.noteSent(server.id)
+    directory.noteSent(server.id, attempt.choice.reading)
+    this.context.times.noteSent(attempt.choice.reading)
+    this.isRead = false
     if (model !== undefined) holders.noteSent(server.id, model, this.plan.fields.promptParts, startedAt)
     versions.noteRun(this.plan.service, this.plan.session, server.version, startedAt)
     const rawHeaders = protocol.writeAttempt(this.request.rawHeaders, {
@@ -64,6 +70,7 @@
       bodyLength: this.request.body.length
     })
     const result = await this.exchange(attempt, rawHeaders, startedAt)
+    this.noteRead(attempt, undefined)
     directory.noteEnded(server.id)
     this.learn(attempt, result)
     return result
@@ -99,9 +106,13 @@
     if (fields.isEncoded) return { kind: 'broken', cause: 'the answer is encoded' }
     const isSuccess = status >= 200 && status < 300
     if (isSuccess && !fields.isSealed) return { kind: 'broken', cause: 'the answer has no signature' }
-    if (isSuccess && fields.confidence !== undefined && fields.confidence < attempt.minimumConfidence && !this.answer.hasBegun) {
-      this.answeredAfter = clock.monotonic() - startedAt
-      return { kind: 'unsure', confidence: fields.confidence }
+    if (isSuccess && fields.confidence !== undefined) {
+      this.noteRead(attempt, clock.monotonic() - startedAt)
+      this.minimumConfidence = attempt.minimumConfidence()
+      if (fields.confidence < this.minimumConfidence) {
+        this.answeredAfter = clock.monotonic() - startedAt
+        return { kind: 'unsure', confidence: fields.confidence }
+      }
     }
     return isSuccess && this.plan.route.isStream ? this.relayEvents(attempt, head, startedAt) : this.readWhole(attempt, head, startedAt)
   }
@@ -133,6 +144,7 @@
       if (end.value.done === true) break
       for (const event of splitter.push(end.value.value as Buffer)) {
         this.answeredAfter ??= this.context.clock.monotonic() - startedAt
+        this.noteRead(attempt, this.answeredAfter)
         silence = attempt.eventSilence
         if (!isAfter(event, this.answer.lastEventId)) continue
         this.answer.beginStream(status, response.rawHeaders)
@@ -157,6 +169,17 @@
     return this.context.clock.monotonic() >= attempt.deadline - 1 ? { kind: 'expired' } : { kind: 'silent' }
   }
 
+  /** Takes note that the prompt was read; `firstEvent` is undefined when the attempt ended before. */
+  private noteRead ({ server, model, choice }: AttemptPlan, firstEvent: number | undefined): void {
+    if (this.isRead || model === undefined) return
+    this.isRead = true
+    const { directory, times, clock } = this.context
+    directory.noteRead(server.id, choice.reading)
+    if (firstEvent === undefined) return
+    directory.noteDelay(server.id, firstEvent - FIRST_EVENT_MILLISECONDS - choice.reading, clock.monotonic())
+    times.noteFirstEvent(model, choice.unreadTokens, firstEvent)
+  }
+
   /** Takes note of what the result tells about the server and its version. */
   private learn ({ server, model }: AttemptPlan, result: AttemptResult): void {
     const { directory, evidence, clock } = this.context
--- a/packages/forwarding/src/JayfallBackendChoice.ts
+++ b/packages/forwarding/src/JayfallBackendChoice.ts
@@ -1,20 +1,21 @@
 /**
  * The choice of a server for one attempt.
  *
- * Servers are compared by the estimated time until the answer: prompt tokens to read, the slower
- * steps of a fuller batch, waiting for a slot, and a price for leaving the availability zone.
- * Instances agree on a home for each shared prompt part by rendezvous hashing, so that a part is
- * read by few servers without the instances talking to each other.
+ * Servers are compared by the estimated time until the first event: prompts that are read before,
+ * tokens that the server must read itself, and the slower steps of a fuller batch. Instances agree
+ * on homes for each shared prompt part by rendezvous hashing, so that a part is read by few servers
+ * without the instances talking to each other.
  */
 
 import { rendezvousWeight } from '#jayfall/shared'
 
-import { currentFailureRate, estimateLoad, slotsOf, type BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
+import { currentDelay, currentFailureRate, estimateLoad, estimateWaiting, slotsOf, type BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
 import {
-  MAXIMUM_FAILURE_RATE, OTHER_ZONE_MILLISECONDS, PLAIN_WORK_MILLISECONDS, PROMPT_TOKENS_PER_MILLISECOND, STEP_MILLISECONDS_PER_REQUEST, WAITING_MILLISECONDS_PER_REQUEST
+  FIRST_EVENT_MILLISECONDS, MAXIMUM_FAILURE_RATE, OTHER_ZONE_MILLISECONDS, PLAIN_WORK_MILLISECONDS, READING_EXTERNALITY, SECOND_HOLDER_SHARE, STEP_MILLISECONDS_PER_REQUEST
 } from './JayfallForwardingConstants'
 import { type PromptPart } from './JayfallForwardingProtocol'
 import { type PromptHolders } from './JayfallPromptHolders'
+import { type ReadingTimes } from './JayfallReadingTimes'
 
 export interface ChoiceRequest {
   readonly service: string
@@ -29,13 +30,18 @@
   readonly allowsVersion: (version: string) => boolean
 }
 
-/** How a choice came about, for the decision's log line. */
+/** How a choice came about. */
 export interface BackendChoiceResult {
   readonly row: BackendRow
   readonly estimatedLoad: number
   /** Milliseconds since the server's last load report. */
   readonly reportAge: number
-  readonly heldTokens: number
+  /** Prompt tokens that the server is not assumed to hold. */
+  readonly unreadTokens: number
+  /** Estimated milliseconds of reading them. */
+  readonly reading: number
+  /** Estimated milliseconds until the first event; of the whole answer for plain requests. */
+  readonly firstEvent: number
 }
 
 /** Chooses a server. */
@@ -44,31 +50,26 @@
   abstract choose (request: ChoiceRequest, now: number): BackendChoiceResult | undefined
 }
 
+interface Candidate extends BackendChoiceResult {
+  readonly cost: number
+}
+
 /** Takes the server with the least estimated time. */
 export class EstimatedTimeChoice extends BackendChoice {
-  constructor (private readonly directory: BackendDirectory, private readonly holders: PromptHolders, private readonly zone: string) {
+  constructor (private readonly directory: BackendDirectory, private readonly holders: PromptHolders, private readonly times: ReadingTimes, private readonly zone: string) {
     super()
   }
 
   override choose (request: ChoiceRequest, now: number): BackendChoiceResult | undefined {
     const usable = [...this.usable(request)]
     const healthy = usable.filter(row => isHealthy(row, now))
-    const candidates = healthy.length > 0 ? healthy : usable
-    let best: BackendRow | undefined
-    let bestCost = Infinity
-    for (const row of candidates) {
-      const cost = this.cost(request, row, now)
-      if (cost >= bestCost) continue
-      best = row
-      bestCost = cost
-    }
-    if (best === undefined) return undefined
-    return {
-      row: best,
-      estimatedLoad: estimateLoad(best, now),
-      reportAge: now - best.reportedAt,
-      heldTokens: this.heldTokens(request, best, now)
+    const homes = this.findHomes(request)
+    let best: Candidate | undefined
+    for (const row of healthy.length > 0 ? healthy : usable) {
+      const candidate = request.model === undefined ? this.comparePlain(row, now) : this.compareEngine(request, request.model, homes, row, now)
+      if (best === undefined || candidate.cost < best.cost) best = candidate
     }
+    return best
   }
 
   private * usable ({ service, tried, allowsVersion }: ChoiceRequest): Generator<BackendRow> {
@@ -77,32 +78,53 @@
     }
   }
 
-  private cost (request: ChoiceRequest, row: BackendRow, now: number): number {
-    const load = estimateLoad(row, now)
+  private comparePlain (row: BackendRow, now: number): Candidate {
+    const estimatedLoad = estimateLoad(row, now)
     const slots = slotsOf(row)
-    const waiting = Math.max(0, load + 1 - slots)
-    const slowness = row.report?.slowness ?? 1
-    const zone = row.server.zone === this.zone ? 0 : OTHER_ZONE_MILLISECONDS
-    if (request.model === undefined) {
-      return (load + 1 + waiting) / slots * PLAIN_WORK_MILLISECONDS * slowness + PLAIN_WORK_MILLISECONDS * (slowness - 1) + zone
-    }
-    const unread = Math.max(0, request.promptTokens - this.heldTokens(request, row, now))
-    const steps = load * STEP_MILLISECONDS_PER_REQUEST * request.outputTokens
-    return (unread / PROMPT_TOKENS_PER_MILLISECOND + steps + waiting * WAITING_MILLISECONDS_PER_REQUEST) * slowness + zone + this.homeCost(request, row)
+    const waiting = Math.max(0, estimatedLoad + 1 - slots)
+    const firstEvent = (1 + (estimatedLoad + 1 + waiting) / slots) * PLAIN_WORK_MILLISECONDS * slownessOf(row)
+    return { row, estimatedLoad, reportAge: now - row.reportedAt, unreadTokens: 0, reading: 0, firstEvent, cost: firstEvent + this.zoneCost(row) }
   }
 
-  private heldTokens ({ model, parts }: ChoiceRequest, row: BackendRow, now: number): number {
-    return model === undefined ? 0 : this.holders.heldTokens(row.server.id, model, parts, now)
+  private compareEngine (request: ChoiceRequest, model: string, homes: readonly string[], row: BackendRow, now: number): Candidate {
+    const estimatedLoad = estimateLoad(row, now)
+    const unreadTokens = Math.max(0, request.promptTokens - this.heldTokens(request, model, homes, row, now))
+    const reading = this.times.estimate(model, unreadTokens)
+    const queued = Math.max(row.pendingReading, estimateWaiting(row, now) * this.times.usual, currentDelay(row, now))
+    const firstEvent = (FIRST_EVENT_MILLISECONDS + queued + reading) * slownessOf(row)
+    const steps = estimatedLoad * STEP_MILLISECONDS_PER_REQUEST * request.outputTokens
+    const cost = firstEvent + reading * (READING_EXTERNALITY - 1) + steps + this.zoneCost(row)
+    return { row, estimatedLoad, reportAge: now - row.reportedAt, unreadTokens, reading, firstEvent, cost }
   }
 
-  /** Up to the time of reading the shared parts, least at the home that all instances agree on. */
-  private homeCost ({ model, parts }: ChoiceRequest, row: BackendRow): number {
-    const shared = parts.slice(0, -1)
-    const last = shared.at(-1)
-    if (last === undefined) return 0
-    const tokens = shared.reduce((sum, part) => sum + part.tokens, 0)
-    return tokens / PROMPT_TOKENS_PER_MILLISECOND * (1 - rendezvousWeight(`${model}/${last.id}`, row.server.id) / 2 ** 48)
+  private heldTokens ({ parts }: ChoiceRequest, model: string, homes: readonly string[], row: BackendRow, now: number): number {
+    const rank = homes.indexOf(row.server.id)
+    const shared = rank === -1 ? 0 : sumTokens(parts.slice(0, -1)) * (rank === 0 ? 1 : SECOND_HOLDER_SHARE)
+    return Math.max(shared, this.holders.heldTokens(row.server.id, model, parts, now))
+  }
+
+  /** The two servers that all instances expect to hold the shared parts of the prompt. */
+  private findHomes ({ service, model, parts }: ChoiceRequest): readonly string[] {
+    const last = parts.at(-2)
+    if (last === undefined || model === undefined) return []
+    const ranked: { readonly id: string, readonly weight: number }[] = []
+    for (const { server } of this.directory.ofService(service)) {
+      if (!server.isLeaving) ranked.push({ id: server.id, weight: rendezvousWeight(last.id, server.id) })
+    }
+    return ranked.sort((left, right) => right.weight - left.weight).slice(0, 2).map(({ id }) => id)
   }
+
+  private zoneCost ({ server }: BackendRow): number {
+    return server.zone === this.zone ? 0 : OTHER_ZONE_MILLISECONDS
+  }
+}
+
+function slownessOf ({ report }: BackendRow): number {
+  return report?.slowness ?? 1
+}
+
+function sumTokens (parts: readonly PromptPart[]): number {
+  return parts.reduce((sum, { tokens }) => sum + tokens, 0)
 }
 
 function isHealthy (row: BackendRow, now: number): boolean {
--- a/packages/forwarding/src/JayfallBackendDirectory.ts
+++ b/packages/forwarding/src/JayfallBackendDirectory.ts
@@ -8,7 +8,7 @@
 import { type ReadonlyTable, Table } from '#jayfall/shared'
 
 import { type BackendServer } from './JayfallForwardingCatalogue'
-import { AVOID_INITIAL, AVOID_MAXIMUM, FAILURES_UNTIL_AVOIDED, FAILURE_RATE_HALF_LIFE, FAILURE_RATE_WEIGHT, LOAD_REPORT_HALF_LIFE } from './JayfallForwardingConstants'
+import { AVOID_INITIAL, AVOID_MAXIMUM, DELAY_HALF_LIFE, DELAY_WEIGHT, FAILURES_UNTIL_AVOIDED, FAILURE_RATE_HALF_LIFE, FAILURE_RATE_WEIGHT, LOAD_REPORT_HALF_LIFE, WAITING_REPORT_HALF_LIFE } from './JayfallForwardingConstants'
 import { type ServerLoad } from './JayfallForwardingProtocol'
 
 export interface BackendRow {
@@ -24,6 +24,11 @@
   /** Recent part of outcomes that were failures, as of `outcomeAt`. */
   readonly failureRate: number
   readonly outcomeAt: number
+  /** Estimated milliseconds of prompt reading of own requests that have no first event yet. */
+  readonly pendingReading: number
+  /** How much later than estimated recent first events came, as of `delayAt`; milliseconds. */
+  readonly delay: number
+  readonly delayAt: number
   /** Monotonic milliseconds until which new work is kept away. */
   readonly avoidedUntil: number
   readonly avoidedFor: number
@@ -69,8 +74,19 @@
     }
   }
 
-  noteSent (id: string): void {
-    this.table.update(id, row => ({ ...row, open: row.open + 1 }))
+  /** @param reading estimated milliseconds of prompt reading; 0 for plain requests. */
+  noteSent (id: string, reading: number): void {
+    this.table.update(id, row => ({ ...row, open: row.open + 1, pendingReading: row.pendingReading + reading }))
+  }
+
+  /** Takes note that a request's prompt was read, or that its attempt ended before that. */
+  noteRead (id: string, reading: number): void {
+    this.table.update(id, row => ({ ...row, pendingReading: Math.max(0, row.pendingReading - reading) }))
+  }
+
+  /** Takes note that a first event came so much later than the reading of its prompt explains. */
+  noteDelay (id: string, delay: number, now: number): void {
+    this.table.update(id, row => ({ ...row, delay: currentDelay(row, now) * (1 - DELAY_WEIGHT) + Math.max(0, delay) * DELAY_WEIGHT, delayAt: now }))
   }
 
   noteEnded (id: string): void {
@@ -100,7 +116,7 @@
 }
 
 function createRow (server: BackendServer, now: number): BackendRow {
-  return { server, open: 0, report: undefined, reportedAt: now, openAtReport: 0, failuresInRow: 0, failureRate: 0, outcomeAt: now, avoidedUntil: -Infinity, avoidedFor: 0 }
+  return { server, open: 0, report: undefined, reportedAt: now, openAtReport: 0, failuresInRow: 0, failureRate: 0, outcomeAt: now, pendingReading: 0, delay: 0, delayAt: now, avoidedUntil: -Infinity, avoidedFor: 0 }
 }
 
 /** The recent part of outcomes that were failures, fading with time. */
@@ -108,6 +124,16 @@
   return failureRate * 2 ** ((outcomeAt - now) / FAILURE_RATE_HALF_LIFE)
 }
 
+/** Recent delay of first events at the server, fading with time. */
+export function currentDelay ({ delay, delayAt }: BackendRow, now: number): number {
+  return delay * 2 ** ((delayAt - now) / DELAY_HALF_LIFE)
+}
+
+/** Requests that likely wait for their prompt to be read, from the server's last report. */
+export function estimateWaiting ({ report, reportedAt }: BackendRow, now: number): number {
+  return report === undefined ? 0 : report.waiting * 2 ** ((reportedAt - now) / WAITING_REPORT_HALF_LIFE)
+}
+
 /** Requests that likely run or wait at the server. */
 export function estimateLoad (row: BackendRow, now: number): number {
   if (row.report === undefined) return row.open
--- a/packages/forwarding/src/JayfallCallerAnswer.ts
+++ b/packages/forwarding/src/JayfallCallerAnswer.ts
@@ -2,6 +2,8 @@
 
 import { type IncomingMessage, type ServerResponse } from 'node:http'
 
+import { type Clock } from '#jayfall/shared'
+
 import { endToEndHeaders } from './JayfallForwardingProtocol'
 
 /** A backend server's whole answer. */
@@ -19,8 +21,13 @@
   /** The last event that was written. */
   lastEventId: string | undefined
   eventsWritten = 0
+  /** Monotonic milliseconds of the first event; undefined before it. */
+  firstEventAt: number | undefined
+  /** The longest pause between two events in milliseconds. */
+  longestPause = 0
+  private previousEventAt = 0
 
-  constructor (private readonly request: IncomingMessage, private readonly response: ServerResponse, private readonly isClosing: () => boolean) {
+  constructor (private readonly request: IncomingMessage, private readonly response: ServerResponse, private readonly clock: Clock, private readonly isClosing: () => boolean) {
     const onLeave = (): void => {
       if (!this.hasEnded) this.left.abort()
     }
@@ -57,6 +64,10 @@
   writeEvent (bytes: Buffer, id: string | undefined): boolean {
     this.lastEventId = id ?? this.lastEventId
     this.eventsWritten++
+    const now = this.clock.monotonic()
+    if (this.firstEventAt === undefined) this.firstEventAt = now
+    else this.longestPause = Math.max(this.longestPause, now - this.previousEventAt)
+    this.previousEventAt = now
     return this.response.write(bytes)
   }
 
--- a/packages/forwarding/src/JayfallForwardedCall.ts
+++ b/packages/forwarding/src/JayfallForwardedCall.ts
@@ -52,7 +52,7 @@
     else this.answer.sendWhole(ready)
   }
 
-  private logAttempt ({ number, server, model, choice, minimumConfidence, resumeAfter }: AttemptPlan, result: AttemptResult): void {
+  private logAttempt ({ number, server, model, choice, resumeAfter }: AttemptPlan, result: AttemptResult): void {
     const { log, metrics, clock } = this.context
     metrics.count('jayfall_forwarding_attempts_total', { service: this.plan.service, result: result.kind })
     log.info('attempt_ended', {
@@ -65,11 +65,17 @@
       cause: 'cause' in result ? result.cause : undefined,
       status: 'status' in result ? result.status : undefined,
       confidence: 'confidence' in result ? result.confidence : undefined,
-      minimum_confidence: Math.round(minimumConfidence),
+      minimum_confidence: Math.round(this.runner.minimumConfidence),
       resumed_after: resumeAfter,
       load: Math.round(choice.estimatedLoad * 10) / 10,
+      reported_running: choice.row.report?.running,
+      reported_waiting: choice.row.report?.waiting,
+      reported_slowness: choice.row.report?.slowness,
       load_age_ms: Math.round(choice.reportAge),
-      held_tokens: choice.heldTokens,
+      unread_tokens: choice.unreadTokens,
+      estimated_ms: Math.round(choice.firstEvent),
+      answered_ms: this.runner.answeredAfter === undefined ? undefined : Math.round(this.runner.answeredAfter),
+      prompt_tokens: this.plan.fields.promptTokens,
       elapsed_ms: Math.round(clock.monotonic() - this.plan.arrivedAt)
     })
   }
@@ -90,6 +96,9 @@
       outcome,
       status: this.runner.ready?.status,
       events: this.answer.eventsWritten,
+      first_event_ms: this.answer.firstEventAt === undefined ? undefined : Math.round(this.answer.firstEventAt - this.plan.arrivedAt),
+      longest_pause_ms: Math.round(this.answer.longestPause),
+      objective_ms: this.plan.route.objective,
       retry_after_ms: decision.kind === 'refuse' ? decision.retryAfter : undefined,
       elapsed_ms: Math.round(elapsed),
       allowed_ms: Math.round(this.plan.deadline - this.plan.arrivedAt)
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -31,12 +31,30 @@
 /** Half-life of the weight of a load report: a report is mostly past after one answer of usual length. */
 export const LOAD_REPORT_HALF_LIFE = 1500
 
-/** Prompt tokens that an engine reads in a millisecond with the reference model; the sheets of the engines in use give 112 to 125. */
-export const PROMPT_TOKENS_PER_MILLISECOND = 115
+/** Half-life of the weight of reported waiting requests: a queue of prompts moves within some hundred milliseconds. */
+export const WAITING_REPORT_HALF_LIFE = 600
+/** Weight of one first event in a server's delay, and the half-life with which that fades. */
+export const DELAY_WEIGHT = 0.5
+export const DELAY_HALF_LIFE = 700
+
+/** Milliseconds for reading one prompt token before any was observed; the sheets of the engines in use give 112 to 125 tokens in a millisecond. */
+export const INITIAL_READING_MILLISECONDS = 1 / 115
+/** Time until the first event of a prompt that need not be read; the sheets give 62 ms and the step it falls into. */
+export const FIRST_EVENT_MILLISECONDS = 70
+/** Prompts with fewer unread tokens tell little about the speed of reading. */
+export const MINIMUM_READING_SAMPLE_TOKENS = 1500
+/** Reading speeds follow this quantile of the observed times, because the rest also waited. */
+export const READING_QUANTILE = 0.25
+/** Relative step of that quantile for each observation. */
+export const READING_STEP = 0.1
+/** How much more than its own time the reading of a prompt counts: those behind it wait as well. */
+export const READING_EXTERNALITY = 2
+/** Weight of one prompt in the usual time of reading a prompt. */
+export const USUAL_READING_WEIGHT = 0.05
+/** Part of a shared prompt part that the second server of the agreed order is assumed to hold. */
+export const SECOND_HOLDER_SHARE = 0.5
 /** Milliseconds that one more running request adds to each step of an engine's batch; the sheets give 0.08. */
 export const STEP_MILLISECONDS_PER_REQUEST = 0.08
-/** Time that a request waits for each request already waiting at an engine: a slot becomes free about this often. */
-export const WAITING_MILLISECONDS_PER_REQUEST = 60
 /** Usual time of a plain request; only compares servers of one service with each other. */
 export const PLAIN_WORK_MILLISECONDS = 60
 /** Cost of leaving the availability zone: bytes between zones are priced, and its latency is one to two milliseconds. */
@@ -48,11 +66,12 @@
 
 /** An answer with less confidence is asked of a larger model, while the engines have room. */
 export const CONFIDENCE_THRESHOLD = 60
-/** Occupied part of the engines' slots above which the threshold falls, and at which every answer is taken. */
-export const CASCADE_FULL_EFFORT_LOAD = 0.5
-export const CASCADE_NO_EFFORT_LOAD = 1.2
-/** The part of the caller's time that must be left for a second model. */
-export const CASCADE_MINIMUM_TIME_SHARE = 0.3
+/** Estimated time to the larger model's first event, in the time left until the objective, up to which the full confidence is asked for. */
+export const CASCADE_EASY_SHARE = 0.5
+/** The same above which the least confidence is enough. */
+export const CASCADE_LATE_SHARE = 1.2
+/** Confidence below which even a late answer of the larger model is worth more: late answers keep about a third of their worth. */
+export const LATE_CONFIDENCE_THRESHOLD = 20
 
 /** Span over which repeats are counted against requests. */
 export const RETRY_WINDOW = 10_000
--- a/packages/forwarding/src/JayfallForwardingContext.ts
+++ b/packages/forwarding/src/JayfallForwardingContext.ts
@@ -7,6 +7,7 @@
 import { type BackendDirectory } from './JayfallBackendDirectory'
 import { type ForwardingProtocol } from './JayfallForwardingProtocol'
 import { type PromptHolders } from './JayfallPromptHolders'
+import { type ReadingTimes } from './JayfallReadingTimes'
 import { type RetryBudget } from './JayfallRetryBudget'
 import { type RolloutEvidence } from './JayfallRolloutEvidence'
 import { type VersionPolicy } from './JayfallVersionPolicy'
@@ -18,6 +19,7 @@
   readonly protocol: ForwardingProtocol
   readonly directory: BackendDirectory
   readonly holders: PromptHolders
+  readonly times: ReadingTimes
   readonly choice: BackendChoice
   readonly budget: RetryBudget
   readonly versions: VersionPolicy
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -18,6 +18,7 @@
 import { ForwardingState } from './JayfallForwardingState'
 import { HealthProbe } from './JayfallHealthProbe'
 import { PromptHolders } from './JayfallPromptHolders'
+import { ReadingTimes } from './JayfallReadingTimes'
 import { RetryBudget } from './JayfallRetryBudget'
 import { RolloutDuty } from './JayfallRolloutDuty'
 import { RolloutEvidence } from './JayfallRolloutEvidence'
@@ -78,6 +79,7 @@
     this.versions = new VersionPolicy(settings, storeTime)
     this.budget = new RetryBudget(settings.retryRatio)
     const holders = new PromptHolders()
+    const times = new ReadingTimes()
     const evidence = new RolloutEvidence(this.versions, clock)
     this.duty = new RolloutDuty({
       ...parts,
@@ -91,7 +93,7 @@
       storeTime
     })
     this.server = new ForwardingServer({
-      clock, log, protocol, evidence, holders, metrics: this.metrics, directory: this.directory, choice: new EstimatedTimeChoice(this.directory, holders, settings.zone), budget: this.budget, versions: this.versions
+      clock, log, protocol, evidence, holders, times, metrics: this.metrics, directory: this.directory, choice: new EstimatedTimeChoice(this.directory, holders, times, settings.zone), budget: this.budget, versions: this.versions
     }, this.state)
   }
 
@@ -132,9 +134,11 @@
     log.info('stopping', { open: this.server.open })
     const age = (): number => clock.monotonic() - startedAt
     // The balancer goes on sending new connections until it has noticed.
-    while (age() < STOP_MINIMUM || (this.server.open > 0 && age() < this.settings.stopTime - STOP_RESERVE)) await delay(STATE_INTERVAL)
-    for (const timer of this.timers) clearInterval(timer)
+    while (age() < STOP_MINIMUM) await delay(STATE_INTERVAL)
+    // A request that came later on a kept connection could not end before the process does.
     this.server.close()
+    while (this.server.open > 0 && age() < this.settings.stopTime - STOP_RESERVE) await delay(STATE_INTERVAL)
+    for (const timer of this.timers) clearInterval(timer)
     log.info('stopped', { open: this.server.open, after_ms: Math.round(age()) })
   }
 
--- a/packages/forwarding/src/JayfallForwardingServer.ts
+++ b/packages/forwarding/src/JayfallForwardingServer.ts
@@ -66,7 +66,7 @@
 
   private async take (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const arrivedAt = this.context.clock.monotonic()
-    const answer = new CallerAnswer(request, response, () => this.closing)
+    const answer = new CallerAnswer(request, response, this.context.clock, () => this.closing)
     const fields = this.context.protocol.readCaller(request.headers)
     const routes = this.state.routes
     const requestId = fields.requestId
