Expect the delays of the service, ask for less confidence, and hold requests at the start

Delays now fade to those of the service. The new test of the path found a crash when a caller's connection ended early, 413 answers that were reset, and requests refused while the first catalogue was being read.

--- a/packages/forwarding/src/JayfallBackendChoice.ts
+++ b/packages/forwarding/src/JayfallBackendChoice.ts
@@ -7,9 +7,9 @@
  * without the instances talking to each other.
  */
 
-import { rendezvousWeight } from '#jayfall/shared'
+import { rendezvousRank } from '#jayfall/shared'
 
-import { currentDelay, currentFailureRate, estimateLoad, estimateWaiting, slotsOf, type BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
+import { currentFailureRate, estimateLoad, estimateWaiting, slotsOf, type BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
 import {
   FIRST_EVENT_MILLISECONDS, MAXIMUM_FAILURE_RATE, OTHER_ZONE_MILLISECONDS, PLAIN_WORK_MILLISECONDS, READING_EXTERNALITY, SECOND_HOLDER_SHARE, STEP_MILLISECONDS_PER_REQUEST
 } from './JayfallForwardingConstants'
@@ -63,9 +63,10 @@
   override choose (request: ChoiceRequest, now: number): BackendChoiceResult | undefined {
     const usable = [...this.usable(request)]
     const healthy = usable.filter(row => isHealthy(row, now))
-    const homes = this.findHomes(request)
+    const candidates = healthy.length > 0 ? healthy : usable
+    const homes = this.findHomes(request, candidates)
     let best: Candidate | undefined
-    for (const row of healthy.length > 0 ? healthy : usable) {
+    for (const row of candidates) {
       const candidate = request.model === undefined ? this.comparePlain(row, now) : this.compareEngine(request, request.model, homes, row, now)
       if (best === undefined || candidate.cost < best.cost) best = candidate
     }
@@ -90,7 +91,7 @@
     const estimatedLoad = estimateLoad(row, now)
     const unreadTokens = Math.max(0, request.promptTokens - this.heldTokens(request, model, homes, row, now))
     const reading = this.times.estimate(model, unreadTokens)
-    const queued = Math.max(row.pendingReading, estimateWaiting(row, now) * this.times.usual, currentDelay(row, now))
+    const queued = Math.max(row.pendingReading, estimateWaiting(row, now) * this.times.usual, this.directory.expectedDelay(row, now))
     const firstEvent = (FIRST_EVENT_MILLISECONDS + queued + reading) * slownessOf(row)
     const steps = estimatedLoad * STEP_MILLISECONDS_PER_REQUEST * request.outputTokens
     const cost = firstEvent + reading * (READING_EXTERNALITY - 1) + steps + this.zoneCost(row)
@@ -103,15 +104,11 @@
     return Math.max(shared, this.holders.heldTokens(row.server.id, model, parts, now))
   }
 
-  /** The two servers that all instances expect to hold the shared parts of the prompt. */
-  private findHomes ({ service, model, parts }: ChoiceRequest): readonly string[] {
+  /** The two servers that all instances expect to hold the shared parts of the prompt, in order. */
+  private findHomes ({ model, parts }: ChoiceRequest, candidates: readonly BackendRow[]): readonly string[] {
     const last = parts.at(-2)
     if (last === undefined || model === undefined) return []
-    const ranked: { readonly id: string, readonly weight: number }[] = []
-    for (const { server } of this.directory.ofService(service)) {
-      if (!server.isLeaving) ranked.push({ id: server.id, weight: rendezvousWeight(last.id, server.id) })
-    }
-    return ranked.sort((left, right) => right.weight - left.weight).slice(0, 2).map(({ id }) => id)
+    return rendezvousRank(last.id, candidates.map(({ server }) => server.id)).slice(0, 2)
   }
 
   private zoneCost ({ server }: BackendRow): number {
--- a/packages/forwarding/src/JayfallBackendDirectory.ts
+++ b/packages/forwarding/src/JayfallBackendDirectory.ts
@@ -8,7 +8,7 @@
 import { type ReadonlyTable, Table } from '#jayfall/shared'
 
 import { type BackendServer } from './JayfallForwardingCatalogue'
-import { AVOID_INITIAL, AVOID_MAXIMUM, DELAY_HALF_LIFE, DELAY_WEIGHT, FAILURES_UNTIL_AVOIDED, FAILURE_RATE_HALF_LIFE, FAILURE_RATE_WEIGHT, LOAD_REPORT_HALF_LIFE, WAITING_REPORT_HALF_LIFE } from './JayfallForwardingConstants'
+import { AVOID_INITIAL, AVOID_MAXIMUM, DELAY_HALF_LIFE, DELAY_WEIGHT, FAILURES_UNTIL_AVOIDED, FAILURE_RATE_HALF_LIFE, FAILURE_RATE_WEIGHT, LOAD_REPORT_HALF_LIFE, SERVICE_DELAY_HALF_LIFE, SERVICE_DELAY_WEIGHT, WAITING_REPORT_HALF_LIFE } from './JayfallForwardingConstants'
 import { type ServerLoad } from './JayfallForwardingProtocol'
 
 export interface BackendRow {
@@ -38,6 +38,8 @@
   private readonly table = new Table<BackendRow>()
   /** Identifiers by service. */
   private readonly byService = new Map<string, Set<string>>()
+  /** Recent delays of first events, by service. */
+  private readonly serviceDelays = new Map<string, { readonly delay: number, readonly at: number }>()
 
   get rows (): ReadonlyTable<BackendRow> {
     return this.table
@@ -86,7 +88,23 @@
 
   /** Takes note that a first event came so much later than the reading of its prompt explains. */
   noteDelay (id: string, delay: number, now: number): void {
-    this.table.update(id, row => ({ ...row, delay: currentDelay(row, now) * (1 - DELAY_WEIGHT) + Math.max(0, delay) * DELAY_WEIGHT, delayAt: now }))
+    const row = this.table.get(id)
+    if (row === undefined) return
+    const observed = Math.max(0, delay)
+    this.table.set(id, { ...row, delay: this.expectedDelay(row, now) * (1 - DELAY_WEIGHT) + observed * DELAY_WEIGHT, delayAt: now })
+    const { service } = row.server
+    this.serviceDelays.set(service, { delay: this.serviceDelay(service, now) * (1 - SERVICE_DELAY_WEIGHT) + observed * SERVICE_DELAY_WEIGHT, at: now })
+  }
+
+  /** The likely delay of a first event: the server's own of late, and that of its service as far as its own is old. */
+  expectedDelay ({ server, delay, delayAt }: BackendRow, now: number): number {
+    const weight = 2 ** ((delayAt - now) / DELAY_HALF_LIFE)
+    return delay * weight + this.serviceDelay(server.service, now) * (1 - weight)
+  }
+
+  private serviceDelay (service: string, now: number): number {
+    const known = this.serviceDelays.get(service)
+    return known === undefined ? 0 : known.delay * 2 ** ((known.at - now) / SERVICE_DELAY_HALF_LIFE)
   }
 
   noteEnded (id: string): void {
@@ -124,11 +142,6 @@
   return failureRate * 2 ** ((outcomeAt - now) / FAILURE_RATE_HALF_LIFE)
 }
 
-/** Recent delay of first events at the server, fading with time. */
-export function currentDelay ({ delay, delayAt }: BackendRow, now: number): number {
-  return delay * 2 ** ((delayAt - now) / DELAY_HALF_LIFE)
-}
-
 /** Requests that likely wait for their prompt to be read, from the server's last report. */
 export function estimateWaiting ({ report, reportedAt }: BackendRow, now: number): number {
   return report === undefined ? 0 : report.waiting * 2 ** ((reportedAt - now) / WAITING_REPORT_HALF_LIFE)
--- a/packages/forwarding/src/JayfallCallerAnswer.ts
+++ b/packages/forwarding/src/JayfallCallerAnswer.ts
@@ -31,10 +31,16 @@
     const onLeave = (): void => {
       if (!this.hasEnded) this.left.abort()
     }
+    // The request lets go of its socket when the connection ends early.
+    const { socket } = request
     response.once('close', onLeave)
     request.once('aborted', onLeave)
-    request.socket.once('end', onLeave)
-    response.once('finish', () => request.socket.off('end', onLeave))
+    socket.once('end', onLeave)
+    response.once('finish', () => {
+      socket.off('end', onLeave)
+      // The head of a long stream may have been sent before the instance began to stop.
+      if (isClosing()) socket.destroySoon()
+    })
   }
 
   /** Aborted when the caller left before its answer ended. */
@@ -93,6 +99,8 @@
   sendOwn (status: number, headers: Readonly<Record<string, string>>, text: string): void {
     this.hasEnded = true
     const body = Buffer.from(text)
+    // What is left of the request's body is read and dropped, so that closing does not reset the connection before the answer arrives.
+    this.request.resume()
     this.response.writeHead(status, { ...headers, 'Content-Type': 'text/plain; charset=utf-8', 'Content-Length': String(body.length), ...(this.isClosing() ? { Connection: 'close' } : {}) })
     this.response.end(body)
   }
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -36,6 +36,9 @@
 /** Weight of one first event in a server's delay, and the half-life with which that fades. */
 export const DELAY_WEIGHT = 0.5
 export const DELAY_HALF_LIFE = 700
+/** Weight of one first event in the delay of its service, and the half-life with which that fades. */
+export const SERVICE_DELAY_WEIGHT = 0.15
+export const SERVICE_DELAY_HALF_LIFE = 2000
 
 /** Milliseconds for reading one prompt token before any was observed; the sheets of the engines in use give 112 to 125 tokens in a millisecond. */
 export const INITIAL_READING_MILLISECONDS = 1 / 115
@@ -64,15 +67,12 @@
 /** How long an engine is assumed to keep a prompt part that was last used there. */
 export const PART_LIFETIME = 60_000
 
-/** An answer with less confidence is asked of a larger model, while the engines have room. */
-export const CONFIDENCE_THRESHOLD = 60
+/** An answer with less confidence is asked of a larger model that can answer in time; trials with 30, 45 and 60 served heavy days best with 45. */
+export const CONFIDENCE_THRESHOLD = 45
 /** Estimated time to the larger model's first event, in the time left until the objective, up to which the full confidence is asked for. */
 export const CASCADE_EASY_SHARE = 0.5
-/** The same above which the least confidence is enough. */
+/** The same above which every answer is taken. */
 export const CASCADE_LATE_SHARE = 1.2
-/** Confidence below which even a late answer of the larger model is worth more: late answers keep about a third of their worth. */
-export const LATE_CONFIDENCE_THRESHOLD = 20
-
 /** Span over which repeats are counted against requests. */
 export const RETRY_WINDOW = 10_000
 /** The part of the allowed ratio of repeats that one instance uses: the rest covers uneven shares between instances. */
@@ -84,6 +84,12 @@
 export const DEFAULT_RETRY_AFTER = 300
 /** Time to come back while the catalogue is not known yet. */
 export const STARTING_RETRY_AFTER = 1000
+/** How long a request waits for the first catalogue: reading it takes some tens of milliseconds after a start. */
+export const STARTING_WAIT = 1500
+/** The part of the caller's time that it may wait so. */
+export const STARTING_WAIT_SHARE = 0.33
+/** Time to come back that an instance names which is about to end: others take the request at once. */
+export const STOPPING_RETRY_AFTER = 20
 
 /** How long a session keeps its version after its last request, beyond the deployment's figure. */
 export const SESSION_MARGIN = 2000
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -142,6 +142,14 @@
     log.info('stopped', { open: this.server.open, after_ms: Math.round(age()) })
   }
 
+  /** Ends at once, with requests unanswered. */
+  abandon (): void {
+    this.isStopping = true
+    for (const timer of this.timers) clearInterval(timer)
+    this.server.close()
+    this.server.destroyConnections()
+  }
+
   private runRollouts (): void {
     if (this.storeTimeOffset === -Infinity) return
     if (this.duty.isActive && !this.isFollowingRollouts) this.followRollouts()
--- a/packages/forwarding/src/JayfallForwardingServer.ts
+++ b/packages/forwarding/src/JayfallForwardingServer.ts
@@ -9,7 +9,7 @@
 import { CallerAnswer } from './JayfallCallerAnswer'
 import { ForwardedCall } from './JayfallForwardedCall'
 import { type ForwardingRoute } from './JayfallForwardingCatalogue'
-import { STARTING_RETRY_AFTER } from './JayfallForwardingConstants'
+import { STARTING_RETRY_AFTER, STARTING_WAIT, STARTING_WAIT_SHARE, STOPPING_RETRY_AFTER } from './JayfallForwardingConstants'
 import { type ForwardingContext } from './JayfallForwardingContext'
 import { type ForwardingState } from './JayfallForwardingState'
 
@@ -21,6 +21,7 @@
 export class ForwardingServer {
   private readonly server: http.Server
   private closing = false
+  private closed = false
   private openCalls = 0
 
   constructor (private readonly context: ForwardingContext, private readonly state: ForwardingState) {
@@ -60,17 +61,25 @@
 
   /** Stops accepting connections and closes those that are idle. */
   close (): void {
+    this.closed = true
     this.server.close()
     this.server.closeIdleConnections()
   }
 
+  destroyConnections (): void {
+    this.server.closeAllConnections()
+  }
+
   private async take (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const arrivedAt = this.context.clock.monotonic()
     const answer = new CallerAnswer(request, response, this.context.clock, () => this.closing)
     const fields = this.context.protocol.readCaller(request.headers)
-    const routes = this.state.routes
     const requestId = fields.requestId
+    if (!this.state.isReady) await this.state.waitUntilReady(Math.min(STARTING_WAIT, (fields.patience ?? Infinity) * STARTING_WAIT_SHARE))
+    const { routes } = this.state
     if (routes === undefined || !this.state.isReady) return this.refuse(answer, requestId, 503, 'starting', STARTING_RETRY_AFTER)
+    // The process ends before such a request could; it comes from a connection that is about to be closed.
+    if (this.closed) return this.refuse(answer, requestId, 503, 'stopping', STOPPING_RETRY_AFTER)
     const { limits, version } = routes.catalogue
     this.server.keepAliveTimeout = limits.idleTimeout
     this.server.headersTimeout = limits.headerTimeout
@@ -122,7 +131,8 @@
   const chunks: Buffer[] = []
   let length = 0
   try {
-    for await (const chunk of request) {
+    // Ending the loop early must not end the connection, which still has to carry the answer.
+    for await (const chunk of request.iterator({ destroyOnReturn: false })) {
       length += (chunk as Buffer).length
       if (length > limit) return 'too_large'
       chunks.push(chunk as Buffer)
--- a/packages/forwarding/src/JayfallForwardingState.ts
+++ b/packages/forwarding/src/JayfallForwardingState.ts
@@ -22,6 +22,8 @@
 export class ForwardingState {
   private table: RouteTable | undefined
   private hasServers = false
+  /** Called once when the state becomes ready. */
+  private waiting: (() => void)[] = []
   /** Servers whose entries lapsed, with the monotonic time until which they are still used. */
   private readonly lapsed = new Map<string, number>()
   /** Until this time, entries that are missing may still come back. Monotonic milliseconds. */
@@ -38,11 +40,24 @@
     return this.table !== undefined && this.hasServers
   }
 
+  /** Resolves when everything needed is known, or after `limit` milliseconds. */
+  waitUntilReady (limit: number): Promise<void> {
+    if (this.isReady) return Promise.resolve()
+    return new Promise(resolve => {
+      const timer = setTimeout(resolve, limit)
+      this.waiting.push(() => {
+        clearTimeout(timer)
+        resolve()
+      })
+    })
+  }
+
   takeCatalogue (catalogue: ForwardingCatalogue): void {
     const known = this.table?.catalogue.version
     if (known !== undefined && catalogue.version <= known) return
     this.table = new RouteTable(catalogue)
     this.log.info('catalogue_in_force', { version: catalogue.version, replaced: known, routes: catalogue.routes.length, keys: catalogue.workspacesByKey?.size })
+    this.releaseWaiting()
   }
 
   /** @param isAfterLoss whether the store was out of reach just before. */
@@ -54,6 +69,7 @@
       if (server === undefined) this.lapse(id, now)
       else this.keep(server, now)
     }
+    this.releaseWaiting()
   }
 
   /** Takes all entries; servers that are not among them have lapsed. */
@@ -73,6 +89,13 @@
     }
   }
 
+  private releaseWaiting (): void {
+    if (!this.isReady) return
+    const { waiting } = this
+    this.waiting = []
+    for (const release of waiting) release()
+  }
+
   private keep (server: BackendServer, now: number): void {
     const known = this.directory.get(server.id)
     this.lapsed.delete(server.id)
--- a/packages/forwarding/src/JayfallModelLadder.ts
+++ b/packages/forwarding/src/JayfallModelLadder.ts
@@ -7,7 +7,7 @@
  * work would delay other callers.
  */
 
-import { CASCADE_EASY_SHARE, CASCADE_LATE_SHARE, CONFIDENCE_THRESHOLD, LATE_CONFIDENCE_THRESHOLD } from './JayfallForwardingConstants'
+import { CASCADE_EASY_SHARE, CASCADE_LATE_SHARE, CONFIDENCE_THRESHOLD } from './JayfallForwardingConstants'
 
 /**
  * The confidence below which an answer of a smaller model is dropped.
@@ -17,5 +17,5 @@
 export function confidenceThreshold (firstEvent: number, timeLeft: number): number {
   const share = timeLeft <= 0 ? Infinity : firstEvent / timeLeft
   const ease = Math.min(1, Math.max(0, (CASCADE_LATE_SHARE - share) / (CASCADE_LATE_SHARE - CASCADE_EASY_SHARE)))
-  return LATE_CONFIDENCE_THRESHOLD + (CONFIDENCE_THRESHOLD - LATE_CONFIDENCE_THRESHOLD) * ease
+  return CONFIDENCE_THRESHOLD * ease
 }
--- a/packages/forwarding/src/JayfallRolloutDuty.ts
+++ b/packages/forwarding/src/JayfallRolloutDuty.ts
@@ -138,6 +138,8 @@
   private async step (order: RolloutOrder, outcome: RolloutOutcome, reason: string): Promise<void> {
     const { service } = order
     const known = this.rows.get(service)
+    // The row may have arrived while the reasons for this step were being looked at.
+    if (known?.row.orderRevision === order.revision && known.row.outcome !== 'running') return
     const row: RolloutRow = {
       version: order.version,
       orderRevision: order.revision,
