--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -26,6 +26,8 @@
   readonly response: IncomingMessage
   readonly status: number
   readonly fields: AnswerFields
+  /** Whether the answer ended in order. */
+  readonly isWhole: () => boolean
 }
 
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([421])
@@ -87,7 +89,7 @@
       const response = end.value
       // Errors are read from the iteration over the body; an answer that is dropped needs none.
       response.on('error', () => {})
-      return await this.readAnswer(attempt, response, startedAt)
+      return await this.readAnswer(attempt, response, () => response.complete && exchange?.hasFailed === false, startedAt)
     } catch (error) {
       if (error instanceof ExchangeError && error.failure === 'unsent') return { kind: 'unsent' }
       return { kind: 'broken', cause: error instanceof Error ? error.message : String(error) }
@@ -96,9 +98,9 @@
     }
   }
 
-  private async readAnswer (attempt: AttemptPlan, response: IncomingMessage, startedAt: number): Promise<AttemptResult> {
+  private async readAnswer (attempt: AttemptPlan, response: IncomingMessage, isWhole: () => boolean, startedAt: number): Promise<AttemptResult> {
     const { protocol, directory, clock } = this.context
-    const head: AnswerHead = { response, status: response.statusCode ?? 0, fields: protocol.readAnswer(response.headers) }
+    const head: AnswerHead = { response, status: response.statusCode ?? 0, fields: protocol.readAnswer(response.headers), isWhole }
     const { fields, status } = head
     if (fields.load !== undefined && (fields.server === undefined || fields.server === attempt.server.id)) directory.noteLoad(attempt.server.id, fields.load, clock.monotonic())
     if (fields.isNotRun || NOT_RUN_STATUSES.has(status)) return { kind: 'not_run', status }
@@ -117,7 +119,7 @@
     return isSuccess && this.plan.route.isStream ? this.relayEvents(attempt, head, startedAt) : this.readWhole(attempt, head, startedAt)
   }
 
-  private async readWhole (attempt: AttemptPlan, { response, status }: AnswerHead, startedAt: number): Promise<AttemptResult> {
+  private async readWhole (attempt: AttemptPlan, { response, status, isWhole }: AnswerHead, startedAt: number): Promise<AttemptResult> {
     const chunks: Buffer[] = []
     const iterator = response[Symbol.asyncIterator]()
     for (;;) {
@@ -126,7 +128,7 @@
       if (end.value.done === true) break
       chunks.push(end.value.value as Buffer)
     }
-    if (!response.complete) return { kind: 'broken', cause: 'the answer broke off' }
+    if (!isWhole()) return { kind: 'broken', cause: 'the answer broke off' }
     // A stream that has begun cannot become another answer.
     if (this.answer.hasBegun) return { kind: 'broken', cause: `the stream could not be resumed: status ${status}` }
     this.answeredAfter = this.context.clock.monotonic() - startedAt
@@ -134,7 +136,7 @@
     return status >= 500 ? { kind: 'failed', status } : { kind: 'answered' }
   }
 
-  private async relayEvents (attempt: AttemptPlan, { response, status }: AnswerHead, startedAt: number): Promise<AttemptResult> {
+  private async relayEvents (attempt: AttemptPlan, { response, status, isWhole }: AnswerHead, startedAt: number): Promise<AttemptResult> {
     const splitter = new EventSplitter()
     const iterator = response[Symbol.asyncIterator]()
     let silence = attempt.answerSilence
@@ -151,7 +153,7 @@
         if (!this.answer.writeEvent(event.bytes, event.id)) await this.answer.drained()
       }
     }
-    if (!response.complete || splitter.pendingBytes > 0) return { kind: 'broken', cause: 'the stream broke off' }
+    if (!isWhole() || splitter.pendingBytes > 0) return { kind: 'broken', cause: 'the stream broke off' }
     this.answer.beginStream(status, response.rawHeaders)
     this.answer.endStream()
     return { kind: 'answered' }
--- a/packages/forwarding/src/JayfallBackendExchange.ts
+++ b/packages/forwarding/src/JayfallBackendExchange.ts
@@ -34,16 +34,21 @@
 export class BackendExchange {
   private readonly request: http.ClientRequest
   private isConnected = false
+  private failed = false
   private response: http.IncomingMessage | undefined
 
   private constructor (call: ExchangeCall, private readonly onHead: (response: http.IncomingMessage) => void, private readonly onFailure: (error: ExchangeError) => void) {
     const [host, port] = call.address.split(':')
     this.request = http.request({ host, port: Number(port), method: call.method, path: call.path, agent: false, headers: [...call.rawHeaders] })
     const connectTimer = setTimeout(() => this.fail(new ExchangeError('unsent', 'the connection was not opened in time')), CONNECT_TIMEOUT)
-    this.request.on('socket', socket => socket.once('connect', () => {
-      clearTimeout(connectTimer)
-      this.isConnected = true
-    }))
+    this.request.on('socket', socket => {
+      socket.once('connect', () => {
+        clearTimeout(connectTimer)
+        this.isConnected = true
+      })
+      // The parser takes the end of a connection for the end of a body without a length, a reset included.
+      socket.once('error', () => { this.failed = true })
+    })
     this.request.on('close', () => clearTimeout(connectTimer))
     this.request.on('response', response => {
       this.response = response
@@ -58,6 +63,11 @@
     return new BackendExchange(call, onHead, onFailure)
   }
 
+  /** Whether the connection failed, so that a body that ended with it is not whole. */
+  get hasFailed (): boolean {
+    return this.failed
+  }
+
   /** Ends the exchange and its connection at once, whatever its state. */
   destroy (): void {
     this.request.destroy()
@@ -65,6 +75,7 @@
   }
 
   private fail (error: ExchangeError): void {
+    this.failed = true
     if (this.response === undefined) this.onFailure(error)
     this.destroy()
   }
