--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -100,6 +100,7 @@
 
   private async readAnswer (attempt: AttemptPlan, response: IncomingMessage, isWhole: () => boolean, startedAt: number): Promise<AttemptResult> {
     const { protocol, directory, clock } = this.context
+    directory.noteReachable(attempt.server.id)
     const head: AnswerHead = { response, status: response.statusCode ?? 0, fields: protocol.readAnswer(response.headers), isWhole }
     const { fields, status } = head
     if (fields.load !== undefined && (fields.server === undefined || fields.server === attempt.server.id)) directory.noteLoad(attempt.server.id, fields.load, clock.monotonic())
@@ -187,7 +188,8 @@
     const { directory, evidence, clock } = this.context
     const now = clock.monotonic()
     const hasFailed = result.kind === 'failed' || result.kind === 'broken' || result.kind === 'silent'
-    if (hasFailed || result.kind === 'unsent') directory.noteFailure(server.id, now)
+    if (result.kind === 'unsent') directory.noteUnreachable(server.id, now)
+    else if (hasFailed) directory.noteFailure(server.id, now)
     else if (result.kind === 'answered' || result.kind === 'unsure') directory.noteSuccess(server.id, now)
     if (hasFailed || result.kind === 'answered' || result.kind === 'unsure') {
       evidence.note({ service: this.plan.service, version: server.version, route: this.plan.route.name, model, hasFailed, milliseconds: this.answeredAfter })
--- a/packages/forwarding/src/JayfallBackendChoice.ts
+++ b/packages/forwarding/src/JayfallBackendChoice.ts
@@ -62,7 +62,7 @@
 
   override choose (request: ChoiceRequest, now: number): BackendChoiceResult | undefined {
     const usable = [...this.usable(request)]
-    const healthy = usable.filter(row => isHealthy(row, now))
+    const healthy = usable.filter(row => isHealthy(row, now) && !this.directory.isCutOff(row.server.zone, now))
     const candidates = healthy.length > 0 ? healthy : usable
     const homes = this.findHomes(request, candidates)
     let best: Candidate | undefined
--- a/packages/forwarding/src/JayfallBackendDirectory.ts
+++ b/packages/forwarding/src/JayfallBackendDirectory.ts
@@ -8,7 +8,10 @@
 import { type ReadonlyTable, Table } from '#jayfall/shared'
 
 import { type BackendServer } from './JayfallForwardingCatalogue'
-import { AVOID_INITIAL, AVOID_MAXIMUM, DELAY_HALF_LIFE, DELAY_WEIGHT, FAILURES_UNTIL_AVOIDED, FAILURE_RATE_HALF_LIFE, FAILURE_RATE_WEIGHT, LOAD_REPORT_HALF_LIFE, SERVICE_DELAY_HALF_LIFE, SERVICE_DELAY_WEIGHT, WAITING_REPORT_HALF_LIFE } from './JayfallForwardingConstants'
+import {
+  AVOID_INITIAL, AVOID_MAXIMUM, CUT_ZONE_AVOIDANCE, CUT_ZONE_SERVERS, CUT_ZONE_WINDOW, DELAY_HALF_LIFE, DELAY_WEIGHT, FAILURES_UNTIL_AVOIDED, FAILURE_RATE_HALF_LIFE,
+  FAILURE_RATE_WEIGHT, LOAD_REPORT_HALF_LIFE, SERVICE_DELAY_HALF_LIFE, SERVICE_DELAY_WEIGHT, WAITING_REPORT_HALF_LIFE
+} from './JayfallForwardingConstants'
 import { type ServerLoad } from './JayfallForwardingProtocol'
 
 export interface BackendRow {
@@ -38,6 +41,10 @@
   private readonly table = new Table<BackendRow>()
   /** Identifiers by service. */
   private readonly byService = new Map<string, Set<string>>()
+  /** Servers that could not be reached since one of their zone was, with the time, by zone. */
+  private readonly unreachable = new Map<string, ReadonlyMap<string, number>>()
+  /** Zones that count as cut off, with the time until which they do. */
+  private readonly cutZones = new Map<string, number>()
   /** Recent delays of first events, by service. */
   private readonly serviceDelays = new Map<string, { readonly delay: number, readonly at: number }>()
 
@@ -115,6 +122,30 @@
     this.table.update(id, row => ({ ...row, report, reportedAt: now, openAtReport: row.open }))
   }
 
+  /** Takes note that no connection could be opened. Nothing else can be tried there, so one failure is enough to avoid it. */
+  noteUnreachable (id: string, now: number): void {
+    this.table.update(id, row => avoid({ ...row, failuresInRow: row.failuresInRow + 1 }, now))
+    const zone = this.table.get(id)?.server.zone
+    if (zone === undefined) return
+    const recent = [...this.unreachable.get(zone) ?? []].filter(([other, at]) => other !== id && now - at < CUT_ZONE_WINDOW)
+    const servers = new Map<string, number>([...recent, [id, now]])
+    this.unreachable.set(zone, servers)
+    if (servers.size >= CUT_ZONE_SERVERS) this.cutZones.set(zone, now + CUT_ZONE_AVOIDANCE)
+  }
+
+  /** Takes note that a connection was opened. */
+  noteReachable (id: string): void {
+    const zone = this.table.get(id)?.server.zone
+    if (zone === undefined) return
+    this.unreachable.delete(zone)
+    this.cutZones.delete(zone)
+  }
+
+  /** Whether several servers of the zone were out of reach of late, and none was reached since. */
+  isCutOff (zone: string, now: number): boolean {
+    return now < (this.cutZones.get(zone) ?? -Infinity)
+  }
+
   noteSuccess (id: string, now: number): void {
     this.table.update(id, row => ({
       ...row, failuresInRow: 0, avoidedUntil: -Infinity, avoidedFor: 0, failureRate: currentFailureRate(row, now) * (1 - FAILURE_RATE_WEIGHT), outcomeAt: now
@@ -126,13 +157,18 @@
       const failuresInRow = row.failuresInRow + 1
       const failureRate = currentFailureRate(row, now) * (1 - FAILURE_RATE_WEIGHT) + FAILURE_RATE_WEIGHT
       const counted = { ...row, failuresInRow, failureRate, outcomeAt: now }
-      if (failuresInRow < FAILURES_UNTIL_AVOIDED || now < row.avoidedUntil) return counted
-      const avoidedFor = Math.min(AVOID_MAXIMUM, row.avoidedFor === 0 ? AVOID_INITIAL : row.avoidedFor * 2)
-      return { ...counted, avoidedFor, avoidedUntil: now + avoidedFor }
+      return failuresInRow < FAILURES_UNTIL_AVOIDED ? counted : avoid(counted, now)
     })
   }
 }
 
+/** Keeps new work away for a time that doubles while trials go on failing. */
+function avoid (row: BackendRow, now: number): BackendRow {
+  if (now < row.avoidedUntil) return row
+  const avoidedFor = Math.min(AVOID_MAXIMUM, row.avoidedFor === 0 ? AVOID_INITIAL : row.avoidedFor * 2)
+  return { ...row, avoidedFor, avoidedUntil: now + avoidedFor }
+}
+
 function createRow (server: BackendServer, now: number): BackendRow {
   return { server, open: 0, report: undefined, reportedAt: now, openAtReport: 0, failuresInRow: 0, failureRate: 0, outcomeAt: now, pendingReading: 0, delay: 0, delayAt: now, avoidedUntil: -Infinity, avoidedFor: 0 }
 }
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -1,7 +1,7 @@
 /** Constants of the forwarding face. Durations are milliseconds unless a name says otherwise. */
 
-/** A connection within a region opens within a few milliseconds; a lost first packet is sent again after a second. */
-export const CONNECT_TIMEOUT = 250
+/** A connection within a region opens within a few milliseconds; a lost first packet is sent again only after a second. */
+export const CONNECT_TIMEOUT = 120
 /** Shortest time without an answer after which a repeatable plain request is sent elsewhere: several times a usual answer of the plain services. */
 export const MINIMUM_ANSWER_SILENCE = 400
 /** The part of the objective that a repeatable plain request waits for its answer before it is sent elsewhere. */
@@ -22,6 +22,12 @@
 /** How long a failing server is avoided at first; doubled with each failed trial. */
 export const AVOID_INITIAL = 500
 export const AVOID_MAXIMUM = 4000
+/** Servers of another availability zone that could not be reached within this time count for its being cut off. */
+export const CUT_ZONE_WINDOW = 1500
+/** Servers out of reach, and none reached since, from which on their whole zone counts as cut off. */
+export const CUT_ZONE_SERVERS = 2
+/** How long a zone that counts as cut off is avoided before one of its servers is tried again. */
+export const CUT_ZONE_AVOIDANCE = 800
 /** Weight of one outcome in a server's failure rate: about the last ten outcomes count. */
 export const FAILURE_RATE_WEIGHT = 0.1
 /** A server whose recent failure rate is above this is used only when no other is left. */
@@ -95,12 +101,17 @@
 export const SESSION_MARGIN = 2000
 /** Part of the allowed exposure that a rollout's trial uses; the rest is left for its ramp and for requests under way. */
 export const TRIAL_EXPOSURE_SHARE = 0.6
-/** Part of the rollout's period after which sessions may move to the new version. */
+/** Part of the rollout's period after which sessions may move to the new version; before a half of it they must not. */
 export const RAMP_START_SHARE = 0.53
-/** Part of the rollout's period by which all requests go to the new version. */
-export const RAMP_END_SHARE = 0.68
+/** Part of the rollout's period by which both versions share the work, so that the servers of both carry the load. */
+export const RAMP_END_SHARE = 0.62
+/** The part of sessions on the new version between the two ramps. */
+export const RAMP_MIDDLE = 0.5
+/** Parts of the rollout's period between which the rest moves to the new version. */
+export const FINAL_RAMP_START_SHARE = 0.74
+export const FINAL_RAMP_END_SHARE = 0.78
 /** Part of the rollout's period from which the old servers are checked for remaining work. */
-export const COMPLETION_START_SHARE = 0.72
+export const COMPLETION_START_SHARE = 0.82
 /** Before the rollout's deadline, the time at which it is completed even if old servers still have work. */
 export const COMPLETION_RESERVE = 1200
 /** Interval of the rollout duty. */
--- a/packages/forwarding/src/JayfallRolloutPlan.ts
+++ b/packages/forwarding/src/JayfallRolloutPlan.ts
@@ -2,11 +2,12 @@
  * The course of a rollout as pure functions of the store's clock.
  *
  * A small trial share of new sessions goes to the new version from the order on. In the second
- * half of the period the share grows to everything, old sessions included. Each instance computes
- * the share from the same start time, so the ramp needs no messages.
+ * half of the period the share grows, old sessions included: first to a half, so that the servers
+ * of both versions carry the load for a while, and then to everything. Each instance computes the
+ * share from the same start time, so the ramps need no messages.
  */
 
-import { COMPLETION_RESERVE, COMPLETION_START_SHARE, RAMP_END_SHARE, RAMP_START_SHARE, TRIAL_EXPOSURE_SHARE } from './JayfallForwardingConstants'
+import { COMPLETION_RESERVE, COMPLETION_START_SHARE, FINAL_RAMP_END_SHARE, FINAL_RAMP_START_SHARE, RAMP_END_SHARE, RAMP_MIDDLE, RAMP_START_SHARE, TRIAL_EXPOSURE_SHARE } from './JayfallForwardingConstants'
 import { type RolloutOrder } from './JayfallForwardingCatalogue'
 
 export type RolloutOutcome = 'running' | 'complete' | 'rolled_back'
@@ -24,8 +25,13 @@
   if (outcome !== 'running') return outcome === 'complete' ? 1 : 0
   const trial = exposureShare * TRIAL_EXPOSURE_SHARE
   const progress = (storeTime - startedAt) / order.period
-  const ramp = (progress - RAMP_START_SHARE) / (RAMP_END_SHARE - RAMP_START_SHARE)
-  return trial + (1 - trial) * Math.min(1, Math.max(0, ramp))
+  const middle = trial + (RAMP_MIDDLE - trial) * rampAt(progress, RAMP_START_SHARE, RAMP_END_SHARE)
+  return middle + (1 - middle) * rampAt(progress, FINAL_RAMP_START_SHARE, FINAL_RAMP_END_SHARE)
+}
+
+/** 0 before `start`, 1 after `end`, and a straight line between them. */
+function rampAt (progress: number, start: number, end: number): number {
+  return Math.min(1, Math.max(0, (progress - start) / (end - start)))
 }
 
 /** Whether sessions of the old version may move to the new one. */
--- /dev/null
+++ b/packages/forwarding/src/__tests__/unit/JayfallFakes.ts
@@ -0,0 +1,75 @@
+/** Small stand-ins for tests of decisions; nothing here touches a network. */
+
+import { ManualClock } from '#jayfall/shared'
+
+import { BackendDirectory } from '../../JayfallBackendDirectory'
+import { EstimatedTimeChoice } from '../../JayfallBackendChoice'
+import { type BackendServer, type ForwardingRoute } from '../../JayfallForwardingCatalogue'
+import { type CallerFields } from '../../JayfallForwardingProtocol'
+import { PromptHolders } from '../../JayfallPromptHolders'
+import { ReadingTimes } from '../../JayfallReadingTimes'
+import { RetryBudget } from '../../JayfallRetryBudget'
+import { VersionPolicy } from '../../JayfallVersionPolicy'
+import { type PlanContext } from '../../JayfallAttemptPlan'
+
+export const SERVICE = 'guide'
+
+export function fakeServer (id: string, overrides: Partial<BackendServer> = {}): BackendServer {
+  return { id, service: SERVICE, address: '127.0.0.1:1', zone: 'valdivia', version: 'v1', slots: 8, isLeaving: false, ...overrides }
+}
+
+export function fakeRoute (overrides: Partial<ForwardingRoute> = {}): ForwardingRoute {
+  return {
+    name: 'route',
+    host: 'host',
+    prefix: '/',
+    targets: [{ service: SERVICE, weight: 1 }],
+    isStream: false,
+    isRepeatable: true,
+    maximumAttempts: 3,
+    timeout: 5000,
+    objective: 300,
+    gapObjective: 300,
+    priority: 0,
+    models: [],
+    isPublic: false,
+    ...overrides
+  }
+}
+
+export function fakeFields (overrides: Partial<CallerFields> = {}): CallerFields {
+  return { requestId: 'r', patience: 5000, key: undefined, lastEventId: undefined, session: undefined, model: undefined, promptTokens: 0, maximumOutputTokens: 0, promptParts: [], ...overrides }
+}
+
+/** The parts that decide on one request, over a clock that tests move. */
+export class FakeDecisions {
+  readonly clock = new ManualClock(1000)
+  readonly directory = new BackendDirectory()
+  readonly holders = new PromptHolders()
+  readonly times = new ReadingTimes()
+  readonly choice = new EstimatedTimeChoice(this.directory, this.holders, this.times, 'valdivia')
+  readonly budget = new RetryBudget(0.9)
+  readonly versions = new VersionPolicy({ sessionGap: 5000, exposureShare: 0.15 }, () => this.clock.monotonic())
+  lastDelivered: string | undefined
+
+  constructor (servers: readonly BackendServer[]) {
+    for (const server of servers) this.directory.set(server, this.clock.monotonic())
+  }
+
+  context (route: ForwardingRoute, fields: CallerFields = fakeFields()): PlanContext {
+    const now = this.clock.monotonic()
+    return {
+      route,
+      service: SERVICE,
+      session: 'session',
+      fields,
+      arrivedAt: now,
+      deadline: now + 5000,
+      clock: this.clock,
+      choice: this.choice,
+      budget: this.budget,
+      versions: this.versions,
+      lastDelivered: () => this.lastDelivered
+    }
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/__tests__/unit/JayfallRollouts.test.ts
@@ -0,0 +1,90 @@
+/** Tests of rollouts: shares, sessions, and the verdict on a version. */
+
+import * as assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+
+import { newVersionShare, type Rollout } from '../../JayfallRolloutPlan'
+import { isBadVersion, sumEvidence, VersionEvidence, type EvidenceCounts } from '../../JayfallVersionEvidence'
+import { VersionPolicy } from '../../JayfallVersionPolicy'
+
+const ROLLOUT: Rollout = { order: { service: 'guide', version: 'v2', period: 20_000, revision: 5 }, startedAt: 0, outcome: 'running' }
+const EXPOSURE = 0.15
+
+function policyAt (storeTime: () => number, rollout = ROLLOUT): VersionPolicy {
+  const policy = new VersionPolicy({ sessionGap: 5000, exposureShare: EXPOSURE }, storeTime)
+  policy.setRollouts(new Map([['guide', rollout]]))
+  return policy
+}
+
+describe('rollouts', () => {
+  describe('newVersionShare', () => {
+    it('keeps to the exposure in the first half, and ends with everything before the deadline (guards against exposure to a bad version)', () => {
+      for (let time = 0; time <= 10_000; time += 500) assert.ok(newVersionShare(ROLLOUT, time, EXPOSURE) < EXPOSURE)
+      assert.equal(newVersionShare(ROLLOUT, 16_000, EXPOSURE), 1)
+    })
+
+    it('never shrinks while the rollout runs (guards against sessions that go back)', () => {
+      let share = 0
+      for (let time = 0; time <= 20_000; time += 100) {
+        assert.ok(newVersionShare(ROLLOUT, time, EXPOSURE) >= share)
+        share = newVersionShare(ROLLOUT, time, EXPOSURE)
+      }
+    })
+
+    it('is nothing after a roll-back', () => {
+      assert.equal(newVersionShare({ ...ROLLOUT, outcome: 'rolled_back' }, 16_000, EXPOSURE), 0)
+    })
+  })
+
+  describe('sessions', () => {
+    it('stay on the old version in the first half, whatever their place in the shares', () => {
+      const policy = policyAt(() => 9000)
+      for (let index = 0; index < 200; index++) {
+        policy.noteRun('guide', `session-${index}`, 'v1', 1000)
+        assert.equal(policy.ruleFor('guide', `session-${index}`, 2000).prefers('v2'), false)
+      }
+    })
+
+    it('stay on the new version once they ran there', () => {
+      const policy = policyAt(() => 1000)
+      for (let index = 0; index < 200; index++) {
+        policy.noteRun('guide', `session-${index}`, 'v2', 1000)
+        assert.equal(policy.ruleFor('guide', `session-${index}`, 2000).prefers('v2'), true)
+      }
+    })
+
+    it('leave a version that was rolled back at once', () => {
+      const policy = policyAt(() => 1000, { ...ROLLOUT, outcome: 'rolled_back' })
+      policy.noteRun('guide', 'session', 'v2', 1000)
+      const rule = policy.ruleFor('guide', 'session', 1001)
+      assert.deepEqual([rule.prefers('v2'), rule.allows('v2')], [false, false])
+    })
+  })
+
+  describe('isBadVersion', () => {
+    it('finds a version that fails on one route only', () => {
+      assert.equal(isBadVersion({ good: [100, 0, 500, 5], failing: [4, 6, 100, 1] }), true)
+    })
+
+    it('does not blame a version for troubles that both have (guards against roll-backs in a storm of resets)', () => {
+      assert.equal(isBadVersion({ route: [20, 8, 200, 80] }), false)
+    })
+
+    it('passes no verdict on a few failures', () => {
+      assert.equal(isBadVersion({ route: [0, 3, 100, 0] }), false)
+    })
+
+    it('sums what several instances saw (guards against verdicts that take too long with many instances)', () => {
+      const each: EvidenceCounts = { route: [1, 1, 20, 0] }
+      assert.equal(isBadVersion(each), false)
+      assert.equal(isBadVersion(sumEvidence([each, each, each, each])), true)
+    })
+
+    it('counts answers that are several times slower than those of the old version as failures', () => {
+      const evidence = new VersionEvidence()
+      for (let count = 0; count < 20; count++) evidence.noteOutcome('route', 'small', false, false, 100)
+      for (let count = 0; count < 6; count++) evidence.noteOutcome('route', 'small', true, false, 900)
+      assert.equal(isBadVersion(evidence.current), true)
+    })
+  })
+})
