--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -133,7 +133,7 @@
     // A stream that has begun cannot become another answer.
     if (this.answer.hasBegun) return { kind: 'broken', cause: `the stream could not be resumed: status ${status}` }
     this.answeredAfter = this.context.clock.monotonic() - startedAt
-    this.ready = { status, rawHeaders: response.rawHeaders, body: Buffer.concat(chunks) }
+    this.ready = { status, rawHeaders: response.rawHeaders, body: Buffer.concat(chunks), isFramed: isFramed(response) }
     return status >= 500 ? { kind: 'failed', status } : { kind: 'answered' }
   }
 
@@ -154,7 +154,8 @@
         if (!this.answer.writeEvent(event.bytes, event.id)) await this.answer.drained()
       }
     }
-    if (!isWhole() || splitter.pendingBytes > 0) return { kind: 'broken', cause: 'the stream broke off' }
+    // Without a length, a stream's end cannot be told from a server that stopped.
+    if (!isWhole() || splitter.pendingBytes > 0 || !isFramed(response)) return { kind: 'broken', cause: 'the stream broke off' }
     this.answer.beginStream(status, response.rawHeaders)
     this.answer.endStream()
     return { kind: 'answered' }
@@ -197,6 +198,11 @@
   }
 }
 
+/** Whether the server said where the body ends, other than by ending the connection. */
+function isFramed ({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
 /** Whether an event comes after the last one that the caller has; streams have increasing numbers. */
 function isAfter ({ id }: StreamEvent, last: string | undefined): boolean {
   if (id === undefined || last === undefined) return true
--- a/packages/forwarding/src/JayfallCallerAnswer.ts
+++ b/packages/forwarding/src/JayfallCallerAnswer.ts
@@ -11,6 +11,8 @@
   readonly status: number
   readonly rawHeaders: readonly string[]
   readonly body: Buffer
+  /** Whether the server said where the body ends, other than by ending the connection. */
+  readonly isFramed: boolean
 }
 
 const NOT_COPIED: ReadonlySet<string> = new Set(['content-length'])
@@ -52,11 +54,12 @@
     return this.response.headersSent
   }
 
-  sendWhole ({ status, rawHeaders, body }: WholeAnswer): void {
+  sendWhole ({ status, rawHeaders, body, isFramed }: WholeAnswer): void {
     this.hasEnded = true
     const headers = [...this.copyHeaders(rawHeaders)]
     const hasBody = this.request.method !== 'HEAD' && status !== 204 && status !== 304
-    if (hasBody) headers.push('Content-Length', String(body.length))
+    if (hasBody && isFramed) headers.push('Content-Length', String(body.length))
+    if (hasBody && !isFramed) this.endWithConnection()
     this.response.writeHead(status, headers)
     this.response.end(hasBody ? body : undefined)
   }
@@ -105,6 +108,12 @@
     this.response.end(body)
   }
 
+  /** A length that the server did not give must not be made up, as its answer may have been cut. */
+  private endWithConnection (): void {
+    this.response.useChunkedEncodingByDefault = false
+    this.response.shouldKeepAlive = false
+  }
+
   private * copyHeaders (rawHeaders: readonly string[]): Generator<string> {
     for (const header of endToEndHeaders(rawHeaders, name => NOT_COPIED.has(name))) yield * header
     if (this.isClosing()) yield * ['Connection', 'close']
