--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -88,18 +88,25 @@
 }
 
 export function * planAttempts (context: PlanContext): Generator<AttemptPlan, FinalDecision, AttemptResult> {
-  const { route, clock, deadline } = context
+  const { route, clock, deadline, budget, service } = context
   const tried = new Set<string>()
   let sends = 0
   let mayHaveRun = false
   let model = route.models[0] ?? context.fields.model
+  let previous: AttemptResult | undefined
   for (let number = 1; ; number++) {
-    if (deadline - clock.monotonic() < MINIMUM_ATTEMPT_TIME) return endWithoutAnswer(mayHaveRun, 'too_late')
+    const now = clock.monotonic()
+    if (deadline - now < MINIMUM_ATTEMPT_TIME) return endWithoutAnswer(mayHaveRun, 'too_late')
     const choice = chooseServer(context, model, tried)
-    if (choice === undefined) return endWithoutAnswer(mayHaveRun, tried.size === 0 ? 'no_server' : 'servers_full')
+    // Only what may have reached a server counts as a repeat.
+    const isRepeat = previous !== undefined && previous.kind !== 'unsent'
+    if (choice === undefined || (isRepeat && !budget.trySpend(service, now))) {
+      if (previous?.kind === 'failed') return { kind: 'deliver' }
+      return endWithoutAnswer(mayHaveRun, tried.size === 0 ? 'no_server' : 'servers_full')
+    }
     const result: AttemptResult = yield createPlan(context, choice, model, number, sends)
+    previous = result
     if (result.kind !== 'unsent') sends++
-    const mayRunElsewhere = result.kind === 'unsent' || result.kind === 'not_run' || route.isRepeatable
     switch (result.kind) {
       case 'answered':
         return { kind: 'deliver' }
@@ -108,7 +115,6 @@
       case 'expired':
         return { kind: 'fail', code: 'timeout' }
       case 'unsure':
-        context.budget.trySpend(context.service, clock.monotonic())
         model = route.models[route.models.length - 1]
         mayHaveRun = true
         continue
@@ -118,9 +124,8 @@
         mayHaveRun = true
     }
     tried.add(choice.row.server.id)
-    const isUnsent = result.kind === 'unsent'
-    const mayRepeat = mayRunElsewhere && sends < route.maximumAttempts && (isUnsent || context.budget.trySpend(context.service, clock.monotonic()))
-    if (mayRepeat) continue
+    const isSurelyNotRun = result.kind === 'unsent' || result.kind === 'not_run'
+    if ((isSurelyNotRun || route.isRepeatable) && sends < route.maximumAttempts) continue
     if (result.kind === 'failed') return { kind: 'deliver' }
     return endWithoutAnswer(mayHaveRun, 'servers_full')
   }
--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -8,7 +8,7 @@
 import { type CallerAnswer, type WholeAnswer } from './JayfallCallerAnswer'
 import { EventSplitter, type StreamEvent } from './JayfallEventSplitter'
 import { type ForwardingWorkspace } from './JayfallForwardingCatalogue'
-import { FIRST_EVENT_MILLISECONDS } from './JayfallForwardingConstants'
+import { FIRST_EVENT_MILLISECONDS, PAUSE_SAMPLE_EVENTS } from './JayfallForwardingConstants'
 import { type ForwardingContext } from './JayfallForwardingContext'
 import { type AnswerFields } from './JayfallForwardingProtocol'
 
@@ -42,6 +42,11 @@
   /** The confidence that the attempt's answer had to have. */
   minimumConfidence = 0
   private isRead = false
+  /** An attempt that ended with a failure of the server's own, until another server's answer tells whose fault it was. */
+  private unconfirmed: AttemptPlan | undefined
+  private serverFailures = 0
+  /** Mean milliseconds between the attempt's events; undefined when there were too few. */
+  private meanPause: number | undefined
 
   constructor (
     private readonly context: ForwardingContext,
@@ -56,6 +61,7 @@
     const startedAt = clock.monotonic()
     this.ready = undefined
     this.answeredAfter = undefined
+    this.meanPause = undefined
     directory.noteSent(server.id, attempt.choice.reading)
     this.context.times.noteSent(attempt.choice.reading)
     this.isRead = false
@@ -141,6 +147,7 @@
     const splitter = new EventSplitter()
     const iterator = response[Symbol.asyncIterator]()
     let silence = attempt.answerSilence
+    let events = 0
     for (;;) {
       const end = await this.waitWithin(iterator.next(), attempt, silence)
       if (end.kind !== 'value') return this.endOfWait(end, attempt)
@@ -148,6 +155,7 @@
       for (const event of splitter.push(end.value.value as Buffer)) {
         this.answeredAfter ??= this.context.clock.monotonic() - startedAt
         this.noteRead(attempt, this.answeredAfter)
+        if (++events >= PAUSE_SAMPLE_EVENTS) this.meanPause = (this.context.clock.monotonic() - startedAt - this.answeredAfter) / (events - 1)
         silence = attempt.eventSilence
         if (!isAfter(event, this.answer.lastEventId)) continue
         this.answer.beginStream(status, response.rawHeaders)
@@ -185,17 +193,44 @@
   }
 
   /** Takes note of what the result tells about the server and its version. */
-  private learn ({ server, model }: AttemptPlan, result: AttemptResult): void {
-    const { directory, evidence, clock } = this.context
-    const now = clock.monotonic()
-    const hasFailed = result.kind === 'failed' || result.kind === 'broken' || result.kind === 'silent'
-    if (result.kind === 'unsent') directory.noteUnreachable(server.id, now)
-    else if (hasFailed) directory.noteFailure(server.id, now)
-    else if (result.kind === 'answered' || result.kind === 'unsure') directory.noteSuccess(server.id, now)
-    if (hasFailed || result.kind === 'answered' || result.kind === 'unsure') {
-      evidence.note({ service: this.plan.service, version: server.version, route: this.plan.route.name, model, hasFailed, milliseconds: this.answeredAfter })
+  private learn (attempt: AttemptPlan, result: AttemptResult): void {
+    const { directory, clock } = this.context
+    const { unconfirmed } = this
+    this.unconfirmed = undefined
+    // A request that fails with an answer at two servers is at fault itself.
+    if (unconfirmed !== undefined && result.kind !== 'failed') this.blame(unconfirmed)
+    switch (result.kind) {
+      case 'unsent':
+        return directory.noteUnreachable(attempt.server.id, clock.monotonic())
+      case 'failed':
+        this.serverFailures++
+        this.unconfirmed = this.serverFailures === 1 ? attempt : undefined
+        return
+      case 'broken':
+      case 'silent':
+        return this.blame(attempt)
+      case 'answered':
+      case 'unsure':
+        directory.noteSuccess(attempt.server.id, clock.monotonic())
+        this.noteOutcome(attempt, false)
     }
   }
+
+  /** Takes the end of the request: a failure that no other server could confirm counts. */
+  finish (): void {
+    if (this.unconfirmed !== undefined) this.blame(this.unconfirmed)
+    this.unconfirmed = undefined
+  }
+
+  private blame (attempt: AttemptPlan): void {
+    this.context.directory.noteFailure(attempt.server.id, this.context.clock.monotonic())
+    this.noteOutcome(attempt, true)
+  }
+
+  private noteOutcome ({ server, model }: AttemptPlan, hasFailed: boolean): void {
+    const { service, route } = this.plan
+    this.context.evidence.note({ service, version: server.version, route: route.name, model, hasFailed, pace: { firstEvent: this.answeredAfter, pause: this.meanPause } })
+  }
 }
 
 /** Whether the server said where the body ends, other than by ending the connection. */
--- a/packages/forwarding/src/JayfallForwardedCall.ts
+++ b/packages/forwarding/src/JayfallForwardedCall.ts
@@ -29,6 +29,7 @@
       this.logAttempt(step.value, result)
       step = attempts.next(result)
     }
+    this.runner.finish()
     this.finish(step.value)
     this.logEnd(step.value)
   }
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -129,11 +129,19 @@
 /** Failures of the new version, over all instances, below which no verdict is passed. */
 export const VERDICT_FAILURES = 4
 /** Failure rate of the new version above which it is bad. */
-export const VERDICT_FAILURE_RATE = 0.15
+export const VERDICT_FAILURE_RATE = 0.1
 /** Failure rate of the new version, in those of the old one, above which it is bad. */
-export const VERDICT_RELATIVE_RATE = 3
+export const VERDICT_RELATIVE_RATE = 2.5
 /** A first event, or a plain answer, later than this many usual ones counts as a failure of the version. */
 export const SLOW_ANSWER_FACTOR = 4
+/** Events that come this many times as slowly as usual count as a failure of the version; load alone slows them to about half the speed. */
+export const SLOW_PAUSE_FACTOR = 3
+/** Streams with fewer events tell nothing about their pauses. */
+export const PAUSE_SAMPLE_EVENTS = 4
+/** Span over which outcomes are counted; a verdict looks at the current one and the one before. */
+export const EVIDENCE_SPAN = 4000
+/** Age of another instance's report from which on it no longer counts. */
+export const EVIDENCE_LIFETIME = 8000
 /** Answers faster than this are never counted as slow. */
 export const SLOW_ANSWER_MINIMUM = 300
 /** Weight of one answer in the usual time of the old version. */
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -4,12 +4,12 @@
  * Everything it knows comes from the store or from answers; nothing outlives the process.
  */
 
-import { type Clock, delay, type RandomSource } from '#jayfall/shared'
+import { type Clock, delay, type RandomSource, type ReadonlyTable } from '#jayfall/shared'
 import { type WatchableTableStore } from '#jayfall/store'
 import { type Log, Metrics } from '#jayfall/telemetry'
 
 import { EstimatedTimeChoice } from './JayfallBackendChoice'
-import { BackendDirectory } from './JayfallBackendDirectory'
+import { BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
 import { type DeploymentSource } from './JayfallDeploymentSource'
 import { type RolloutOrder } from './JayfallForwardingCatalogue'
 import { EVIDENCE_COALESCE_PAUSE, ROLLOUT_INTERVAL, STATE_INTERVAL, STOP_MINIMUM, STOP_RESERVE } from './JayfallForwardingConstants'
@@ -102,6 +102,11 @@
     return this.state.isReady && !this.isStopping
   }
 
+  /** What this instance knows of the backend servers. */
+  get backends (): ReadonlyTable<BackendRow> {
+    return this.directory.rows
+  }
+
   get port (): number {
     return this.server.port
   }
--- a/packages/forwarding/src/JayfallRolloutDuty.ts
+++ b/packages/forwarding/src/JayfallRolloutDuty.ts
@@ -13,7 +13,7 @@
 
 import { type BackendDirectory } from './JayfallBackendDirectory'
 import { type RolloutOrder } from './JayfallForwardingCatalogue'
-import { EVIDENCE_INTERVAL, STEP_PROBABILITY } from './JayfallForwardingConstants'
+import { EVIDENCE_INTERVAL, EVIDENCE_LIFETIME, STEP_PROBABILITY } from './JayfallForwardingConstants'
 import { type RolloutEvidence } from './JayfallRolloutEvidence'
 import { mayComplete, mustComplete, type Rollout, type RolloutOutcome } from './JayfallRolloutPlan'
 import { EVIDENCE_TABLE, ROLLOUTS_TABLE, readEvidenceRow, readRolloutRow, type EvidenceRow, type RolloutRow, type TableFeedRow } from './JayfallRolloutRows'
@@ -53,7 +53,6 @@
 }
 
 interface Published {
-  readonly counts: EvidenceCounts
   readonly bad: number
   readonly total: number
   readonly at: number
@@ -176,22 +175,24 @@
   /** Publishes what this instance saw: failures at the next interval, everything else from time to time. */
   private async publish ({ service, revision }: RolloutOrder): Promise<void> {
     const { evidence, clock, instance } = this.parts
-    const { newBad: bad, newTotal: total, current: counts } = evidence.of(service)
-    const last = this.published.get(service) ?? { counts: {}, bad: 0, total: 0, at: clock.monotonic() }
     const now = clock.monotonic()
+    const { newBad: bad, newTotal: total } = evidence.of(service)
+    const last = this.published.get(service) ?? { bad: 0, total: 0, at: now }
     const isDue = bad > last.bad || (total > last.total && now - last.at >= EVIDENCE_INTERVAL)
     if (!isDue) {
       this.published.set(service, last)
       return
     }
-    const row: EvidenceRow = { instance, orderRevision: revision, counts }
+    const row: EvidenceRow = { instance, orderRevision: revision, at: this.parts.storeTime(), counts: evidence.of(service).recent(now) }
     await this.parts.store().transact([{ table: EVIDENCE_TABLE, key: `${service}/${instance}`, value: row }])
-    this.published.set(service, { counts, bad, total, at: now })
+    this.published.set(service, { bad, total, at: now })
   }
 
   private pooledEvidence ({ service, revision }: RolloutOrder): EvidenceCounts {
-    const others = [...this.reports].filter(([key, row]) => key.startsWith(`${service}/`) && row.orderRevision === revision).map(([, row]) => row.counts)
-    return sumEvidence([this.parts.evidence.of(service).current, ...others])
+    const { evidence, clock, storeTime } = this.parts
+    const isCurrent = (row: EvidenceRow): boolean => row.orderRevision === revision && storeTime() - row.at < EVIDENCE_LIFETIME
+    const others = [...this.reports].filter(([key, row]) => key.startsWith(`${service}/`) && isCurrent(row)).map(([, row]) => row.counts)
+    return sumEvidence([evidence.of(service).recent(clock.monotonic()), ...others])
   }
 
   /** Whether no server of an old version has work left. */
--- a/packages/forwarding/src/JayfallRolloutEvidence.ts
+++ b/packages/forwarding/src/JayfallRolloutEvidence.ts
@@ -2,7 +2,7 @@
 
 import { type Clock } from '#jayfall/shared'
 
-import { VersionEvidence } from './JayfallVersionEvidence'
+import { VersionEvidence, type AnswerPace } from './JayfallVersionEvidence'
 import { type VersionPolicy } from './JayfallVersionPolicy'
 
 export interface VersionOutcome {
@@ -11,14 +11,13 @@
   readonly route: string
   readonly model: string | undefined
   readonly hasFailed: boolean
-  /** Milliseconds until the first event or the answer; undefined when there was none. */
-  readonly milliseconds: number | undefined
+  readonly pace: AnswerPace
 }
 
 export class RolloutEvidence {
   private readonly byService = new Map<string, VersionEvidence>()
 
-  constructor (private readonly versions: VersionPolicy, readonly clock: Clock) {}
+  constructor (private readonly versions: VersionPolicy, private readonly clock: Clock) {}
 
   of (service: string): VersionEvidence {
     const known = this.byService.get(service) ?? new VersionEvidence()
@@ -26,10 +25,10 @@
     return known
   }
 
-  note ({ service, version, route, model, hasFailed, milliseconds }: VersionOutcome): void {
+  note ({ service, version, route, model, hasFailed, pace }: VersionOutcome): void {
     const rollout = this.versions.rolloutOf(service)
     const evidence = this.of(service)
-    if (rollout !== undefined && rollout.outcome === 'running') evidence.noteOutcome(route, model, version === rollout.order.version, hasFailed, milliseconds)
-    else if (!hasFailed && milliseconds !== undefined) evidence.noteUsual(route, model, milliseconds)
+    if (rollout !== undefined && rollout.outcome === 'running') evidence.noteOutcome(route, model, version === rollout.order.version, hasFailed, pace, this.clock.monotonic())
+    else if (!hasFailed) evidence.noteUsual(route, model, pace)
   }
 }
--- a/packages/forwarding/src/JayfallRolloutRows.ts
+++ b/packages/forwarding/src/JayfallRolloutRows.ts
@@ -26,6 +26,8 @@
 const evidenceRow = z.object({
   instance: z.string(),
   orderRevision: z.number(),
+  /** The store's clock when it was written. */
+  at: z.number(),
   counts: z.record(z.string(), z.tuple([count, count, count, count]).readonly()).readonly()
 }).readonly()
 
--- a/packages/forwarding/src/JayfallVersionEvidence.ts
+++ b/packages/forwarding/src/JayfallVersionEvidence.ts
@@ -5,7 +5,7 @@
  * version is bad when it fails much more often than the old one, over all routes or on one.
  */
 
-import { SLOW_ANSWER_FACTOR, SLOW_ANSWER_MINIMUM, USUAL_TIME_WEIGHT, VERDICT_FAILURES, VERDICT_FAILURE_RATE, VERDICT_RELATIVE_RATE } from './JayfallForwardingConstants'
+import { EVIDENCE_SPAN, SLOW_ANSWER_FACTOR, SLOW_ANSWER_MINIMUM, SLOW_PAUSE_FACTOR, USUAL_TIME_WEIGHT, VERDICT_FAILURES, VERDICT_FAILURE_RATE, VERDICT_RELATIVE_RATE } from './JayfallForwardingConstants'
 
 /** Outcomes of one route: good and bad ones of the new version, good and bad ones of the old. */
 export type RouteCounts = readonly [newGood: number, newBad: number, oldGood: number, oldBad: number]
@@ -15,52 +15,89 @@
 
 const NO_COUNTS: RouteCounts = [0, 0, 0, 0]
 
-/** Counts the outcomes of one rollout that this instance saw. */
+/** How fast an answer was; undefined where it tells nothing. */
+export interface AnswerPace {
+  /** Milliseconds until the first event, or the whole answer. */
+  readonly firstEvent: number | undefined
+  /** Mean milliseconds between two events. */
+  readonly pause: number | undefined
+}
+
+interface Span {
+  readonly startedAt: number
+  counts: Record<string, RouteCounts>
+}
+
+/** Counts the recent outcomes of one rollout that this instance saw. */
 export class VersionEvidence {
-  private counts: Record<string, RouteCounts> = {}
-  /** Usual times of the old version in milliseconds, by route and model. */
+  /** The current span and the one before it. */
+  private spans: readonly Span[] = []
+  /** Usual times of the old version in milliseconds, by measure, route and model. */
   private readonly usualTimes = new Map<string, number>()
+  private allNew = 0
+  private allNewBad = 0
 
-  get current (): EvidenceCounts {
-    return this.counts
+  /** Outcomes of the last one or two spans: what a version did long ago must not hide what it does now. */
+  recent (now: number): EvidenceCounts {
+    this.rotate(now)
+    return sumEvidence(this.spans.map(({ counts }) => counts))
   }
 
-  get newBad (): number {
-    return Object.values(this.counts).reduce((sum, [, bad]) => sum + bad, 0)
+  /** Outcomes of the new version since the order. */
+  get newTotal (): number {
+    return this.allNew
   }
 
-  get newTotal (): number {
-    return Object.values(this.counts).reduce((sum, [good, bad]) => sum + good + bad, 0)
+  /** Failures of the new version since the order. */
+  get newBad (): number {
+    return this.allNewBad
   }
 
-  /** Learns the usual time of answers while no rollout is under way. */
-  noteUsual (route: string, model: string | undefined, milliseconds: number): void {
-    const key = `${route}/${model ?? ''}`
-    const usual = this.usualTimes.get(key)
-    this.usualTimes.set(key, usual === undefined ? milliseconds : usual + (milliseconds - usual) * USUAL_TIME_WEIGHT)
+  /** Learns how fast the version in service usually is. */
+  noteUsual (route: string, model: string | undefined, { firstEvent, pause }: AnswerPace): void {
+    this.learn(`first/${route}/${model ?? ''}`, firstEvent)
+    this.learn(`pause/${route}/${model ?? ''}`, pause)
   }
 
-  /** @param milliseconds until the first event or the answer; undefined when there was none. */
-  noteOutcome (route: string, model: string | undefined, isNew: boolean, hasFailed: boolean, milliseconds: number | undefined): void {
-    const isBad = hasFailed || (milliseconds !== undefined && this.isSlow(route, model, milliseconds))
-    if (!isNew && !isBad && milliseconds !== undefined) this.noteUsual(route, model, milliseconds)
-    const [newGood, newBad, oldGood, oldBad] = this.counts[route] ?? NO_COUNTS
-    this.counts = {
-      ...this.counts,
-      [route]: isNew
-        ? [newGood + Number(!isBad), newBad + Number(isBad), oldGood, oldBad]
-        : [newGood, newBad, oldGood + Number(!isBad), oldBad + Number(isBad)]
+  noteOutcome (route: string, model: string | undefined, isNew: boolean, hasFailed: boolean, pace: AnswerPace, now: number): void {
+    const isBad = hasFailed || this.isSlow(route, model, pace)
+    if (!isNew && !isBad) this.noteUsual(route, model, pace)
+    if (isNew) {
+      this.allNew++
+      this.allNewBad += Number(isBad)
     }
+    this.rotate(now)
+    const { counts } = this.spans[0]
+    const [newGood, newBad, oldGood, oldBad] = counts[route] ?? NO_COUNTS
+    counts[route] = isNew
+      ? [newGood + Number(!isBad), newBad + Number(isBad), oldGood, oldBad]
+      : [newGood, newBad, oldGood + Number(!isBad), oldBad + Number(isBad)]
   }
 
-  /** Forgets the counts; usual times stay. */
+  /** Forgets the outcomes; usual times stay. */
   reset (): void {
-    this.counts = {}
+    this.spans = []
+    this.allNew = 0
+    this.allNewBad = 0
+  }
+
+  private rotate (now: number): void {
+    const kept = this.spans.filter(({ startedAt }) => now - startedAt < 2 * EVIDENCE_SPAN)
+    const isCurrent = kept[0] !== undefined && now - kept[0].startedAt < EVIDENCE_SPAN
+    this.spans = isCurrent ? kept : [{ startedAt: now, counts: {} }, ...kept.slice(0, 1)]
+  }
+
+  private learn (key: string, milliseconds: number | undefined): void {
+    if (milliseconds === undefined) return
+    const usual = this.usualTimes.get(key)
+    this.usualTimes.set(key, usual === undefined ? milliseconds : usual + (milliseconds - usual) * USUAL_TIME_WEIGHT)
   }
 
-  private isSlow (route: string, model: string | undefined, milliseconds: number): boolean {
-    const usual = this.usualTimes.get(`${route}/${model ?? ''}`)
-    return usual !== undefined && milliseconds > Math.max(SLOW_ANSWER_MINIMUM, usual * SLOW_ANSWER_FACTOR)
+  private isSlow (route: string, model: string | undefined, { firstEvent, pause }: AnswerPace): boolean {
+    const usualFirst = this.usualTimes.get(`first/${route}/${model ?? ''}`)
+    const usualPause = this.usualTimes.get(`pause/${route}/${model ?? ''}`)
+    if (pause !== undefined && usualPause !== undefined && pause > usualPause * SLOW_PAUSE_FACTOR) return true
+    return firstEvent !== undefined && usualFirst !== undefined && firstEvent > Math.max(SLOW_ANSWER_MINIMUM, usualFirst * SLOW_ANSWER_FACTOR)
   }
 }
 
--- a/packages/forwarding/src/__tests__/unit/JayfallRollouts.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallRollouts.test.ts
@@ -82,9 +82,28 @@
 
     it('counts answers that are several times slower than those of the old version as failures', () => {
       const evidence = new VersionEvidence()
-      for (let count = 0; count < 20; count++) evidence.noteOutcome('route', 'small', false, false, 100)
-      for (let count = 0; count < 6; count++) evidence.noteOutcome('route', 'small', true, false, 900)
-      assert.equal(isBadVersion(evidence.current), true)
+      for (let count = 0; count < 20; count++) evidence.noteOutcome('route', 'small', false, false, { firstEvent: 100, pause: 20 }, count)
+      for (let count = 0; count < 6; count++) evidence.noteOutcome('route', 'small', true, false, { firstEvent: 900, pause: undefined }, 30)
+      assert.equal(isBadVersion(evidence.recent(40)), true)
+    })
+
+    it('finds slow events behind a first event in time (guards against a slow version that hides in waiting times)', () => {
+      const evidence = new VersionEvidence()
+      for (let count = 0; count < 20; count++) evidence.noteOutcome('route', 'small', false, false, { firstEvent: 500, pause: 20 }, count)
+      for (let count = 0; count < 6; count++) evidence.noteOutcome('route', 'small', true, false, { firstEvent: 600, pause: 160 }, 30)
+      assert.equal(isBadVersion(evidence.recent(40)), true)
+    })
+
+    it('is not blinded by good answers of long ago (guards against a version that turns bad under load)', () => {
+      const evidence = new VersionEvidence()
+      const pace = { firstEvent: 100, pause: undefined }
+      for (let time = 0; time < 10_000; time += 100) evidence.noteOutcome('route', undefined, true, false, pace, time)
+      for (let time = 0; time < 10_000; time += 20) evidence.noteOutcome('route', undefined, false, false, pace, time)
+      for (let time = 18_000; time < 19_000; time += 100) {
+        evidence.noteOutcome('route', undefined, true, time % 200 === 0, pace, time)
+        evidence.noteOutcome('route', undefined, false, false, pace, time)
+      }
+      assert.equal(isBadVersion(evidence.recent(19_000)), true)
     })
   })
 })
