--- a/packages/command/src/JayfallCommandLine.ts
+++ b/packages/command/src/JayfallCommandLine.ts
@@ -7,6 +7,7 @@
 import { catalogueCommands } from './JayfallCatalogueCommands'
 import { EXIT_STATUS } from './JayfallCommandError'
 import { entryCommand } from './JayfallEntryCommand'
+import { explainCommand } from './JayfallExplainCommand'
 import { instanceCommands } from './JayfallInstanceCommands'
 import { statusCommand } from './JayfallStatusCommands'
 import { traceCommands } from './JayfallTraceCommands'
@@ -16,7 +17,7 @@
   name: 'jayfall',
   description: 'Model-aware router for model versions and cascades.',
   version: '0.1.0',
-  cmds: { entry: entryCommand, catalogue: catalogueCommands, version: versionCommands, instance: instanceCommands, bill: billCommands, status: statusCommand, trace: traceCommands }
+  cmds: { entry: entryCommand, catalogue: catalogueCommands, version: versionCommands, instance: instanceCommands, bill: billCommands, status: statusCommand, trace: traceCommands, explain: explainCommand }
 })
 
 /** Runs the subcommand that `argv` names and ends the process. */
--- /dev/null
+++ b/packages/command/src/JayfallRequestTimeline.ts
@@ -0,0 +1,100 @@
+/** Puts together, from log lines, what happened to one request and what its instance believed then. */
+
+import { type LogRecord } from '#jayfall/telemetry'
+
+export interface TimelineStep {
+  readonly time: string | undefined
+  readonly instance: string | undefined
+  /** What happened, in plain words. */
+  readonly text: string
+}
+
+export interface RequestTimeline {
+  readonly request: string
+  readonly steps: readonly TimelineStep[]
+  /** Changes of belief before the request's end at its instances, the latest last. */
+  readonly beliefs: readonly TimelineStep[]
+  /** The likely cause of the outcome, in one sentence. */
+  readonly cause: string
+}
+
+/** Events that change what an instance believes, with the field that names what they are about. */
+const BELIEF_EVENTS: ReadonlyMap<string, string> = new Map([
+  ['catalogue_in_force', 'catalogue version'], ['server_known', 'server'], ['server_lapsed', 'server'], ['server_gone', 'server'],
+  ['store_lost', 'table'], ['store_regained', 'table'], ['rollout_ordered', 'service'], ['rollout_known', 'service'], ['rollout_step', 'service'],
+  ['started', 'instance'], ['stopping', 'instance'], ['settings_reloaded', 'settings']
+])
+
+/** Beliefs that are shown with a request. */
+const SHOWN_BELIEFS = 12
+
+/** undefined when no line names the request. */
+export function createTimeline (request: string, records: readonly LogRecord[]): RequestTimeline | undefined {
+  const own = records.filter(({ fields }) => fields.request === request)
+  if (own.length === 0) return undefined
+  const instances = new Set(own.map(({ instance }) => instance))
+  const servers = new Set(own.map(({ fields }) => fields.server).filter(server => server !== undefined))
+  const end = own.map(({ time }) => time ?? '').sort().at(-1) ?? ''
+  const beliefs = records.filter(record => BELIEF_EVENTS.has(record.event) && instances.has(record.instance) && (record.time ?? '') <= end)
+  const relevant = beliefs.filter(({ fields }) => fields.server === undefined || servers.has(fields.server))
+  return { request, steps: own.map(toStep), beliefs: relevant.slice(-SHOWN_BELIEFS).map(toBelief), cause: explain(own) }
+}
+
+function toStep (record: LogRecord): TimelineStep {
+  return { time: record.time, instance: record.instance, text: describe(record) }
+}
+
+function describe ({ event, fields }: LogRecord): string {
+  if (event === 'attempt_ended') {
+    const { attempt, server, version, model, result, cause, load, load_age_ms: age, elapsed_ms: elapsed, confidence, minimum_confidence: minimum, estimated_ms: estimated, answered_ms: answered } = fields
+    const choice = `estimated ${String(estimated)} ms, load ${String(load)} as of ${String(age)} ms before`
+    const sure = confidence === undefined ? '' : `, confidence ${String(confidence)} of ${String(minimum)} asked for`
+    const timing = answered === undefined ? '' : `, first answer after ${String(answered)} ms`
+    return `attempt ${String(attempt)} at ${String(server)} (${[version, model].filter(part => part !== undefined).join(', ')}; ${choice}): ${String(result)}${cause === undefined ? '' : `, ${String(cause)}`}${sure}${timing}, ${String(elapsed)} ms after arrival`
+  }
+  if (event === 'request_ended') {
+    const { outcome, status, events, elapsed_ms: elapsed, allowed_ms: allowed, catalogue, route, first_event_ms: first, objective_ms: objective } = fields
+    const stream = first === undefined ? '' : `, first event after ${String(first)} ms of ${String(objective)}, ${String(events)} events`
+    return `ended as ${String(outcome)}${status === undefined ? '' : ` with status ${String(status)}`} on ${String(route)} of catalogue ${String(catalogue)} after ${String(elapsed)} of ${String(allowed)} ms${stream}`
+  }
+  if (event === 'request_refused') return `refused with status ${String(fields.status)}: ${String(fields.code)}${fields.catalogue === undefined ? '' : `, catalogue ${String(fields.catalogue)}`}`
+  return `${event} ${JSON.stringify(fields)}`
+}
+
+function toBelief (record: LogRecord): TimelineStep {
+  const facts = Object.entries(record.fields).filter(([key]) => key !== 'level').map(([key, value]) => `${key} ${String(value)}`).join(', ')
+  return { time: record.time, instance: record.instance, text: `${record.event.replaceAll('_', ' ')}: ${facts}` }
+}
+
+function explain (records: readonly LogRecord[]): string {
+  const refused = records.find(({ event }) => event === 'request_refused')
+  if (refused !== undefined) return explainRefusal(String(refused.fields.code))
+  const attempts = records.filter(({ event }) => event === 'attempt_ended')
+  const end = records.find(({ event }) => event === 'request_ended')
+  if (end === undefined) return 'The instance ended, or its log stopped, before the request had an answer.'
+  const results = attempts.map(({ fields }) => `${String(fields.result)} at ${String(fields.server)}`).join(', then ')
+  switch (end.fields.outcome) {
+    case 'delivered':
+      return Number(end.fields.first_event_ms) > Number(end.fields.objective_ms) ? `The answer was late: ${results}.` : `The answer was delivered: ${results}.`
+    case 'caller_left':
+      return `The caller left before the answer: ${results === '' ? 'no attempt had ended' : results}.`
+    case 'timeout':
+      return `The caller's time or the route's limit ended: ${results}.`
+    case 'no_server':
+      return 'No server of the service was known that the request could run on.'
+    case 'servers_full':
+      return `No server took the request: ${results}.`
+    default:
+      return `The outcome is not known to have been a success: ${results}.`
+  }
+}
+
+function explainRefusal (code: string): string {
+  switch (code) {
+    case 'starting': return 'The instance had just started and did not know the catalogue or the servers yet.'
+    case 'stopping': return 'The instance was about to end, and the request came on a kept connection.'
+    case 'unknown_key': return 'The catalogue in force held no such key.'
+    case 'unknown_route': return 'The catalogue in force held no route for the host and path.'
+    default: return `The request itself was not acceptable: ${code}.`
+  }
+}
--- /dev/null
+++ b/packages/command/src/__tests__/unit/JayfallRequestTimeline.test.ts
@@ -0,0 +1,37 @@
+/** Tests of the way from a request's identifier to its cause. */
+
+import * as assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+
+import { readLogLine, type LogRecord } from '#jayfall/telemetry'
+
+import { createTimeline } from '../../JayfallRequestTimeline'
+
+const LINES = [
+  '{"level":"info","time":"T1","instance":"entry-1","event":"catalogue_in_force","version":7}',
+  '{"level":"info","time":"T2","instance":"entry-2","event":"catalogue_in_force","version":8}',
+  '   1.25 entry-1 {"level":"info","time":"T3","instance":"entry-1","event":"attempt_ended","request":"r1","attempt":1,"server":"s1","result":"silent","load":3,"load_age_ms":900}',
+  '{"level":"info","time":"T4","instance":"entry-1","event":"request_ended","request":"r1","outcome":"timeout","elapsed_ms":900,"allowed_ms":900}',
+  'time=T5 level=info event=request_refused instance=entry-1 request=r2 status=401 code=unknown_key',
+  '{"level":"info","time":"T6","instance":"ent'
+]
+
+const RECORDS = LINES.map(readLogLine).filter((record): record is LogRecord => record !== undefined)
+
+describe('createTimeline', () => {
+  it('names the attempts and the cause, with the beliefs of its own instance only', () => {
+    const timeline = createTimeline('r1', RECORDS)
+    assert.equal(timeline?.steps.length, 2)
+    assert.match(timeline.cause, /time .* ended: silent at s1/)
+    assert.deepEqual(timeline.beliefs.map(({ time }) => time), ['T1'])
+  })
+
+  it('reads lines of key=value pairs as well', () => {
+    assert.match(createTimeline('r2', RECORDS)?.cause ?? '', /no such key/)
+  })
+
+  it('knows nothing of other requests, and skips lines that were cut off (guards against crashes on partial logs)', () => {
+    assert.equal(createTimeline('r3', RECORDS), undefined)
+    assert.equal(RECORDS.length, LINES.length - 1)
+  })
+})
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -119,7 +119,7 @@
 /** Chance that an instance makes a due step at one interval, so that few of them race for it. */
 export const STEP_PROBABILITY = 0.3
 /** Pause after changed evidence, so that the reports of many instances are read together. */
-export const EVIDENCE_COALESCE_PAUSE = 800
+export const EVIDENCE_COALESCE_PAUSE = 1500
 /** How long a load probe may take. */
 export const PROBE_TIMEOUT = 400
 /** Interval at which beliefs that depend on time are renewed. */
@@ -152,7 +152,7 @@
 /** Time beyond the wait after which a reading is given up. */
 export const FEED_TIMEOUT_MARGIN = 900
 /** Pause after a reading that brought changes, so that changes in quick succession are read together. */
-export const FEED_COALESCE_PAUSE = 60
+export const FEED_COALESCE_PAUSE = 250
 /** Pauses after a failed reading. */
 export const FEED_RETRY_MINIMUM = 150
 export const FEED_RETRY_MAXIMUM = 1000
--- a/packages/telemetry/src/JayfallBoundedLog.ts
+++ b/packages/telemetry/src/JayfallBoundedLog.ts
@@ -13,6 +13,8 @@
 export interface BoundedLog extends Log {
   /** Writes what is buffered and calls `done`. */
   close (done: () => void): void
+  /** Drops what is buffered and writes nothing more. */
+  abandon (): void
 }
 
 /** Creates a log of JSON lines on `destination`, a file descriptor; the standard output by default. */
@@ -39,6 +41,10 @@
     close: done => {
       clearInterval(timer)
       output.flush(() => done())
+    },
+    abandon: () => {
+      clearInterval(timer)
+      output.destroy()
     }
   }
 }
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,4 +1,5 @@
 export { createBoundedLog, type BoundedLog } from './JayfallBoundedLog'
+export { readLogLine, type LogRecord } from './JayfallLogReader'
 export { createLog, formatLine, type Log, type LogFields, type LogLevel } from './JayfallLog'
 export { formatPrometheus, Metrics, sumMetrics, type DurationSummary, type MetricLabels, type MetricsSnapshot } from './JayfallMetrics'
 export { type SpanRecord } from './JayfallSpanProcessors'
