--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -149,7 +149,7 @@
   const now = clock.monotonic()
   const rule = versions.ruleFor(service, session, now)
   const request = { service, model, promptTokens: fields.promptTokens, outputTokens: fields.maximumOutputTokens, parts: fields.promptParts, tried }
-  return choice.choose({ ...request, allowsVersion: rule.prefers }, now) ?? choice.choose({ ...request, allowsVersion: rule.allows }, now)
+  return choice.choose({ ...request, allowsVersion: rule.prefers }, now) ?? choice.choose({ ...request, allowsVersion: version => rule.allows(version, tried.size > 0) }, now)
 }
 
 function createPlan (context: PlanContext, choice: BackendChoiceResult, model: string | undefined, number: number, sends: number): AttemptPlan {
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -166,7 +166,7 @@
     this.isFollowingRollouts = true
     const isStopped = (): boolean => this.isStopping || !this.duty.isActive
     const ended = [
-      this.follow(ROLLOUTS_TABLE, event => this.duty.takeRollouts(rowsOf(event)), isStopped),
+      this.follow(ROLLOUTS_TABLE, event => this.takeRolloutRows(event), isStopped),
       this.follow(EVIDENCE_TABLE, event => this.duty.takeEvidence(rowsOf(event)), isStopped, EVIDENCE_COALESCE_PAUSE)
     ]
     Promise.all(ended).then(() => { this.isFollowingRollouts = false })
@@ -197,6 +197,14 @@
       else if (row.reason !== undefined) this.parts.log.warn('operator_row_ignored', { key, revision, reason: row.reason })
     }
     this.duty.takeOrders(new Map(this.orders))
+    if (this.duty.isActive && !this.isFollowingRollouts) this.followRollouts()
+    if (event.kind !== 'lost' && this.duty.isSettled) this.state.takeRolloutsKnown()
+  }
+
+  private takeRolloutRows (event: FeedEvent): void {
+    if (event.kind === 'lost') return
+    this.duty.takeRollouts(event.rows)
+    this.state.takeRolloutsKnown()
   }
 
   private takeServerRows (event: FeedEvent): void {
--- a/packages/forwarding/src/JayfallForwardingState.ts
+++ b/packages/forwarding/src/JayfallForwardingState.ts
@@ -22,6 +22,7 @@
 export class ForwardingState {
   private table: RouteTable | undefined
   private hasServers = false
+  private areRolloutsKnown = false
   /** Called once when the state becomes ready. */
   private waiting: (() => void)[] = []
   /** Servers whose entries lapsed, with the monotonic time until which they are still used. */
@@ -37,7 +38,7 @@
   }
 
   get isReady (): boolean {
-    return this.table !== undefined && this.hasServers
+    return this.table !== undefined && this.hasServers && this.areRolloutsKnown
   }
 
   /** Resolves when everything needed is known, or after `limit` milliseconds. */
@@ -52,6 +53,12 @@
     })
   }
 
+  /** Takes note that it is known on which versions the services run. */
+  takeRolloutsKnown (): void {
+    this.areRolloutsKnown = true
+    this.releaseWaiting()
+  }
+
   takeCatalogue (catalogue: ForwardingCatalogue): void {
     const known = this.table?.catalogue.version
     if (known !== undefined && catalogue.version <= known) return
--- a/packages/forwarding/src/JayfallRolloutDuty.ts
+++ b/packages/forwarding/src/JayfallRolloutDuty.ts
@@ -65,6 +65,7 @@
   private readonly reports = new Map<string, EvidenceRow>()
   private readonly published = new Map<string, Published>()
   private isBusy = false
+  private hasReadRows = false
 
   constructor (private readonly parts: RolloutDutyParts) {}
 
@@ -73,6 +74,11 @@
     return [...this.orders.values()].some(order => this.outcomeOf(order) === 'running')
   }
 
+  /** Whether how the rollouts stand is known, or there is none. */
+  get isSettled (): boolean {
+    return this.hasReadRows || this.orders.size === 0
+  }
+
   takeOrders (orders: ReadonlyMap<string, RolloutOrder>): void {
     for (const [service, order] of orders) {
       if (this.orders.get(service)?.revision === order.revision) continue
@@ -86,6 +92,7 @@
 
   /** Takes the rollouts that the instances agreed on. */
   takeRollouts (rows: readonly TableFeedRow[]): void {
+    this.hasReadRows = true
     for (const { key, value, revision } of rows) {
       const row = readRolloutRow(value)
       if (row === undefined) this.rows.delete(key)
--- a/packages/forwarding/src/JayfallVersionPolicy.ts
+++ b/packages/forwarding/src/JayfallVersionPolicy.ts
@@ -17,7 +17,7 @@
   /** Versions that the request should run on. */
   readonly prefers: (version: string) => boolean
   /** Versions that it may run on when no server of those can take it. */
-  readonly allows: (version: string) => boolean
+  readonly allows: (version: string, isRepeat: boolean) => boolean
 }
 
 const ANY_VERSION: VersionRule = { prefers: () => true, allows: () => true }
@@ -74,7 +74,8 @@
     const isInShare = rendezvousWeight(session, `${service}/${target}`) / 2 ** 48 < newVersionShare(rollout, storeTime, this.settings.exposureShare)
     const mayMove = mayMoveSessions(rollout, storeTime)
     const goesToNew = known === target || (isInShare && (known === undefined || mayMove))
-    if (!goesToNew) return { prefers: isOld, allows: mayMove ? () => true : isOld }
+    // When no old server is left, the new version is in service, whatever this instance has not read yet.
+    if (!goesToNew) return { prefers: isOld, allows: (version, isRepeat) => !isRepeat || isOld(version) }
     return { prefers: isNew, allows: () => true }
   }
 
--- a/packages/forwarding/src/__tests__/unit/JayfallRollouts.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallRollouts.test.ts
@@ -53,11 +53,17 @@
       }
     })
 
+    it('of the old version are not repeated on the new one (guards against exposure by failures of the old servers)', () => {
+      const rule = policyAt(() => 1000).ruleFor('guide', 'session', 1000)
+      const stays = rule.prefers('v1')
+      assert.equal(rule.allows('v2', true), !stays)
+    })
+
     it('leave a version that was rolled back at once', () => {
       const policy = policyAt(() => 1000, { ...ROLLOUT, outcome: 'rolled_back' })
       policy.noteRun('guide', 'session', 'v2', 1000)
       const rule = policy.ruleFor('guide', 'session', 1001)
-      assert.deepEqual([rule.prefers('v2'), rule.allows('v2')], [false, false])
+      assert.deepEqual([rule.prefers('v2'), rule.allows('v2', false)], [false, false])
     })
   })
 
