Blame a new version whose servers all fail a request

Ruled out: late reports between instances. Now such failures count against the version while its rollout runs.

--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -42,9 +42,8 @@
   /** The confidence that the attempt's answer had to have. */
   minimumConfidence = 0
   private isRead = false
-  /** An attempt that ended with a failure of the server's own, until another server's answer tells whose fault it was. */
-  private unconfirmed: AttemptPlan | undefined
-  private serverFailures = 0
+  /** Attempts that ended with a failure of the server's own, until another server's answer tells whose fault that was. */
+  private unconfirmed: AttemptPlan[] = []
   /** Mean milliseconds between the attempt's events; undefined when there were too few. */
   private meanPause: number | undefined
 
@@ -195,17 +194,12 @@
   /** Takes note of what the result tells about the server and its version. */
   private learn (attempt: AttemptPlan, result: AttemptResult): void {
     const { directory, clock } = this.context
-    const { unconfirmed } = this
-    this.unconfirmed = undefined
-    // A request that fails with an answer at two servers is at fault itself.
-    if (unconfirmed !== undefined && result.kind !== 'failed') this.blame(unconfirmed)
     switch (result.kind) {
-      case 'unsent':
-        return directory.noteUnreachable(attempt.server.id, clock.monotonic())
       case 'failed':
-        this.serverFailures++
-        this.unconfirmed = this.serverFailures === 1 ? attempt : undefined
+        this.unconfirmed.push(attempt)
         return
+      case 'unsent':
+        return directory.noteUnreachable(attempt.server.id, clock.monotonic())
       case 'broken':
       case 'silent':
         return this.blame(attempt)
@@ -213,13 +207,24 @@
       case 'unsure':
         directory.noteSuccess(attempt.server.id, clock.monotonic())
         this.noteOutcome(attempt, false)
+        this.blameUnconfirmed()
     }
   }
 
-  /** Takes the end of the request: a failure that no other server could confirm counts. */
+  /**
+   * Takes the end of the request. A request that failed at several servers is at fault itself,
+   * unless all of them run the new version of a rollout.
+   */
   finish (): void {
-    if (this.unconfirmed !== undefined) this.blame(this.unconfirmed)
-    this.unconfirmed = undefined
+    const versions = new Set(this.unconfirmed.map(({ server }) => server.version))
+    const rollout = this.context.versions.rolloutOf(this.plan.service)
+    const isNewVersion = rollout?.outcome === 'running' && versions.size === 1 && versions.has(rollout.order.version)
+    if (this.unconfirmed.length === 1 || isNewVersion) this.blameUnconfirmed()
+  }
+
+  private blameUnconfirmed (): void {
+    for (const attempt of this.unconfirmed) this.blame(attempt)
+    this.unconfirmed = []
   }
 
   private blame (attempt: AttemptPlan): void {
