--- a/packages/standins/src/JayfallFaultProxy.ts
+++ b/packages/standins/src/JayfallFaultProxy.ts
@@ -8,6 +8,8 @@
 import Hapi, { type Server } from '@hapi/hapi'
 import * as net from 'node:net'
 
+import { delay } from '#jayfall/shared'
+
 import { pathParameter } from './JayfallRequestFields'
 import { DEFAULT_HOST } from './JayfallStandInConstants'
 
@@ -98,17 +100,22 @@
 
   private forward (from: net.Socket, to: net.Socket, isReply: boolean): void {
     from.setNoDelay(true)
+    // Bytes and the close keep their order when the delay shrinks, as on any TCP connection.
+    let passed = Promise.resolve()
+    const pass = (wait: number, action: () => void): void => {
+      const due = performance.now() + wait
+      passed = passed.then(() => delay(Math.max(0, due - performance.now()))).then(action)
+    }
     from.on('data', bytes => {
-      const { delay, silence, lostReplies } = this.faults()
+      const { delay: wait, silence, lostReplies } = this.faults()
       if (this.silent || silence === 'all') return
       if (isReply && lostReplies) return this.close()
-      if (delay === 0) to.write(bytes)
-      else setTimeout(() => to.writable && to.write(bytes), delay)
+      pass(wait, () => { if (to.writable) to.write(bytes) })
     })
     from.once('error', () => this.close())
     from.once('close', () => {
       // A silent path passes no close either.
-      if (!this.silent && this.faults().silence !== 'all') setTimeout(() => this.close(), this.faults().delay)
+      if (!this.silent && this.faults().silence !== 'all') pass(this.faults().delay, () => this.close())
     })
   }
 }
