--- a/packages/forwarding/src/JayfallForwardingCatalogue.ts
+++ b/packages/forwarding/src/JayfallForwardingCatalogue.ts
@@ -40,10 +40,6 @@
 export interface ForwardedService {
   readonly name: string
   readonly healthPath: string
-  /** Requests that one of its model engines runs at the same time; undefined for plain services. */
-  readonly engineSlots: number | undefined
-  /** Tokens that fit into the memory of one of its model engines; undefined for plain services. */
-  readonly engineTokens: number | undefined
 }
 
 export interface ForwardingWorkspace {
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -149,8 +149,6 @@
 
 /** Longest wait of one reading of the store's changes: a connection that went silent is noticed this late. */
 export const FEED_WAIT = 3000
-/** Time beyond the wait after which a reading is given up. */
-export const FEED_TIMEOUT_MARGIN = 900
 /** Pause after a reading that brought changes, so that changes in quick succession are read together. */
 export const FEED_COALESCE_PAUSE = 250
 /** Pauses after a failed reading. */
--- a/packages/forwarding/src/JayfallForwardingServer.ts
+++ b/packages/forwarding/src/JayfallForwardingServer.ts
@@ -27,7 +27,7 @@
   constructor (private readonly context: ForwardingContext, private readonly state: ForwardingState) {
     this.server = http.createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES, requestTimeout: 0, keepAlive: true }, (request, response) => {
       this.take(request, response).catch(error => {
-        this.context.log.error('request_crashed', { request: String(request.headers['request-id']), message: error instanceof Error ? error.stack : String(error) })
+        this.context.log.error('request_crashed', { request: this.context.protocol.readCaller(request.headers).requestId, message: error instanceof Error ? error.stack : String(error) })
         response.destroy()
       })
     })
