Give servers whose entries lapsed no work while there are others

Ruled out: a silent feed. The instance cannot tell its own cut from an outage, so such servers are now the last choice.

--- a/packages/forwarding/src/JayfallBackendChoice.ts
+++ b/packages/forwarding/src/JayfallBackendChoice.ts
@@ -125,5 +125,5 @@
 }
 
 function isHealthy (row: BackendRow, now: number): boolean {
-  return now >= row.avoidedUntil && currentFailureRate(row, now) <= MAXIMUM_FAILURE_RATE
+  return !row.isLapsed && now >= row.avoidedUntil && currentFailureRate(row, now) <= MAXIMUM_FAILURE_RATE
 }
--- a/packages/forwarding/src/JayfallBackendDirectory.ts
+++ b/packages/forwarding/src/JayfallBackendDirectory.ts
@@ -16,6 +16,8 @@
 
 export interface BackendRow {
   readonly server: BackendServer
+  /** Whether its entry went missing around an outage of the store, so that it may have left. */
+  readonly isLapsed: boolean
   /** Own requests that have not ended. */
   readonly open: number
   readonly report: ServerLoad | undefined
@@ -60,11 +62,15 @@
   set (server: BackendServer, now: number): void {
     const known = this.table.get(server.id)
     if (known !== undefined && known.server.service !== server.service) this.delete(server.id)
-    this.table.set(server.id, known === undefined ? createRow(server, now) : { ...known, server })
+    this.table.set(server.id, known === undefined ? createRow(server, now) : { ...known, server, isLapsed: false })
     const ids = this.byService.get(server.service) ?? new Set()
     this.byService.set(server.service, ids.add(server.id))
   }
 
+  noteLapsed (id: string): void {
+    this.table.update(id, row => ({ ...row, isLapsed: true }))
+  }
+
   delete (id: string): void {
     const row = this.table.get(id)
     if (row === undefined) return
@@ -170,7 +176,7 @@
 }
 
 function createRow (server: BackendServer, now: number): BackendRow {
-  return { server, open: 0, report: undefined, reportedAt: now, openAtReport: 0, failuresInRow: 0, failureRate: 0, outcomeAt: now, pendingReading: 0, delay: 0, delayAt: now, avoidedUntil: -Infinity, avoidedFor: 0 }
+  return { server, isLapsed: false, open: 0, report: undefined, reportedAt: now, openAtReport: 0, failuresInRow: 0, failureRate: 0, outcomeAt: now, pendingReading: 0, delay: 0, delayAt: now, avoidedUntil: -Infinity, avoidedFor: 0 }
 }
 
 /** The recent part of outcomes that were failures, fading with time. */
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -155,7 +155,7 @@
 export const FEED_RETRY_MINIMUM = 150
 export const FEED_RETRY_MAXIMUM = 1000
 /** Entries that lapsed during an outage of the store are back within about this time after it. */
-export const LAPSED_ENTRY_GRACE = 2200
+export const LAPSED_ENTRY_GRACE = 2000
 
 /** After SIGTERM the listening address stays open this long: the balancer notices after two questions a second apart. */
 export const STOP_MINIMUM = 2600
--- a/packages/forwarding/src/JayfallForwardingState.ts
+++ b/packages/forwarding/src/JayfallForwardingState.ts
@@ -2,7 +2,8 @@
  * What this instance believes: catalogue, backend servers and rollouts, from the store.
  *
  * The catalogue never goes back to an older version. Entries of servers that lapse around an
- * outage of the store stay for a moment, because living servers register again after it.
+ * outage of the store stay for a moment, because living servers register again after it; until then
+ * they get work only when there is no other server, because they may have left.
  */
 
 import { type Clock } from '#jayfall/shared'
@@ -115,6 +116,7 @@
     if (this.directory.get(id) === undefined || this.lapsed.has(id)) return
     if (now >= this.graceUntil) return this.remove(id)
     this.lapsed.set(id, this.graceUntil)
+    this.directory.noteLapsed(id)
     this.log.info('server_lapsed', { server: id, kept_ms: Math.round(this.graceUntil - now) })
   }
 
