Make one piece of code serve where the forwarding face wrote things again

Cause: found on reading the change once more. Orders are kept by the keys of their rows, so that the removal of one needs no comparison of endings. Ruled out: sharing the breaker of the chat router, which lets one probe through at a time, and its splitter of events, which checks what it reads; both would change behaviour. Behaviour and assertions stay.

--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -67,7 +67,7 @@
   | { readonly kind: 'none' }
 
 /** Refusals promise that the request has not run. */
-export type RefusalCode = 'no_server' | 'servers_full' | 'too_late' | 'starting' | 'stopping'
+export type RefusalCode = 'no_server' | 'servers_full' | 'too_late'
 export type FailureCode = 'answer_lost' | 'timeout'
 
 export interface PlanContext {
--- a/packages/forwarding/src/JayfallBackendDirectory.ts
+++ b/packages/forwarding/src/JayfallBackendDirectory.ts
@@ -5,7 +5,7 @@
  * own work since then and fading with the report's age.
  */
 
-import { type ReadonlyTable, Table } from '#jayfall/shared'
+import { halfLifeWeight, type ReadonlyTable, Table } from '#jayfall/shared'
 
 import { type BackendServer } from './JayfallForwardingCatalogue'
 import {
@@ -111,13 +111,13 @@
 
   /** The likely delay of a first event: the server's own of late, and that of its service as far as its own is old. */
   expectedDelay ({ server, delay, delayAt }: BackendRow, now: number): number {
-    const weight = 2 ** ((delayAt - now) / DELAY_HALF_LIFE)
+    const weight = halfLifeWeight(now - delayAt, DELAY_HALF_LIFE)
     return delay * weight + this.serviceDelay(server.service, now) * (1 - weight)
   }
 
   private serviceDelay (service: string, now: number): number {
     const known = this.serviceDelays.get(service)
-    return known === undefined ? 0 : known.delay * 2 ** ((known.at - now) / SERVICE_DELAY_HALF_LIFE)
+    return known === undefined ? 0 : known.delay * halfLifeWeight(now - known.at, SERVICE_DELAY_HALF_LIFE)
   }
 
   noteEnded (id: string): void {
@@ -181,18 +181,18 @@
 
 /** The recent part of outcomes that were failures, fading with time. */
 export function currentFailureRate ({ failureRate, outcomeAt }: BackendRow, now: number): number {
-  return failureRate * 2 ** ((outcomeAt - now) / FAILURE_RATE_HALF_LIFE)
+  return failureRate * halfLifeWeight(now - outcomeAt, FAILURE_RATE_HALF_LIFE)
 }
 
 /** Requests that likely wait for their prompt to be read, from the server's last report. */
 export function estimateWaiting ({ report, reportedAt }: BackendRow, now: number): number {
-  return report === undefined ? 0 : report.waiting * 2 ** ((reportedAt - now) / WAITING_REPORT_HALF_LIFE)
+  return report === undefined ? 0 : report.waiting * halfLifeWeight(now - reportedAt, WAITING_REPORT_HALF_LIFE)
 }
 
 /** Requests that likely run or wait at the server. */
 export function estimateLoad (row: BackendRow, now: number): number {
   if (row.report === undefined) return row.open
-  const weight = 2 ** ((row.reportedAt - now) / LOAD_REPORT_HALF_LIFE)
+  const weight = halfLifeWeight(now - row.reportedAt, LOAD_REPORT_HALF_LIFE)
   const reported = row.report.running + row.report.waiting + row.open - row.openAtReport
   return Math.max(row.open, weight * reported + (1 - weight) * row.open)
 }
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -23,7 +23,7 @@
 import { RolloutDuty } from './JayfallRolloutDuty'
 import { RolloutEvidence } from './JayfallRolloutEvidence'
 import { EVIDENCE_TABLE, ROLLOUTS_TABLE, type TableFeedRow } from './JayfallRolloutRows'
-import { followTable, type FeedEvent } from './JayfallTableFeed'
+import { followTable, type FeedReading } from './JayfallTableFeed'
 import { VersionPolicy } from './JayfallVersionPolicy'
 
 /** An address to listen on. */
@@ -63,6 +63,7 @@
   private readonly budget: RetryBudget
   private readonly duty: RolloutDuty
   private readonly server: ForwardingServer
+  /** Orders by the keys of their rows. */
   private readonly orders = new Map<string, RolloutOrder>()
   private readonly timers: NodeJS.Timeout[] = []
   /** The store's clock less the own monotonic one. */
@@ -84,8 +85,6 @@
     this.duty = new RolloutDuty({
       ...parts,
       instance: settings.instance,
-      store: () => parts.store,
-      status: { statusWrite: (order, outcome) => parts.source.writeStatus(order, outcome) },
       probe: new HealthProbe(protocol, this.state, log),
       directory: this.directory,
       versions: this.versions,
@@ -117,8 +116,8 @@
     await this.server.listen(callers.host, callers.port)
     this.parts.log.info('started', { instance, zone, address: `${callers.host}:${callers.port}` })
     const { source } = this.parts
-    this.follow(source.operatorTable, event => this.takeOperatorRows(event))
-    this.follow(source.serverTable, event => this.takeServerRows(event))
+    this.follow(source.operatorTable, ({ rows }) => this.takeOperatorRows(rows))
+    this.follow(source.serverTable, reading => this.takeServerRows(reading))
     this.timers.push(setInterval(() => this.state.dropLapsed(), STATE_INTERVAL), setInterval(() => this.runRollouts(), ROLLOUT_INTERVAL))
   }
 
@@ -157,22 +156,23 @@
 
   private runRollouts (): void {
     if (this.storeTimeOffset === -Infinity) return
-    if (this.duty.isActive && !this.isFollowingRollouts) this.followRollouts()
+    this.followRollouts()
     this.duty.run()
   }
 
   /** Follows the rows that instances share about rollouts, as long as one is under way. */
   private followRollouts (): void {
+    if (!this.duty.isActive || this.isFollowingRollouts) return
     this.isFollowingRollouts = true
     const isStopped = (): boolean => this.isStopping || !this.duty.isActive
     const ended = [
-      this.follow(ROLLOUTS_TABLE, event => this.takeRolloutRows(event), isStopped),
-      this.follow(EVIDENCE_TABLE, event => this.duty.takeEvidence(rowsOf(event)), isStopped, EVIDENCE_COALESCE_PAUSE)
+      this.follow(ROLLOUTS_TABLE, ({ rows }) => this.takeRolloutRows(rows), isStopped),
+      this.follow(EVIDENCE_TABLE, ({ rows }) => this.duty.takeEvidence(rows), isStopped, EVIDENCE_COALESCE_PAUSE)
     ]
     Promise.all(ended).then(() => { this.isFollowingRollouts = false })
   }
 
-  private async follow (table: string, take: (event: FeedEvent) => void, isStopped = () => this.isStopping, coalescePause?: number): Promise<void> {
+  private async follow (table: string, take: (reading: FeedReading) => void, isStopped = () => this.isStopping, coalescePause?: number): Promise<void> {
     const { store, random, log, clock } = this.parts
     for await (const event of followTable({ store, table, random, isStopped, coalescePause })) {
       if (event.kind === 'lost') {
@@ -185,36 +185,30 @@
     }
   }
 
-  private takeOperatorRows (event: FeedEvent): void {
-    for (const { key, value, revision } of rowsOf(event)) {
+  private takeOperatorRows (rows: readonly TableFeedRow[]): void {
+    for (const { key, value, revision } of rows) {
       if (value === undefined) {
-        for (const [service, order] of this.orders) if (order.revision <= revision && key.endsWith(service)) this.orders.delete(service)
+        this.orders.delete(key)
         continue
       }
       const row = this.parts.source.readOperatorRow(key, value, revision)
       if (row.kind === 'catalogue') this.state.takeCatalogue(row.catalogue)
-      else if (row.kind === 'rollout') this.orders.set(row.order.service, row.order)
+      else if (row.kind === 'rollout') this.orders.set(key, row.order)
       else if (row.reason !== undefined) this.parts.log.warn('operator_row_ignored', { key, revision, reason: row.reason })
     }
-    this.duty.takeOrders(new Map(this.orders))
-    if (this.duty.isActive && !this.isFollowingRollouts) this.followRollouts()
-    if (event.kind !== 'lost' && this.duty.isSettled) this.state.takeRolloutsKnown()
+    this.duty.takeOrders(new Map([...this.orders.values()].map(order => [order.service, order])))
+    this.followRollouts()
+    if (this.duty.isSettled) this.state.takeRolloutsKnown()
   }
 
-  private takeRolloutRows (event: FeedEvent): void {
-    if (event.kind === 'lost') return
-    this.duty.takeRollouts(event.rows)
+  private takeRolloutRows (rows: readonly TableFeedRow[]): void {
+    this.duty.takeRollouts(rows)
     this.state.takeRolloutsKnown()
   }
 
-  private takeServerRows (event: FeedEvent): void {
-    if (event.kind === 'lost') return
-    const changes = event.rows.map(({ key, value }) => ({ id: key, server: value === undefined ? undefined : this.parts.source.readServerRow(key, value) }))
-    if (event.kind === 'snapshot') this.state.takeAllServers(changes, event.isAfterLoss)
-    else this.state.takeServers(changes, event.isAfterLoss)
+  private takeServerRows ({ kind, rows, isAfterLoss }: FeedReading): void {
+    const changes = rows.map(({ key, value }) => ({ id: key, server: value === undefined ? undefined : this.parts.source.readServerRow(key, value) }))
+    if (kind === 'snapshot') this.state.takeAllServers(changes, isAfterLoss)
+    else this.state.takeServers(changes, isAfterLoss)
   }
 }
-
-function rowsOf (event: FeedEvent): readonly TableFeedRow[] {
-  return event.kind === 'lost' ? [] : event.rows
-}
--- a/packages/forwarding/src/JayfallForwardingServer.ts
+++ b/packages/forwarding/src/JayfallForwardingServer.ts
@@ -3,7 +3,7 @@
 import * as http from 'node:http'
 import { type AddressInfo } from 'node:net'
 
-import { rendezvousWeight } from '#jayfall/shared'
+import { rendezvousShare } from '#jayfall/shared'
 
 import { type PlanContext } from './JayfallAttemptPlan'
 import { CallerAnswer } from './JayfallCallerAnswer'
@@ -147,7 +147,7 @@
 /** Chooses among the route's services by weight; one session stays with one service. */
 export function chooseTarget ({ name, targets }: ForwardingRoute, session: string): string {
   const total = targets.reduce((sum, { weight }) => sum + weight, 0)
-  let point = rendezvousWeight(session, name) / 2 ** 48 * total
+  let point = rendezvousShare(session, name) * total
   for (const { service, weight } of targets) {
     point -= weight
     if (point < 0) return service
--- a/packages/forwarding/src/JayfallRolloutDuty.ts
+++ b/packages/forwarding/src/JayfallRolloutDuty.ts
@@ -12,6 +12,7 @@
 import { type Log } from '#jayfall/telemetry'
 
 import { type BackendDirectory } from './JayfallBackendDirectory'
+import { type DeploymentSource } from './JayfallDeploymentSource'
 import { type RolloutOrder } from './JayfallForwardingCatalogue'
 import { EVIDENCE_INTERVAL, EVIDENCE_LIFETIME, STEP_PROBABILITY } from './JayfallForwardingConstants'
 import { type RolloutEvidence } from './JayfallRolloutEvidence'
@@ -20,12 +21,6 @@
 import { isBadVersion, sumEvidence, type EvidenceCounts } from './JayfallVersionEvidence'
 import { type VersionPolicy } from './JayfallVersionPolicy'
 
-/** Writes the status of a rollout as operators read it. */
-export abstract class RolloutStatusWriter {
-  /** The write that goes into the same transaction as the step. */
-  abstract statusWrite (order: RolloutOrder, outcome: RolloutOutcome): { readonly table: string, readonly key: string, readonly value: unknown }
-}
-
 /** Asks a backend server how much work it has. */
 export abstract class LoadProbe {
   /** Requests that run or wait at the server; undefined when it does not answer. */
@@ -34,8 +29,8 @@
 
 export interface RolloutDutyParts {
   readonly instance: string
-  readonly store: () => TableStore
-  readonly status: RolloutStatusWriter
+  readonly store: TableStore
+  readonly source: DeploymentSource
   readonly probe: LoadProbe
   readonly directory: BackendDirectory
   readonly versions: VersionPolicy
@@ -71,7 +66,7 @@
 
   /** Whether a rollout is under way, so that its rows are worth following. */
   get isActive (): boolean {
-    return [...this.orders.values()].some(order => this.outcomeOf(order) === 'running')
+    return [...this.orders.values()].some(order => (this.rowOf(order)?.outcome ?? 'running') === 'running')
   }
 
   /** Whether how the rollouts stand is known, or there is none. */
@@ -124,13 +119,13 @@
   }
 
   private async advance (order: RolloutOrder): Promise<void> {
-    const known = this.rows.get(order.service)
-    if (known === undefined || known.row.orderRevision !== order.revision) {
+    const row = this.rowOf(order)
+    if (row === undefined) {
       if (this.parts.random.chance(STEP_PROBABILITY)) await this.step(order, 'running', 'ordered')
       return
     }
-    if (known.row.outcome !== 'running') return
-    const rollout = toRollout(order, known.row)
+    if (row.outcome !== 'running') return
+    const rollout = toRollout(order, row)
     await this.publish(order)
     if (isBadVersion(this.pooledEvidence(order))) {
       this.parts.versions.suspend(order.service, order.version)
@@ -143,18 +138,18 @@
 
   private async step (order: RolloutOrder, outcome: RolloutOutcome, reason: string): Promise<void> {
     const { service } = order
-    const known = this.rows.get(service)
+    const started = this.rowOf(order)
     // The row may have arrived while the reasons for this step were being looked at.
-    if (known?.row.orderRevision === order.revision && known.row.outcome !== 'running') return
+    if (started !== undefined && started.outcome !== 'running') return
     const row: RolloutRow = {
       version: order.version,
       orderRevision: order.revision,
-      startedAt: known?.row.orderRevision === order.revision ? known.row.startedAt : this.parts.storeTime(),
+      startedAt: started?.startedAt ?? this.parts.storeTime(),
       outcome
     }
-    const writes = [{ table: ROLLOUTS_TABLE, key: service, value: row, ifRevision: known?.revision ?? 0 }, this.parts.status.statusWrite(order, outcome)]
+    const writes = [{ table: ROLLOUTS_TABLE, key: service, value: row, ifRevision: this.rows.get(service)?.revision ?? 0 }, this.parts.source.writeStatus(order, outcome)]
     try {
-      const [revision] = await this.parts.store().transact(writes)
+      const [revision] = await this.parts.store.transact(writes)
       this.parts.log.info('rollout_step', { service, version: order.version, outcome, reason })
       this.takeRow(service, row, revision)
       this.apply()
@@ -166,7 +161,7 @@
   }
 
   private async refresh (service: string): Promise<void> {
-    const found = await this.parts.store().read(ROLLOUTS_TABLE, service)
+    const found = await this.parts.store.read(ROLLOUTS_TABLE, service)
     const row = readRolloutRow(found?.value)
     if (found !== undefined && row !== undefined) this.takeRow(service, row, found.revision)
     this.apply()
@@ -191,7 +186,7 @@
       return
     }
     const row: EvidenceRow = { instance, orderRevision: revision, at: this.parts.storeTime(), counts: evidence.of(service).recent(now) }
-    await this.parts.store().transact([{ table: EVIDENCE_TABLE, key: `${service}/${instance}`, value: row }])
+    await this.parts.store.transact([{ table: EVIDENCE_TABLE, key: `${service}/${instance}`, value: row }])
     this.published.set(service, { bad, total, at: now })
   }
 
@@ -215,18 +210,18 @@
     return true
   }
 
-  private outcomeOf (order: RolloutOrder): RolloutOutcome {
-    const row = this.rows.get(order.service)?.row
-    return row !== undefined && row.orderRevision === order.revision ? row.outcome : 'running'
+  /** The row of the order's rollout; undefined until its start is agreed on. */
+  private rowOf ({ service, revision }: RolloutOrder): RolloutRow | undefined {
+    const row = this.rows.get(service)?.row
+    return row?.orderRevision === revision ? row : undefined
   }
 
   private apply (): void {
     const rollouts = new Map<string, Rollout>()
     for (const [service, order] of this.orders) {
-      const row = this.rows.get(service)?.row
-      const isStarted = row !== undefined && row.orderRevision === order.revision
+      const row = this.rowOf(order)
       // Until the start is agreed on, nothing goes to the new version beyond the trial share.
-      rollouts.set(service, isStarted ? toRollout(order, row) : { order, startedAt: Infinity, outcome: 'running' })
+      rollouts.set(service, row === undefined ? { order, startedAt: Infinity, outcome: 'running' } : toRollout(order, row))
     }
     this.parts.versions.setRollouts(rollouts)
   }
--- a/packages/forwarding/src/JayfallTableFeed.ts
+++ b/packages/forwarding/src/JayfallTableFeed.ts
@@ -11,10 +11,20 @@
 
 import { FEED_COALESCE_PAUSE, FEED_RETRY_MAXIMUM, FEED_RETRY_MINIMUM, FEED_WAIT } from './JayfallForwardingConstants'
 
+/** A reading that succeeded. */
+export interface FeedReading {
+  /** A snapshot has all rows of the table. */
+  readonly kind: 'snapshot' | 'changes'
+  readonly rows: readonly TableChange[]
+  readonly revision: number
+  /** The store's own steady clock, in milliseconds. */
+  readonly storeTime: number
+  /** Whether the readings before it failed. */
+  readonly isAfterLoss: boolean
+}
+
 export type FeedEvent =
-  /** All rows of the table. */
-  | { readonly kind: 'snapshot', readonly rows: readonly TableChange[], readonly revision: number, readonly storeTime: number, readonly isAfterLoss: boolean }
-  | { readonly kind: 'changes', readonly rows: readonly TableChange[], readonly revision: number, readonly storeTime: number, readonly isAfterLoss: boolean }
+  | FeedReading
   /** The first failure since the last success. */
   | { readonly kind: 'lost', readonly cause: unknown }
 
--- a/packages/forwarding/src/JayfallVersionEvidence.ts
+++ b/packages/forwarding/src/JayfallVersionEvidence.ts
@@ -106,8 +106,7 @@
   const sum: Record<string, RouteCounts> = {}
   for (const counts of all) {
     for (const [route, added] of Object.entries(counts)) {
-      const known = sum[route] ?? NO_COUNTS
-      sum[route] = [known[0] + added[0], known[1] + added[1], known[2] + added[2], known[3] + added[3]]
+      sum[route] = addCounts(sum[route] ?? NO_COUNTS, added)
     }
   }
   return sum
@@ -115,8 +114,12 @@
 
 /** Whether the new version is bad over all routes, or on one of them. */
 export function isBadVersion (counts: EvidenceCounts): boolean {
-  const all = Object.values(counts).reduce<RouteCounts>((sum, each) => [sum[0] + each[0], sum[1] + each[1], sum[2] + each[2], sum[3] + each[3]], NO_COUNTS)
-  return [all, ...Object.values(counts)].some(isBad)
+  const byRoute = Object.values(counts)
+  return [byRoute.reduce(addCounts, NO_COUNTS), ...byRoute].some(isBad)
+}
+
+function addCounts (left: RouteCounts, right: RouteCounts): RouteCounts {
+  return [left[0] + right[0], left[1] + right[1], left[2] + right[2], left[3] + right[3]]
 }
 
 function isBad ([newGood, newBad, oldGood, oldBad]: RouteCounts): boolean {
--- a/packages/forwarding/src/JayfallVersionPolicy.ts
+++ b/packages/forwarding/src/JayfallVersionPolicy.ts
@@ -5,7 +5,7 @@
  * in the second half of a rollout, moves them to the new version.
  */
 
-import { rendezvousWeight } from '#jayfall/shared'
+import { rendezvousShare } from '#jayfall/shared'
 import { LRUCache } from 'lru-cache'
 
 import { SESSION_MARGIN } from './JayfallForwardingConstants'
@@ -71,7 +71,7 @@
     if (rollout.outcome === 'rolled_back' || this.suspended.has(service)) return { prefers: isOld, allows: isOld }
     const known = this.knownVersion(service, session, now)
     const storeTime = this.storeTime()
-    const isInShare = rendezvousWeight(session, `${service}/${target}`) / 2 ** 48 < newVersionShare(rollout, storeTime, this.settings.exposureShare)
+    const isInShare = rendezvousShare(session, `${service}/${target}`) < newVersionShare(rollout, storeTime, this.settings.exposureShare)
     const mayMove = mayMoveSessions(rollout, storeTime)
     const goesToNew = known === target || (isInShare && (known === undefined || mayMove))
     // When no old server is left, the new version is in service, whatever this instance has not read yet.
--- a/packages/routing/src/JayfallConcurrencyWindow.ts
+++ b/packages/routing/src/JayfallConcurrencyWindow.ts
@@ -7,6 +7,8 @@
  * deadlines are known.
  */
 
+import { halfLifeWeight } from '#jayfall/shared'
+
 import {
   INITIAL_WINDOW, MINIMUM_WINDOW, URGENT_WINDOW_FACTOR, WINDOW_AVERAGE_HALF_LIFE_MILLISECONDS, WINDOW_DECREASE_FACTOR, WINDOW_GROWTH, WINDOW_HEADROOM,
   WINDOW_INTERVAL_MILLISECONDS, WINDOW_INTERVAL_WAITS, WINDOW_PEAK_HALF_LIFE_MILLISECONDS
@@ -76,8 +78,8 @@
    */
   run (now: number, free: number): void {
     const floor = Math.max(INITIAL_WINDOW, free)
-    this.averageOpen += (this.openAttempts - this.averageOpen) * (1 - 2 ** ((this.ranAt - now) / WINDOW_AVERAGE_HALF_LIFE_MILLISECONDS))
-    this.peak = Math.max(this.averageOpen, this.peak * 2 ** ((this.ranAt - now) / WINDOW_PEAK_HALF_LIFE_MILLISECONDS))
+    this.averageOpen += (this.openAttempts - this.averageOpen) * (1 - halfLifeWeight(now - this.ranAt, WINDOW_AVERAGE_HALF_LIFE_MILLISECONDS))
+    this.peak = Math.max(this.averageOpen, this.peak * halfLifeWeight(now - this.ranAt, WINDOW_PEAK_HALF_LIFE_MILLISECONDS))
     this.ranAt = now
     this.size = Math.min(this.size, Math.max(floor, this.peak * WINDOW_HEADROOM))
     if (this.threshold === Infinity) this.size = Math.max(this.size, free)
--- a/packages/routing/src/JayfallLaneQueue.ts
+++ b/packages/routing/src/JayfallLaneQueue.ts
@@ -1,6 +1,6 @@
 /** What waits and what is open of one lane of a pool: its queue, its window and its demand. */
 
-import { type Clock } from '#jayfall/shared'
+import { type Clock, halfLifeWeight } from '#jayfall/shared'
 
 import { ConcurrencyWindow } from './JayfallConcurrencyWindow'
 import { computeFairLevel } from './JayfallFairShare'
@@ -70,6 +70,6 @@
 
   private demandOf (workspace: string, now: number): number {
     const demand = this.demands.get(workspace)
-    return demand === undefined ? 0 : demand.rate * 2 ** ((demand.at - now) / DEMAND_HALF_LIFE_MILLISECONDS)
+    return demand === undefined ? 0 : demand.rate * halfLifeWeight(now - demand.at, DEMAND_HALF_LIFE_MILLISECONDS)
   }
 }
--- a/packages/routing/src/JayfallPool.ts
+++ b/packages/routing/src/JayfallPool.ts
@@ -1,6 +1,6 @@
 /** The servers that run one version or service, and the requests that wait for them. */
 
-import { rendezvousWeight, type Clock } from '#jayfall/shared'
+import { type Clock, halfLifeWeight, rendezvousWeight } from '#jayfall/shared'
 
 import { ConcurrencyWindow } from './JayfallConcurrencyWindow'
 import { LaneQueue } from './JayfallLaneQueue'
@@ -79,7 +79,7 @@
 
   /** Takes the arrival of work. */
   noteArrival (lane: Lane, work: number): void {
-    const kept = 2 ** ((this.arrivalsAt - this.clock.monotonic()) / LANE_SHARE_HALF_LIFE_MILLISECONDS)
+    const kept = halfLifeWeight(this.clock.monotonic() - this.arrivalsAt, LANE_SHARE_HALF_LIFE_MILLISECONDS)
     this.arrivalsAt = this.clock.monotonic()
     this.longWork = this.longWork * kept + (lane === 'long' ? work : 0)
     this.allWork = this.allWork * kept + work
--- a/packages/routing/src/JayfallServerTracker.ts
+++ b/packages/routing/src/JayfallServerTracker.ts
@@ -1,5 +1,7 @@
 /** Keeps the server rows: own open attempts, reports, observed speed and breakers. */
 
+import { halfLifeWeight } from '#jayfall/shared'
+
 import { CLOSED_BREAKER, isPassable, noteDispatch, noteFailure, noteInconclusive, noteSuccess, type BreakerLimits } from './JayfallBreaker'
 import { type Pool } from './JayfallPool'
 import {
@@ -83,7 +85,7 @@
 
   noteReport (server: string, report: LoadReport, pools: Iterable<Pool>): void {
     this.tables.servers.update(server, row => {
-      const kept = row.report === undefined ? 0 : 2 ** ((row.report.receivedAt - report.receivedAt) / REPORT_SMOOTHING_MILLISECONDS)
+      const kept = row.report === undefined ? 0 : halfLifeWeight(report.receivedAt - row.report.receivedAt, REPORT_SMOOTHING_MILLISECONDS)
       return { ...row, report, reportedLoad: reportedLoad(report) * (1 - kept) + row.reportedLoad * kept, openAtReport: row.open }
     })
     for (const pool of pools) pool.noteReportedLoad(reportedLoad(report), Math.max(1, report.slots))
@@ -96,12 +98,12 @@
 
 /** Observed slowness, fading to that of the pool. */
 export function currentSlowness ({ slowness, slownessAt }: ServerRow, now: number): number {
-  return 1 + (slowness - 1) * 2 ** ((slownessAt - now) / SPEED_HALF_LIFE_MILLISECONDS)
+  return 1 + (slowness - 1) * halfLifeWeight(now - slownessAt, SPEED_HALF_LIFE_MILLISECONDS)
 }
 
 /** Recent wait of own short work in milliseconds, fading to none. */
 export function currentWait ({ wait, waitAt }: ServerRow, now: number): number {
-  return wait * 2 ** ((waitAt - now) / WAIT_HALF_LIFE_MILLISECONDS)
+  return wait * halfLifeWeight(now - waitAt, WAIT_HALF_LIFE_MILLISECONDS)
 }
 
 /** The load of a report in slots: running streams, and waiting ones as if each waited for one slot. */
@@ -115,7 +117,7 @@
  */
 export function estimateLoad (row: ServerRow, meanLoad: number, now: number): number {
   if (row.report === undefined) return meanLoad + row.open
-  const weight = 2 ** ((row.report.receivedAt - now) / REPORT_HALF_LIFE_MILLISECONDS)
+  const weight = halfLifeWeight(now - row.report.receivedAt, REPORT_HALF_LIFE_MILLISECONDS)
   const reported = Math.max(row.open, row.reportedLoad + row.open - row.openAtReport)
   return weight * reported + (1 - weight) * Math.max(row.open, meanLoad)
 }
--- a/packages/telemetry/src/JayfallBoundedLog.ts
+++ b/packages/telemetry/src/JayfallBoundedLog.ts
@@ -8,7 +8,7 @@
 import pino from 'pino'
 
 import { LOG_BUFFER_BYTES, LOG_FLUSH_INTERVAL_MILLISECONDS, LOG_WRITE_BYTES } from './JayfallTelemetryConstants'
-import { type Log, type LogFields } from './JayfallLog'
+import { createEventLog, type Log, type LogFields } from './JayfallLog'
 
 export interface BoundedLog extends Log {
   /** Writes what is buffered and calls `done`. */
@@ -20,7 +20,7 @@
 /** Creates a log of JSON lines on `destination`, a file descriptor; the standard output by default. */
 export function createBoundedLog (fixed: LogFields, destination = 1): BoundedLog {
   const output = pino.destination({ dest: destination, sync: false, minLength: LOG_WRITE_BYTES, maxLength: LOG_BUFFER_BYTES, periodicFlush: LOG_FLUSH_INTERVAL_MILLISECONDS })
-  const logger = pino({ base: fixed, timestamp: pino.stdTimeFunctions.isoTime, formatters: { level: label => ({ level: label }) } }, output)
+  const log = createEventLog('info', fixed, output)
   let dropped = 0
   output.on('drop', () => { dropped++ })
   // A closed reader must not end the process.
@@ -29,15 +29,12 @@
     if (dropped === 0) return
     const lines = dropped
     dropped = 0
-    logger.warn({ event: 'log_lines_dropped', lines })
+    log.warn('log_lines_dropped', { lines })
   }
   const timer = setInterval(report, LOG_FLUSH_INTERVAL_MILLISECONDS)
   timer.unref()
   return {
-    debug: (event, fields) => logger.debug({ event, ...fields }),
-    info: (event, fields) => logger.info({ event, ...fields }),
-    warn: (event, fields) => logger.warn({ event, ...fields }),
-    error: (event, fields) => logger.error({ event, ...fields }),
+    ...log,
     close: done => {
       clearInterval(timer)
       output.flush(() => done())
--- a/packages/telemetry/src/JayfallLog.ts
+++ b/packages/telemetry/src/JayfallLog.ts
@@ -25,6 +25,11 @@
       done()
     }
   })
+  return createEventLog(level, fixed, destination)
+}
+
+/** Creates a log that writes JSON lines to a stream. */
+export function createEventLog (level: LogLevel, fixed: LogFields, destination: pino.DestinationStream): Log {
   const logger = pino({ level, base: fixed, timestamp: pino.stdTimeFunctions.isoTime, formatters: { level: label => ({ level: label }) } }, destination)
   return {
     debug: (event, fields) => logger.debug({ event, ...fields }),
