Take the test catalogue's version entry in the rollout runner's test

Cause: the test had a copy of testVersion with other limits and prices, which it does not look at. The assertions are as before; its 6 tests pass.

--- a/packages/entry/src/__tests__/unit/JayfallRolloutRunner.test.ts
+++ b/packages/entry/src/__tests__/unit/JayfallRolloutRunner.test.ts
@@ -5,6 +5,7 @@
 import { CatalogueStore, Lease, PlatformError, TableStore, type AnswerRating, type TableRow, type TableWrite } from '#jayfall/store'
 import { ManualClock, RandomSource } from '#jayfall/shared'
 import { createLog } from '#jayfall/telemetry'
+import { testVersion } from '#jayfall/testbed'
 
 import { formatOfferedId, parseOfferedId } from '../../JayfallRatingOffer'
 import { RolloutRunner } from '../../JayfallRolloutRunner'
@@ -37,25 +38,6 @@
   }
 }
 
-function version (id: string, changes: Partial<VersionEntry>): VersionEntry {
-  return {
-    kind: 'version',
-    id,
-    model: 'guide',
-    version: '1',
-    owner: 'test',
-    class: 'standard',
-    limits: { maximumPromptTokens: 1000, maximumOutputTokens: 1000, concurrentRequests: 10 },
-    price: { promptPerMillionTokens: 1, outputPerMillionTokens: 1 },
-    quality: 0.9,
-    contextLength: 2000,
-    state: 'in-service',
-    trafficShare: 100,
-    whenCutOff: 'continue',
-    ...changes
-  }
-}
-
 describe('RolloutRunner', () => {
   let store: MemoryTableStore
   let catalogueStore: CatalogueStore
@@ -71,7 +53,7 @@
     clock = new ManualClock(1000)
     ratings = []
     random = new RandomSource(1)
-    for (const entry of [version('old', {}), version('new', { state: 'rolling-out', trafficShare: 1, whenCutOff: 'stop' })]) {
+    for (const entry of [testVersion('old', {}), testVersion('new', { state: 'rolling-out', trafficShare: 1, whenCutOff: 'stop' })]) {
       await catalogueStore.write({ key: entryKey(entry), entry, basedOn: 0, writer: 'test' })
     }
   })
@@ -156,7 +138,7 @@
     const runner = createRunner('one')
     await round(runner)
     const found = await catalogueStore.readEntry('version/new')
-    await catalogueStore.write({ key: 'version/new', entry: version('new', { state: 'withdrawn', trafficShare: 0 }), basedOn: found?.revision ?? 0, writer: 'operator' })
+    await catalogueStore.write({ key: 'version/new', entry: testVersion('new', { state: 'withdrawn', trafficShare: 0 }), basedOn: found?.revision ?? 0, writer: 'operator' })
     for (let index = 0; index < 30; index++) {
       rate(20, 0.9)
       await round(runner)
