--- a/packages/testbed/src/JayfallTestProcess.ts
+++ b/packages/testbed/src/JayfallTestProcess.ts
@@ -72,8 +72,22 @@
   return `127.${FIRST_TEST_NETWORK + (process.pid >> 8) % TEST_NETWORKS}.${process.pid % 256}.${createdAddresses % 254 + 1}`
 }
 
-/** A TCP port of `host` that is free now. */
+/** Ports that this process has given out, as `host:port`. */
+const givenPorts = new Set<string>()
+
+/** A TCP port of `host` that is free now and that this process has not given out before. */
 export async function findFreePort (host = '127.0.0.1'): Promise<number> {
+  for (;;) {
+    const port = await findUnusedPort(host)
+    const name = `${host}:${port}`
+    if (givenPorts.has(name)) continue
+    givenPorts.add(name)
+    return port
+  }
+}
+
+/** The kernel draws it anew each time, so the same one may come again before anybody listens on it. */
+async function findUnusedPort (host: string): Promise<number> {
   const server = net.createServer()
   await new Promise<void>(resolve => server.listen(0, host, resolve))
   const { port } = server.address() as net.AddressInfo
