Compare a new version with the old one route by route

Ruled out: failures that belong to the request (they fail at every server) are not counted against a version; that was so before.

Now failures are compared with those that the old version would have had on the same routes, and while sessions move, reports are read 0.4 s apart.

--- /dev/null
+++ b/packages/feeds/src/JayfallFeedConstants.ts
@@ -0,0 +1,42 @@
+/** Constants of the feeds of the store's tables. Durations are milliseconds. */
+
+/** Longest wait of one reading of the store's changes: a connection that went silent is noticed this late. */
+export const FEED_WAIT = 3000
+/** Pause after a reading that brought changes, so that changes in quick succession are read together. */
+export const FEED_COALESCE_PAUSE = 250
+/** Pauses after a failed reading. */
+export const FEED_RETRY_MINIMUM = 150
+export const FEED_RETRY_MAXIMUM = 1000
+
+/** Instances of a zone from which on one of them reads for all: its frequent readings cost as much as about three instances of their own. */
+export const MINIMUM_SHARING_INSTANCES = 4
+/** Wait of a reading by an instance that others read from; bounds how late they notice that it lost the store. */
+export const READER_WAIT = 600
+/** Pause between two readings by such an instance. */
+export const READER_PAUSE = 300
+/** Age of a reader's last reading from which on it is of no use to others: a wait, a pause and a slow answer. */
+export const MAXIMUM_READING_AGE = 1100
+/** Wait of one call to the reader, and the time after which a call counts as failed: a frozen reader is noticed this late. */
+export const PEER_WAIT = 800
+export const PEER_TIMEOUT = 1100
+/** How long an instance reads for others after the last call of one of them. */
+export const READER_SPAN = 5000
+/** How long a reader that did not answer is left out. */
+export const READER_SUSPECT_SPAN = 5000
+/** How long an instance reads only by itself after its own reading of the store failed. */
+export const OWN_READING_SPAN = 2000
+/** Changed rows that a reader keeps for others; they need those of the last second or two. */
+export const MAXIMUM_HISTORY_ROWS = 2000
+/** Tables that one call may name. */
+export const MAXIMUM_TABLES_PER_CALL = 16
+
+export const INSTANCES_TABLE = 'instances'
+/** Instances of a deployment start within about a second; they look for each other after this time. */
+export const FIRST_LISTING_DELAY = 3000
+/** Time between two listings of the zone's instances; a quarter more or less, so that they spread. */
+export const LISTING_INTERVAL = 20_000
+/** Time between two writes of the own row, and the age from which on rows of others are removed. */
+export const REGISTRATION_INTERVAL = 600_000
+export const REGISTRATION_LIFETIME = 1_500_000
+/** Pause after a write or a listing that failed. */
+export const REGISTER_RETRY = 2000
--- /dev/null
+++ b/packages/feeds/src/JayfallReaderChoice.ts
@@ -0,0 +1,78 @@
+/**
+ * Which instance of an availability zone reads the store's changes for the others.
+ *
+ * All instances rank the zone's instances alike, so they agree on the reader without messages. A
+ * reader that does not answer is left out for a while by those who noticed it. Two readers at a
+ * time do no harm: they only read twice.
+ */
+
+import { rendezvousRank } from '#jayfall/shared'
+
+import { FEED_WAIT, MAXIMUM_READING_AGE, MINIMUM_SHARING_INSTANCES, OWN_READING_SPAN, READER_SPAN, READER_SUSPECT_SPAN } from './JayfallFeedConstants'
+
+/** An instance that can read for others. */
+export interface FeedInstance {
+  readonly id: string
+  /** IP address and port at which it is asked. */
+  readonly address: string
+}
+
+const RANK_KEY = 'feed-reader'
+
+export class ReaderChoice {
+  /** The zone's instances, the preferred reader first. */
+  private ranked: readonly FeedInstance[] = []
+  /** Monotonic milliseconds until which instances are left out. */
+  private readonly suspectedUntil = new Map<string, number>()
+  private isPreferred = false
+  private askedAt = -Infinity
+  private readerSince = -Infinity
+  private ownFailureAt = -Infinity
+
+  constructor (private readonly id: string) {}
+
+  /** @param instances all of the zone that are known, with or without this one. */
+  takeInstances (instances: readonly FeedInstance[]): void {
+    const others = new Map(instances.filter(({ id }) => id !== this.id).map(instance => [instance.id, instance]))
+    this.ranked = rendezvousRank(RANK_KEY, [this.id, ...others.keys()]).map(id => others.get(id) ?? { id, address: '' })
+    this.isPreferred = this.isSharing && this.ranked[0].id === this.id
+    for (const id of this.suspectedUntil.keys()) if (!others.has(id)) this.suspectedUntil.delete(id)
+  }
+
+  private get isSharing (): boolean {
+    return this.ranked.length >= MINIMUM_SHARING_INSTANCES
+  }
+
+  /** Takes note that another instance reads from this one. */
+  noteAsked (now: number): void {
+    if (!this.isReader(now)) this.readerSince = now
+    this.askedAt = now
+  }
+
+  /** Takes note that a reader did not answer, or has lost the store. */
+  noteReaderFailure (id: string, now: number): void {
+    this.suspectedUntil.set(id, now + READER_SUSPECT_SPAN)
+  }
+
+  /** Takes note that the store did not answer this instance; most likely it does not answer others either. */
+  noteOwnFailure (now: number): void {
+    this.ownFailureAt = now
+  }
+
+  /** Whether others read from this instance, or are about to. */
+  isReader (now: number): boolean {
+    return this.isPreferred || now - this.askedAt < READER_SPAN
+  }
+
+  /** Whether this instance may still be in a reading that it began before others asked it. */
+  isNewReader (now: number): boolean {
+    return now - this.readerSince < FEED_WAIT + MAXIMUM_READING_AGE
+  }
+
+  /** The instance to read from; undefined when this one reads from the store itself. */
+  readerAt (now: number): FeedInstance | undefined {
+    if (!this.isSharing || this.isReader(now) || now - this.ownFailureAt < OWN_READING_SPAN) return undefined
+    const reader = this.ranked.find(({ id }) => now >= (this.suspectedUntil.get(id) ?? -Infinity))
+    return reader === undefined || reader.id === this.id ? undefined : reader
+  }
+}
--- a/packages/forwarding/src/JayfallTableFeed.ts
+++ b/packages/feeds/src/JayfallTableFeed.ts
@@ -9,7 +9,7 @@
 import { isPlatformError, type TableChange, type TableChanges, type WatchableTableStore } from '#jayfall/store'
 import { delay, type RandomSource } from '#jayfall/shared'
 
-import { FEED_COALESCE_PAUSE, FEED_RETRY_MAXIMUM, FEED_RETRY_MINIMUM, FEED_WAIT } from './JayfallForwardingConstants'
+import { FEED_COALESCE_PAUSE, FEED_RETRY_MAXIMUM, FEED_RETRY_MINIMUM, FEED_WAIT } from './JayfallFeedConstants'
 
 /** A reading that succeeded. */
 export interface FeedReading {
@@ -34,11 +34,11 @@
   readonly random: RandomSource
   /** Ends the feed when it returns true. */
   readonly isStopped: () => boolean
-  /** Pause after a reading that brought changes. Milliseconds. */
-  readonly coalescePause?: number
+  /** Milliseconds of the pause after a reading of the store that brought changes. */
+  readonly coalescePause?: () => number
 }
 
-export async function * followTable ({ store, table, random, isStopped, coalescePause = FEED_COALESCE_PAUSE }: FeedOptions): AsyncGenerator<FeedEvent> {
+export async function * followTable ({ store, table, random, isStopped, coalescePause = () => FEED_COALESCE_PAUSE }: FeedOptions): AsyncGenerator<FeedEvent> {
   let revision: number | undefined
   let failures = 0
   while (!isStopped()) {
@@ -49,7 +49,7 @@
       const isAfterLoss = failures > 0
       failures = 0
       yield { kind: isSnapshot ? 'snapshot' : 'changes', rows: reading.changes, revision, storeTime: reading.storeTime, isAfterLoss }
-      if (reading.changes.length > 0) await delay(coalescePause)
+      if (reading.changes.length > 0 && reading.isRelayed !== true) await delay(Math.min(coalescePause(), store.longestPause))
     } catch (error) {
       if (isPlatformError(error, 'history_lost')) {
         revision = undefined
--- /dev/null
+++ b/packages/feeds/src/index.ts
@@ -0,0 +1,2 @@
+export { SharedTableStore, type SharedTableStoreParts } from './JayfallSharedTableStore'
+export { followTable, type FeedEvent, type FeedOptions, type FeedReading } from './JayfallTableFeed'
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -120,6 +120,8 @@
 export const STEP_PROBABILITY = 0.3
 /** Pause after changed evidence, so that the reports of many instances are read together. */
 export const EVIDENCE_COALESCE_PAUSE = 1500
+/** The same while sessions move: at half of the load a bad version uses up the allowed exposure within two to three seconds. */
+export const RAMP_EVIDENCE_COALESCE_PAUSE = 400
 /** How long a load probe may take. */
 export const PROBE_TIMEOUT = 400
 /** Interval at which beliefs that depend on time are renewed. */
@@ -128,10 +130,16 @@
 export const EVIDENCE_INTERVAL = 5000
 /** Failures of the new version, over all instances, below which no verdict is passed. */
 export const VERDICT_FAILURES = 4
+/** Failures of the new version beyond those expected of the old one, below which no verdict is passed. */
+export const VERDICT_EXCESS_FAILURES = 3
 /** Failure rate of the new version above which it is bad. */
 export const VERDICT_FAILURE_RATE = 0.1
 /** Failure rate of the new version, in those of the old one, above which it is bad. */
 export const VERDICT_RELATIVE_RATE = 2.5
+/** Outcomes of the old version on one route that its rate over all routes counts for, so that few outcomes decide little. */
+export const POOLED_RATE_OUTCOMES = 4
+/** Failure rate of the new version above which it is bad, however often the old one fails. */
+export const VERDICT_RATE_CEILING = 0.9
 /** A first event, or a plain answer, later than this many usual ones counts as a failure of the version. */
 export const SLOW_ANSWER_FACTOR = 4
 /** Events that come this many times as slowly as usual count as a failure of the version; load alone slows them to about half the speed. */
@@ -147,13 +155,6 @@
 /** Weight of one answer in the usual time of the old version. */
 export const USUAL_TIME_WEIGHT = 0.1
 
-/** Longest wait of one reading of the store's changes: a connection that went silent is noticed this late. */
-export const FEED_WAIT = 3000
-/** Pause after a reading that brought changes, so that changes in quick succession are read together. */
-export const FEED_COALESCE_PAUSE = 250
-/** Pauses after a failed reading. */
-export const FEED_RETRY_MINIMUM = 150
-export const FEED_RETRY_MAXIMUM = 1000
 /** Entries that lapsed during an outage of the store are back within about this time after it. */
 export const LAPSED_ENTRY_GRACE = 2000
 
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -4,6 +4,7 @@
  * Everything it knows comes from the store or from answers; nothing outlives the process.
  */
 
+import { followTable, type FeedReading } from '#jayfall/feeds'
 import { type Clock, delay, type RandomSource, type ReadonlyTable } from '#jayfall/shared'
 import { type WatchableTableStore } from '#jayfall/store'
 import { type Log, Metrics } from '#jayfall/telemetry'
@@ -12,7 +13,7 @@
 import { BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
 import { type DeploymentSource } from './JayfallDeploymentSource'
 import { type RolloutOrder } from './JayfallForwardingCatalogue'
-import { EVIDENCE_COALESCE_PAUSE, ROLLOUT_INTERVAL, STATE_INTERVAL, STOP_MINIMUM, STOP_RESERVE } from './JayfallForwardingConstants'
+import { EVIDENCE_COALESCE_PAUSE, RAMP_EVIDENCE_COALESCE_PAUSE, ROLLOUT_INTERVAL, STATE_INTERVAL, STOP_MINIMUM, STOP_RESERVE } from './JayfallForwardingConstants'
 import { type ForwardingProtocol } from './JayfallForwardingProtocol'
 import { ForwardingServer } from './JayfallForwardingServer'
 import { ForwardingState } from './JayfallForwardingState'
@@ -23,7 +24,6 @@
 import { RolloutDuty } from './JayfallRolloutDuty'
 import { RolloutEvidence } from './JayfallRolloutEvidence'
 import { EVIDENCE_TABLE, ROLLOUTS_TABLE, type TableFeedRow } from './JayfallRolloutRows'
-import { followTable, type FeedReading } from './JayfallTableFeed'
 import { VersionPolicy } from './JayfallVersionPolicy'
 
 /** An address to listen on. */
@@ -167,12 +167,12 @@
     const isStopped = (): boolean => this.isStopping || !this.duty.isActive
     const ended = [
       this.follow(ROLLOUTS_TABLE, ({ rows }) => this.takeRolloutRows(rows), isStopped),
-      this.follow(EVIDENCE_TABLE, ({ rows }) => this.duty.takeEvidence(rows), isStopped, EVIDENCE_COALESCE_PAUSE)
+      this.follow(EVIDENCE_TABLE, ({ rows }) => this.duty.takeEvidence(rows), isStopped, () => this.duty.isMovingSessions ? RAMP_EVIDENCE_COALESCE_PAUSE : EVIDENCE_COALESCE_PAUSE)
     ]
     Promise.all(ended).then(() => { this.isFollowingRollouts = false })
   }
 
-  private async follow (table: string, take: (reading: FeedReading) => void, isStopped = () => this.isStopping, coalescePause?: number): Promise<void> {
+  private async follow (table: string, take: (reading: FeedReading) => void, isStopped = () => this.isStopping, coalescePause?: () => number): Promise<void> {
     const { store, random, log, clock } = this.parts
     for await (const event of followTable({ store, table, random, isStopped, coalescePause })) {
       if (event.kind === 'lost') {
--- a/packages/forwarding/src/JayfallRolloutDuty.ts
+++ b/packages/forwarding/src/JayfallRolloutDuty.ts
@@ -16,7 +16,7 @@
 import { type RolloutOrder } from './JayfallForwardingCatalogue'
 import { EVIDENCE_INTERVAL, EVIDENCE_LIFETIME, STEP_PROBABILITY } from './JayfallForwardingConstants'
 import { type RolloutEvidence } from './JayfallRolloutEvidence'
-import { mayComplete, mustComplete, type Rollout, type RolloutOutcome } from './JayfallRolloutPlan'
+import { mayComplete, mayMoveSessions, mustComplete, type Rollout, type RolloutOutcome } from './JayfallRolloutPlan'
 import { EVIDENCE_TABLE, ROLLOUTS_TABLE, readEvidenceRow, readRolloutRow, type EvidenceRow, type RolloutRow, type TableFeedRow } from './JayfallRolloutRows'
 import { isBadVersion, sumEvidence, type EvidenceCounts } from './JayfallVersionEvidence'
 import { type VersionPolicy } from './JayfallVersionPolicy'
@@ -69,6 +69,15 @@
     return [...this.orders.values()].some(order => (this.rowOf(order)?.outcome ?? 'running') === 'running')
   }
 
+  /** Whether a running rollout has begun to move sessions. */
+  get isMovingSessions (): boolean {
+    const storeTime = this.parts.storeTime()
+    return [...this.orders.values()].some(order => {
+      const row = this.rowOf(order)
+      return row?.outcome === 'running' && mayMoveSessions(toRollout(order, row), storeTime)
+    })
+  }
+
   /** Whether how the rollouts stand is known, or there is none. */
   get isSettled (): boolean {
     return this.hasReadRows || this.orders.size === 0
--- a/packages/forwarding/src/JayfallVersionEvidence.ts
+++ b/packages/forwarding/src/JayfallVersionEvidence.ts
@@ -5,7 +5,7 @@
  * version is bad when it fails much more often than the old one, over all routes or on one.
  */
 
-import { EVIDENCE_SPAN, SLOW_ANSWER_FACTOR, SLOW_ANSWER_MINIMUM, SLOW_PAUSE_FACTOR, USUAL_TIME_WEIGHT, VERDICT_FAILURES, VERDICT_FAILURE_RATE, VERDICT_RELATIVE_RATE } from './JayfallForwardingConstants'
+import { EVIDENCE_SPAN, POOLED_RATE_OUTCOMES, SLOW_ANSWER_FACTOR, SLOW_ANSWER_MINIMUM, SLOW_PAUSE_FACTOR, USUAL_TIME_WEIGHT, VERDICT_EXCESS_FAILURES, VERDICT_FAILURES, VERDICT_FAILURE_RATE, VERDICT_RATE_CEILING, VERDICT_RELATIVE_RATE } from './JayfallForwardingConstants'
 
 /** Outcomes of one route: good and bad ones of the new version, good and bad ones of the old. */
 export type RouteCounts = readonly [newGood: number, newBad: number, oldGood: number, oldBad: number]
@@ -115,17 +115,40 @@
 /** Whether the new version is bad over all routes, or on one of them. */
 export function isBadVersion (counts: EvidenceCounts): boolean {
   const byRoute = Object.values(counts)
-  return [byRoute.reduce(addCounts, NO_COUNTS), ...byRoute].some(isBad)
+  const pooledRate = pooledRateOf(byRoute.reduce(addCounts, NO_COUNTS))
+  const comparisons = byRoute.map(route => compare(route, pooledRate))
+  return [comparisons.reduce(addComparisons, { failures: 0, total: 0, expected: 0 }), ...comparisons].some(isBad)
 }
 
 function addCounts (left: RouteCounts, right: RouteCounts): RouteCounts {
   return [left[0] + right[0], left[1] + right[1], left[2] + right[2], left[3] + right[3]]
 }
 
-function isBad ([newGood, newBad, oldGood, oldBad]: RouteCounts): boolean {
-  if (newBad < VERDICT_FAILURES) return false
-  const rate = newBad / (newGood + newBad)
-  const oldRate = (oldBad + 1) / (oldGood + oldBad + 2)
-  const isOldKnown = oldGood + oldBad >= VERDICT_FAILURES
-  return rate > VERDICT_FAILURE_RATE && (!isOldKnown || rate > Math.min(0.9, oldRate * VERDICT_RELATIVE_RATE))
+/** Outcomes of the new version beside the failures that the old one would have had with the same requests. */
+interface VersionComparison {
+  readonly failures: number
+  readonly total: number
+  readonly expected: number
+}
+
+/** Routes are compared one by one: some fail with any version, and the versions get them in different parts. */
+function compare (counts: RouteCounts, pooledRate: number): VersionComparison {
+  const [newGood, newBad, oldGood, oldBad] = counts
+  const total = newGood + newBad
+  const oldRate = (oldBad + pooledRate * POOLED_RATE_OUTCOMES) / (oldGood + oldBad + POOLED_RATE_OUTCOMES)
+  return { failures: newBad, total, expected: total * oldRate }
+}
+
+function addComparisons (left: VersionComparison, right: VersionComparison): VersionComparison {
+  return { failures: left.failures + right.failures, total: left.total + right.total, expected: left.expected + right.expected }
+}
+
+/** The old version's failure rate over all routes; 0 while too little is known of it. */
+function pooledRateOf ([, , oldGood, oldBad]: RouteCounts): number {
+  return oldGood + oldBad >= VERDICT_FAILURES ? (oldBad + 1) / (oldGood + oldBad + 2) : 0
+}
+
+function isBad ({ failures, total, expected }: VersionComparison): boolean {
+  if (failures < VERDICT_FAILURES || failures - expected < VERDICT_EXCESS_FAILURES) return false
+  return failures > total * VERDICT_FAILURE_RATE && failures > Math.min(total * VERDICT_RATE_CEILING, expected * VERDICT_RELATIVE_RATE)
 }
--- a/packages/forwarding/src/__tests__/unit/JayfallRollouts.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallRollouts.test.ts
@@ -76,6 +76,14 @@
       assert.equal(isBadVersion({ route: [20, 8, 200, 80] }), false)
     })
 
+    it('sees failures of the new version beside a route that always fails (guards against a verdict that comes too late)', () => {
+      assert.equal(isBadVersion({ dead: [0, 1, 0, 40], working: [16, 5, 96, 1] }), true)
+    })
+
+    it('does not blame the new version for getting more of a route that always fails (guards against roll-backs of good versions)', () => {
+      assert.equal(isBadVersion({ dead: [0, 8, 0, 8], working: [20, 0, 400, 1] }), false)
+    })
+
     it('passes no verdict on a few failures', () => {
       assert.equal(isBadVersion({ route: [0, 3, 100, 0] }), false)
     })
--- a/packages/store/src/JayfallTableStore.ts
+++ b/packages/store/src/JayfallTableStore.ts
@@ -57,6 +57,8 @@
   readonly revision: number
   /** The store's own steady clock, in milliseconds. */
   readonly storeTime: number
+  /** Whether another instance read them from the store. */
+  readonly isRelayed?: boolean
 }
 
 /** A table store that tells what has changed. */
@@ -68,6 +70,10 @@
    * @throws PlatformError `history_lost` when the store no longer has them.
    */
   abstract changes<Value> (table: string, revision: number, wait: number): Promise<TableChanges<Value>>
+  /** Milliseconds that may pass between two readings of changes. */
+  get longestPause (): number {
+    return Infinity
+  }
 }
 
 /** The table service over HTTP. */
