Learn how fast each model reads prompts from its first few prompts

Cause: the time of reading was moved by 2.5 to 7.5 in 100 with each long prompt from one first guess for all models. Long prompts were sent to servers that were thought free for several hundred milliseconds and were busy for seconds, and short prompts behind them came late.

Ruled out: slow servers (the late answers move between servers, and each server's own reports show usual speed), queues for slots (none waits while events come late).

Now the estimate is a quantile of the last 24 prompts of a model, and the fastest of them below 4.

--- a/packages/feeds/src/JayfallFeedConstants.ts
+++ b/packages/feeds/src/JayfallFeedConstants.ts
@@ -34,7 +34,7 @@
 /** Instances of a deployment start within about a second; they look for each other after this time. */
 export const FIRST_LISTING_DELAY = 3000
 /** Time between two listings of the zone's instances; a quarter more or less, so that they spread. */
-export const LISTING_INTERVAL = 20_000
+export const LISTING_INTERVAL = 30_000
 /** Time between two writes of the own row, and the age from which on rows of others are removed. */
 export const REGISTRATION_INTERVAL = 600_000
 export const REGISTRATION_LIFETIME = 1_500_000
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -52,10 +52,12 @@
 export const FIRST_EVENT_MILLISECONDS = 70
 /** Prompts with fewer unread tokens tell little about the speed of reading. */
 export const MINIMUM_READING_SAMPLE_TOKENS = 1500
-/** Reading speeds follow this quantile of the observed times, because the rest also waited. */
-export const READING_QUANTILE = 0.25
-/** Relative step of that quantile for each observation. */
-export const READING_STEP = 0.1
+/** Recent prompts of a model from which its speed of reading is estimated. */
+export const READING_SAMPLES = 24
+/** Prompts of a model below which the fastest of them is taken. */
+export const MINIMUM_READING_SAMPLES = 4
+/** Reading speeds are this quantile of the observed times; the sheets' speeds lie there, as slower prompts also waited and some were held in part. */
+export const READING_QUANTILE = 0.4
 /** How much more than its own time the reading of a prompt counts: those behind it wait as well. */
 export const READING_EXTERNALITY = 2
 /** Weight of one prompt in the usual time of reading a prompt. */
--- a/packages/forwarding/src/JayfallReadingTimes.ts
+++ b/packages/forwarding/src/JayfallReadingTimes.ts
@@ -1,22 +1,30 @@
 /**
  * How long engines take to read prompts, learned from the times until first events.
  *
- * The time of one token is tracked by model as a low quantile of what was observed, because most
- * prompts also waited behind others.
+ * Models differ in speed several times over, and an instance sees few long prompts of each, so the
+ * first observations of a model count at once. Of the recent ones a quantile below the middle is
+ * taken, because the slower ones waited behind other prompts.
  */
 
+import { quantileOf } from '#jayfall/shared'
+
 import {
-  FIRST_EVENT_MILLISECONDS, INITIAL_READING_MILLISECONDS, MINIMUM_READING_SAMPLE_TOKENS, READING_QUANTILE, READING_STEP, USUAL_READING_WEIGHT
+  FIRST_EVENT_MILLISECONDS, INITIAL_READING_MILLISECONDS, MINIMUM_READING_SAMPLE_TOKENS, MINIMUM_READING_SAMPLES, READING_QUANTILE, READING_SAMPLES, USUAL_READING_WEIGHT
 } from './JayfallForwardingConstants'
 
+interface ModelTimes {
+  /** Recent milliseconds for one token, the latest last. */
+  readonly samples: readonly number[]
+  readonly estimate: number
+}
+
 export class ReadingTimes {
-  /** Milliseconds for one token, by model. */
-  private readonly tokenTimes = new Map<string, number>()
+  private readonly models = new Map<string, ModelTimes>()
   private usualTime = 0
 
   /** Estimated milliseconds for reading so many tokens with a model. */
   estimate (model: string, tokens: number): number {
-    return tokens * (this.tokenTimes.get(model) ?? INITIAL_READING_MILLISECONDS)
+    return tokens * (this.models.get(model)?.estimate ?? INITIAL_READING_MILLISECONDS)
   }
 
   /** Usual milliseconds of reading one request's prompt. */
@@ -32,8 +40,9 @@
   noteFirstEvent (model: string, unreadTokens: number, firstEvent: number): void {
     if (unreadTokens < MINIMUM_READING_SAMPLE_TOKENS) return
     const observed = Math.max(0, firstEvent - FIRST_EVENT_MILLISECONDS) / unreadTokens
-    const known = this.tokenTimes.get(model) ?? INITIAL_READING_MILLISECONDS
-    const change = observed < known ? READING_QUANTILE - 1 : READING_QUANTILE
-    this.tokenTimes.set(model, known * (1 + change * READING_STEP))
+    const samples = [...this.models.get(model)?.samples ?? [], observed].slice(-READING_SAMPLES)
+    // Each of the first few may have waited long.
+    const estimate = samples.length < MINIMUM_READING_SAMPLES ? Math.min(...samples) : quantileOf(samples, READING_QUANTILE)
+    this.models.set(model, { samples, estimate })
   }
 }
