--- a/packages/feeds/src/JayfallFeedConstants.ts
+++ b/packages/feeds/src/JayfallFeedConstants.ts
@@ -33,8 +33,10 @@
 export const INSTANCES_TABLE = 'instances'
 /** Instances of a deployment start within about a second; they look for each other after this time. */
 export const FIRST_LISTING_DELAY = 3000
-/** Time between two listings of the zone's instances; a quarter more or less, so that they spread. */
+/** Time between two listings of the instances; a quarter more or less, so that they spread. */
 export const LISTING_INTERVAL = 30_000
+/** The same for each instance, where that is longer: a row has about 200 bytes, so listings stay below 1 KB a second. */
+export const LISTING_TIME_PER_INSTANCE = 300
 /** Time between two writes of the own row, and the age from which on rows of others are removed. */
 export const REGISTRATION_INTERVAL = 600_000
 export const REGISTRATION_LIFETIME = 1_500_000
--- a/packages/feeds/src/JayfallInstanceRegister.ts
+++ b/packages/feeds/src/JayfallInstanceRegister.ts
@@ -1,8 +1,8 @@
 /**
- * The rows in the store by which the instances of a zone find each other.
+ * The rows in the store by which instances find each other.
  *
  * Each instance writes its row at its start and from time to time, removes it when it is stopped,
- * and lists the zone's rows at intervals. Rows that nobody has written for long belong to
+ * and lists all rows at intervals that grow with their number. Rows that nobody has written for long belong to
  * instances that ended without a word; whoever finds them removes them.
  */
 
@@ -11,11 +11,12 @@
 import { type Log } from '#jayfall/telemetry'
 import { z } from 'zod'
 
-import { FIRST_LISTING_DELAY, INSTANCES_TABLE, LISTING_INTERVAL, REGISTER_RETRY, REGISTRATION_INTERVAL, REGISTRATION_LIFETIME } from './JayfallFeedConstants'
+import { FIRST_LISTING_DELAY, INSTANCES_TABLE, LISTING_INTERVAL, LISTING_TIME_PER_INSTANCE, REGISTER_RETRY, REGISTRATION_INTERVAL, REGISTRATION_LIFETIME } from './JayfallFeedConstants'
 import { type FeedInstance } from './JayfallReaderChoice'
 
 const instanceRow = z.object({
   id: z.string(),
+  zone: z.string(),
   address: z.string(),
   /** Wall-clock milliseconds of the write. */
   at: z.number()
@@ -25,12 +26,11 @@
 
 export interface InstanceRegisterParts {
   readonly self: FeedInstance
-  readonly zone: string
   readonly store: TableStore
   readonly clock: Clock
   readonly random: RandomSource
   readonly log: Log
-  /** Called with the zone's instances after each listing. */
+  /** Called with all instances after each listing. */
   readonly onListing: (instances: readonly FeedInstance[]) => void
 }
 
@@ -39,6 +39,7 @@
   private isStopping = false
   /** Monotonic milliseconds of the last write of the own row. */
   private writtenAt = -Infinity
+  private listed = 0
 
   constructor (private readonly parts: InstanceRegisterParts) {}
 
@@ -58,7 +59,7 @@
   }
 
   private get ownKey (): string {
-    return `${this.parts.zone}/${this.parts.self.id}`
+    return `${this.parts.self.zone}/${this.parts.self.id}`
   }
 
   /** Runs a step, and the next listing after `pause` milliseconds. */
@@ -71,7 +72,7 @@
       next = REGISTER_RETRY
     }
     if (this.isStopping) return
-    this.timer = setTimeout(() => this.run(LISTING_INTERVAL, () => this.renew()), next * (0.75 + this.parts.random.uniform() / 2))
+    this.timer = setTimeout(() => this.run(Math.max(LISTING_INTERVAL, this.listed * LISTING_TIME_PER_INSTANCE), () => this.renew()), next * (0.75 + this.parts.random.uniform() / 2))
     this.timer.unref()
   }
 
@@ -88,13 +89,14 @@
   }
 
   private async list (): Promise<void> {
-    const { store, zone, clock, onListing } = this.parts
+    const { store, clock, onListing } = this.parts
     const instances: FeedInstance[] = []
-    for await (const row of listRows<unknown>(store, INSTANCES_TABLE, `${zone}/`)) {
+    for await (const row of listRows<unknown>(store, INSTANCES_TABLE, '')) {
       const parsed = instanceRow.safeParse(row.value)
       if (!parsed.success || clock.wall() - parsed.data.at > REGISTRATION_LIFETIME) await this.remove(row)
-      else instances.push({ id: parsed.data.id, address: parsed.data.address })
+      else instances.push({ id: parsed.data.id, zone: parsed.data.zone, address: parsed.data.address })
     }
+    this.listed = instances.length
     onListing(instances)
   }
 
--- a/packages/feeds/src/JayfallReaderChoice.ts
+++ b/packages/feeds/src/JayfallReaderChoice.ts
@@ -13,6 +13,7 @@
 /** An instance that can read for others. */
 export interface FeedInstance {
   readonly id: string
+  readonly zone: string
   /** IP address and port at which it is asked. */
   readonly address: string
 }
@@ -29,12 +30,12 @@
   private readerSince = -Infinity
   private ownFailureAt = -Infinity
 
-  constructor (private readonly id: string) {}
+  constructor (private readonly id: string, private readonly zone: string) {}
 
-  /** @param instances all of the zone that are known, with or without this one. */
+  /** @param instances all that are known, with or without this one. */
   takeInstances (instances: readonly FeedInstance[]): void {
-    const others = new Map(instances.filter(({ id }) => id !== this.id).map(instance => [instance.id, instance]))
-    this.ranked = rendezvousRank(RANK_KEY, [this.id, ...others.keys()]).map(id => others.get(id) ?? { id, address: '' })
+    const others = new Map(instances.filter(({ id, zone }) => id !== this.id && zone === this.zone).map(instance => [instance.id, instance]))
+    this.ranked = rendezvousRank(RANK_KEY, [this.id, ...others.keys()]).map(id => others.get(id) ?? { id, zone: this.zone, address: '' })
     this.isPreferred = this.isSharing && this.ranked[0].id === this.id
     for (const id of this.suspectedUntil.keys()) if (!others.has(id)) this.suspectedUntil.delete(id)
   }
--- a/packages/feeds/src/JayfallSharedTableStore.ts
+++ b/packages/feeds/src/JayfallSharedTableStore.ts
@@ -18,7 +18,7 @@
 import { createFeedRouter, FeedPeerClient } from './JayfallFeedPeers'
 import { InstanceRegister } from './JayfallInstanceRegister'
 import { PeerReadings } from './JayfallPeerReadings'
-import { ReaderChoice } from './JayfallReaderChoice'
+import { ReaderChoice, type FeedInstance } from './JayfallReaderChoice'
 
 export interface SharedTableStoreParts {
   readonly store: WatchableTableStore
@@ -30,6 +30,8 @@
   readonly clock: Clock
   readonly random: RandomSource
   readonly log: Log
+  /** Called with all other instances after each listing. */
+  readonly onInstances?: (others: readonly FeedInstance[]) => void
 }
 
 export class SharedTableStore extends WatchableTableStore {
@@ -45,8 +47,8 @@
 
   constructor (private readonly parts: SharedTableStoreParts) {
     super()
-    const { instance, host, clock, log } = parts
-    this.choice = new ReaderChoice(instance)
+    const { instance, zone, host, clock, log } = parts
+    this.choice = new ReaderChoice(instance, zone)
     this.client = new FeedPeerClient(host)
     this.readings = new PeerReadings(instance, this.client, this.choice, clock, log)
     this.changesServer = new ChangesServer(this.histories, this.choice, clock)
@@ -54,10 +56,10 @@
 
   /** Begins to answer other instances, and to look for them. */
   async start (): Promise<void> {
-    const { instance, host, port } = this.parts
+    const { instance, zone, host, port } = this.parts
     this.peerServer = await startPeerServer(`${host}:${port}`, createFeedRouter(this.changesServer))
-    const self = { id: instance, address: `${host}:${this.peerServer.info.port}` }
-    this.register = new InstanceRegister({ ...this.parts, self, onListing: instances => this.choice.takeInstances(instances) })
+    const self = { id: instance, zone, address: `${host}:${this.peerServer.info.port}` }
+    this.register = new InstanceRegister({ ...this.parts, self, onListing: instances => this.takeInstances(instances) })
     await this.register.start()
   }
 
@@ -107,6 +109,11 @@
     return reading as TableChanges<Value>
   }
 
+  private takeInstances (instances: readonly FeedInstance[]): void {
+    this.choice.takeInstances(instances)
+    this.parts.onInstances?.(instances.filter(({ id }) => id !== this.parts.instance))
+  }
+
   private async readFromStore (table: string, revision: number, wait: number): Promise<TableChanges> {
     const { store, clock } = this.parts
     try {
--- a/packages/feeds/src/__tests__/integration/JayfallSharedTableStore.test.ts
+++ b/packages/feeds/src/__tests__/integration/JayfallSharedTableStore.test.ts
@@ -172,10 +172,10 @@
 
   it('forgets rows of instances that ended long ago (guards against a list that grows for ever)', async () => {
     rows.current = new SharedRows()
-    rows.current.put('instances', 'valdivia/old', { id: 'old', address: '127.0.0.1:1', at: Date.now() - 3_600_000 })
+    rows.current.put('instances', 'valdivia/old', { id: 'old', zone: 'valdivia', address: '127.0.0.1:1', at: Date.now() - 3_600_000 })
     const store = new MemoryStore(rows.current)
     const listings: number[] = []
-    const register = new InstanceRegister({ self: { id: 'new', address: '127.0.0.1:2' }, zone: 'valdivia', store, clock: new SystemClock(), random: createRandomSource(1), log: silent, onListing: found => listings.push(found.length) })
+    const register = new InstanceRegister({ self: { id: 'new', zone: 'valdivia', address: '127.0.0.1:2' }, store, clock: new SystemClock(), random: createRandomSource(1), log: silent, onListing: found => listings.push(found.length) })
     await register.start()
     for (let waited = 0; listings.length === 0 && waited < SETTLING_LIMIT; waited += 100) await delay(100)
     await register.stop()
--- a/packages/feeds/src/__tests__/unit/JayfallFeedHistory.test.ts
+++ b/packages/feeds/src/__tests__/unit/JayfallFeedHistory.test.ts
@@ -16,13 +16,13 @@
 }
 
 function instances (count: number): readonly FeedInstance[] {
-  return Array.from({ length: count }, (_, index) => ({ id: `entry-${index}`, address: `127.0.0.1:${index + 1}` }))
+  return Array.from({ length: count }, (_, index) => ({ id: `entry-${index}`, zone: 'valdivia', address: `127.0.0.1:${index + 1}` }))
 }
 
 /** The view of an instance of the zone that is not the preferred reader. */
 function createFollower (zone: readonly FeedInstance[]): ReaderChoice {
   const views = zone.map(({ id }) => {
-    const choice = new ReaderChoice(id)
+    const choice = new ReaderChoice(id, 'valdivia')
     choice.takeInstances(zone)
     return choice
   })
@@ -72,7 +72,7 @@
     it('makes all instances of a zone agree on one reader', () => {
       const zone = instances(20)
       const readers = zone.map(({ id }) => {
-        const choice = new ReaderChoice(id)
+        const choice = new ReaderChoice(id, 'valdivia')
         choice.takeInstances(zone)
         return choice.readerAt(0)?.id ?? id
       })
@@ -80,7 +80,7 @@
     })
 
     it('lets few instances read by themselves', () => {
-      const choice = new ReaderChoice('entry-0')
+      const choice = new ReaderChoice('entry-0', 'valdivia')
       choice.takeInstances(instances(MINIMUM_SHARING_INSTANCES - 1))
       assert.equal(choice.readerAt(0), undefined)
       assert.equal(choice.isReader(0), false)
@@ -111,7 +111,7 @@
     function serverAt (clock: ManualClock): ChangesServer {
       const history = new FeedHistory()
       history.begin(10, 0, clock.monotonic())
-      const choice = new ReaderChoice('entry-0')
+      const choice = new ReaderChoice('entry-0', 'valdivia')
       choice.noteAsked(clock.monotonic())
       return new ChangesServer(new Map([['op', history]]), choice, clock)
     }
--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -8,7 +8,7 @@
 import { type CallerAnswer, type WholeAnswer } from './JayfallCallerAnswer'
 import { EventSplitter, type StreamEvent } from './JayfallEventSplitter'
 import { type ForwardingWorkspace } from './JayfallForwardingCatalogue'
-import { FIRST_EVENT_MILLISECONDS, PAUSE_SAMPLE_EVENTS } from './JayfallForwardingConstants'
+import { FIRST_EVENT_MILLISECONDS, PAUSE_SAMPLE_EVENTS, TOLD_READING_MINIMUM } from './JayfallForwardingConstants'
 import { type ForwardingContext } from './JayfallForwardingContext'
 import { type AnswerFields } from './JayfallForwardingProtocol'
 
@@ -63,6 +63,7 @@
     this.meanPause = undefined
     directory.noteSent(server.id, attempt.choice.reading)
     this.context.times.noteSent(attempt.choice.reading)
+    if (attempt.choice.reading >= TOLD_READING_MINIMUM) this.context.hints.tell({ server: server.id, reading: attempt.choice.reading })
     this.isRead = false
     if (model !== undefined) holders.noteSent(server.id, model, this.plan.fields.promptParts, startedAt)
     versions.noteRun(this.plan.service, this.plan.session, server.version, startedAt)
--- a/packages/forwarding/src/JayfallBackendChoice.ts
+++ b/packages/forwarding/src/JayfallBackendChoice.ts
@@ -9,7 +9,7 @@
 
 import { rendezvousRank } from '#jayfall/shared'
 
-import { currentFailureRate, estimateLoad, estimateWaiting, slotsOf, type BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
+import { currentFailureRate, estimateLoad, estimateWaiting, slotsOf, unreadTime, type BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
 import {
   FIRST_EVENT_MILLISECONDS, MAXIMUM_FAILURE_RATE, OTHER_ZONE_MILLISECONDS, PLAIN_WORK_MILLISECONDS, READING_EXTERNALITY, SECOND_HOLDER_SHARE, STEP_MILLISECONDS_PER_REQUEST
 } from './JayfallForwardingConstants'
@@ -91,7 +91,7 @@
     const estimatedLoad = estimateLoad(row, now)
     const unreadTokens = Math.max(0, request.promptTokens - this.heldTokens(request, model, homes, row, now))
     const reading = this.times.estimate(model, unreadTokens)
-    const queued = Math.max(row.pendingReading, estimateWaiting(row, now) * this.times.usual, this.directory.expectedDelay(row, now))
+    const queued = Math.max(unreadTime(row, now), estimateWaiting(row, now) * this.times.usual, this.directory.expectedDelay(row, now))
     const firstEvent = (FIRST_EVENT_MILLISECONDS + queued + reading) * slownessOf(row)
     const steps = estimatedLoad * STEP_MILLISECONDS_PER_REQUEST * request.outputTokens
     const cost = firstEvent + reading * (READING_EXTERNALITY - 1) + steps + this.zoneCost(row)
--- a/packages/forwarding/src/JayfallBackendDirectory.ts
+++ b/packages/forwarding/src/JayfallBackendDirectory.ts
@@ -10,7 +10,7 @@
 import { type BackendServer } from './JayfallForwardingCatalogue'
 import {
   AVOID_INITIAL, AVOID_MAXIMUM, CUT_ZONE_AVOIDANCE, CUT_ZONE_SERVERS, CUT_ZONE_WINDOW, DELAY_HALF_LIFE, DELAY_WEIGHT, FAILURES_UNTIL_AVOIDED, FAILURE_RATE_HALF_LIFE,
-  FAILURE_RATE_WEIGHT, LOAD_REPORT_HALF_LIFE, SERVICE_DELAY_HALF_LIFE, SERVICE_DELAY_WEIGHT, WAITING_REPORT_HALF_LIFE
+  FAILURE_RATE_WEIGHT, LOAD_REPORT_HALF_LIFE, MAXIMUM_OTHERS_READING, SERVICE_DELAY_HALF_LIFE, SERVICE_DELAY_WEIGHT, WAITING_REPORT_HALF_LIFE
 } from './JayfallForwardingConstants'
 import { type ServerLoad } from './JayfallForwardingProtocol'
 
@@ -31,6 +31,8 @@
   readonly outcomeAt: number
   /** Estimated milliseconds of prompt reading of own requests that have no first event yet. */
   readonly pendingReading: number
+  /** Until when the prompts that other instances sent are being read, as far as they told. Monotonic milliseconds. */
+  readonly othersReadUntil: number
   /** How much later than estimated recent first events came, as of `delayAt`; milliseconds. */
   readonly delay: number
   readonly delayAt: number
@@ -99,6 +101,11 @@
     this.table.update(id, row => ({ ...row, pendingReading: Math.max(0, row.pendingReading - reading) }))
   }
 
+  /** Takes note that another instance sent a prompt that takes so long to read; engines read one after another. */
+  noteOthersReading (id: string, milliseconds: number, now: number): void {
+    this.table.update(id, row => ({ ...row, othersReadUntil: Math.min(now + MAXIMUM_OTHERS_READING, Math.max(now, row.othersReadUntil) + milliseconds) }))
+  }
+
   /** Takes note that a first event came so much later than the reading of its prompt explains. */
   noteDelay (id: string, delay: number, now: number): void {
     const row = this.table.get(id)
@@ -176,7 +183,12 @@
 }
 
 function createRow (server: BackendServer, now: number): BackendRow {
-  return { server, isLapsed: false, open: 0, report: undefined, reportedAt: now, openAtReport: 0, failuresInRow: 0, failureRate: 0, outcomeAt: now, pendingReading: 0, delay: 0, delayAt: now, avoidedUntil: -Infinity, avoidedFor: 0 }
+  return { server, isLapsed: false, open: 0, report: undefined, reportedAt: now, openAtReport: 0, failuresInRow: 0, failureRate: 0, outcomeAt: now, pendingReading: 0, othersReadUntil: -Infinity, delay: 0, delayAt: now, avoidedUntil: -Infinity, avoidedFor: 0 }
+}
+
+/** Milliseconds until the server has read the prompts that it was sent, as far as this instance knows. */
+export function unreadTime ({ pendingReading, othersReadUntil }: BackendRow, now: number): number {
+  return pendingReading + Math.max(0, othersReadUntil - now)
 }
 
 /** The recent part of outcomes that were failures, fading with time. */
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -58,6 +58,12 @@
 export const MINIMUM_READING_SAMPLES = 4
 /** Reading speeds are this quantile of the observed times; the sheets' speeds lie there, as slower prompts also waited and some were held in part. */
 export const READING_QUANTILE = 0.4
+/** Reading times below this are not told to other instances: they delay nobody much, and most prompts are short. */
+export const TOLD_READING_MINIMUM = 60
+/** Instances that one hint goes to; at the target size those of one zone and some more. */
+export const MAXIMUM_HINT_TARGETS = 100
+/** Longest time for which servers are taken as busy with the prompts of other instances; a wrong hint does no more harm than that. */
+export const MAXIMUM_OTHERS_READING = 6000
 /** How much more than its own time the reading of a prompt counts: those behind it wait as well. */
 export const READING_EXTERNALITY = 2
 /** Weight of one prompt in the usual time of reading a prompt. */
--- a/packages/forwarding/src/JayfallForwardingContext.ts
+++ b/packages/forwarding/src/JayfallForwardingContext.ts
@@ -6,6 +6,7 @@
 import { type BackendChoice } from './JayfallBackendChoice'
 import { type BackendDirectory } from './JayfallBackendDirectory'
 import { type ForwardingProtocol } from './JayfallForwardingProtocol'
+import { type ReadingHints } from './JayfallReadingHints'
 import { type PromptHolders } from './JayfallPromptHolders'
 import { type ReadingTimes } from './JayfallReadingTimes'
 import { type RetryBudget } from './JayfallRetryBudget'
@@ -20,6 +21,7 @@
   readonly directory: BackendDirectory
   readonly holders: PromptHolders
   readonly times: ReadingTimes
+  readonly hints: ReadingHints
   readonly choice: BackendChoice
   readonly budget: RetryBudget
   readonly versions: VersionPolicy
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -19,6 +19,7 @@
 import { ForwardingState } from './JayfallForwardingState'
 import { HealthProbe } from './JayfallHealthProbe'
 import { PromptHolders } from './JayfallPromptHolders'
+import { NoReadingHints, type ReadingHints } from './JayfallReadingHints'
 import { ReadingTimes } from './JayfallReadingTimes'
 import { RetryBudget } from './JayfallRetryBudget'
 import { RolloutDuty } from './JayfallRolloutDuty'
@@ -53,6 +54,8 @@
   readonly clock: Clock
   readonly random: RandomSource
   readonly log: Log
+  /** None by default. */
+  readonly hints?: ReadingHints
 }
 
 export class ForwardingInstance {
@@ -81,6 +84,7 @@
     this.budget = new RetryBudget(settings.retryRatio)
     const holders = new PromptHolders()
     const times = new ReadingTimes()
+    const hints = parts.hints ?? new NoReadingHints()
     const evidence = new RolloutEvidence(this.versions, clock)
     this.duty = new RolloutDuty({
       ...parts,
@@ -92,8 +96,9 @@
       storeTime
     })
     this.server = new ForwardingServer({
-      clock, log, protocol, evidence, holders, times, metrics: this.metrics, directory: this.directory, choice: new EstimatedTimeChoice(this.directory, holders, times, settings.zone), budget: this.budget, versions: this.versions
+      clock, log, protocol, evidence, holders, times, hints, metrics: this.metrics, directory: this.directory, choice: new EstimatedTimeChoice(this.directory, holders, times, settings.zone), budget: this.budget, versions: this.versions
     }, this.state)
+    hints.listen(({ server, reading }) => this.directory.noteOthersReading(server, reading, clock.monotonic()))
   }
 
   /** Whether new callers may be sent here. */
--- a/packages/forwarding/src/__tests__/unit/JayfallBackendChoice.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallBackendChoice.test.ts
@@ -4,6 +4,7 @@
 import { describe, it } from 'node:test'
 
 import { type ChoiceRequest } from '../../JayfallBackendChoice'
+import { MAXIMUM_OTHERS_READING } from '../../JayfallForwardingConstants'
 import { FakeDecisions, SERVICE, fakeServer } from './JayfallFakes'
 
 const ENGINE_REQUEST: ChoiceRequest = {
@@ -33,6 +34,25 @@
       assert.ok(silent !== undefined && decisions.directory.expectedDelay({ ...silent, delayAt: now - 60_000 }, now) > 500)
     })
 
+    it('goes round an engine that reads a long prompt of another instance, until it is read (guards against short prompts behind long ones)', () => {
+      const decisions = new FakeDecisions(['a', 'b'].map(id => fakeServer(id)))
+      const home = chosen(decisions, ENGINE_REQUEST)
+      assert.ok(home !== undefined)
+      decisions.directory.noteOthersReading(home, 900, decisions.clock.monotonic())
+      assert.notEqual(chosen(decisions, ENGINE_REQUEST), home)
+      decisions.clock.advance(900)
+      assert.equal(chosen(decisions, ENGINE_REQUEST), home)
+    })
+
+    it('adds up prompts that wait for each other, up to a limit (guards against a server that is avoided for long after wrong hints)', () => {
+      const decisions = new FakeDecisions([fakeServer('a')])
+      const now = decisions.clock.monotonic()
+      for (let count = 0; count < 3; count++) decisions.directory.noteOthersReading('a', 400, now)
+      assert.equal(decisions.directory.get('a')?.othersReadUntil, now + 1200)
+      for (let count = 0; count < 100; count++) decisions.directory.noteOthersReading('a', 400, now)
+      assert.equal(decisions.directory.get('a')?.othersReadUntil, now + MAXIMUM_OTHERS_READING)
+    })
+
     it('counts the own prompts that are still being read', () => {
       const decisions = new FakeDecisions(['a', 'b'].map(id => fakeServer(id)))
       const first = chosen(decisions, { ...ENGINE_REQUEST, parts: [] })
--- /dev/null
+++ b/packages/forwarding/src/__tests__/unit/JayfallDatagramHints.test.ts
@@ -0,0 +1,62 @@
+/** Hints between two instances over loopback datagrams. */
+
+import * as assert from 'node:assert/strict'
+import { afterEach, describe, it } from 'node:test'
+
+import { ManualClock, delay } from '#jayfall/shared'
+import { type Log, type LogFields } from '#jayfall/telemetry'
+
+import { DatagramHints } from '../../JayfallDatagramHints'
+import { type ReadingHint } from '../../JayfallReadingHints'
+
+const ARRIVAL = 100
+
+describe('DatagramHints', () => {
+  const lines: { readonly event: string, readonly fields: LogFields }[] = []
+  const record = (event: string, fields: LogFields = {}): void => { lines.push({ event, fields }) }
+  const log: Log = { debug: record, info: record, warn: record, error: record }
+  const clock = new ManualClock(1000)
+  const started: DatagramHints[] = []
+
+  async function start (): Promise<DatagramHints> {
+    const hints = new DatagramHints({ host: '127.0.0.1', port: 0, clock, log })
+    await hints.start()
+    started.push(hints)
+    return hints
+  }
+
+  afterEach(() => {
+    for (const hints of started.splice(0)) hints.close()
+    lines.length = 0
+  })
+
+  it('brings a hint to the other instances', async () => {
+    const [sender, receiver] = [await start(), await start()]
+    const arrived: ReadingHint[] = []
+    receiver.listen(hint => arrived.push(hint))
+    sender.setTargets([`127.0.0.1:${receiver.port}`])
+    sender.tell({ server: 'i-1', reading: 812.4 })
+    await delay(ARRIVAL)
+    assert.deepEqual(arrived, [{ server: 'i-1', reading: 812 }])
+  })
+
+  it('drops and reports what is beyond the bound (guards against hints that use up the network)', async () => {
+    const sender = await start()
+    sender.setTargets(Array.from({ length: 60 }, () => `127.0.0.1:${sender.port}`))
+    for (let count = 0; count < 3; count++) sender.tell({ server: 'i-1', reading: 100 })
+    clock.advance(60_000)
+    sender.tell({ server: 'i-1', reading: 100 })
+    assert.deepEqual(lines.map(({ event, fields }) => [event, fields.dropped]), [['datagrams_not_sent', 20], ['datagrams_not_sent', 60]])
+  })
+
+  it('ignores a datagram that is no hint', async () => {
+    const [sender, receiver] = [await start(), await start()]
+    const arrived: ReadingHint[] = []
+    receiver.listen(hint => arrived.push(hint))
+    sender.setTargets([`127.0.0.1:${receiver.port}`])
+    sender.tell({ server: 'i-1', reading: -1 })
+    await delay(ARRIVAL)
+    assert.deepEqual(arrived, [])
+    assert.equal(lines[0]?.event, 'hint_not_read')
+  })
+})
--- a/packages/peers/src/JayfallPeerConstants.ts
+++ b/packages/peers/src/JayfallPeerConstants.ts
@@ -7,3 +7,7 @@
 export const MAXIMUM_FREE_PEER_CONNECTIONS = 2
 /** Random peers of a zone of 56 meet about twice a minute; a shorter time would open a connection for almost each call. */
 export const PEER_KEEP_ALIVE_MILLISECONDS = 90_000
+/** About 60 bytes each, so half of the 13 KB a second that an instance may use for control at the target size. */
+export const MAXIMUM_DATAGRAMS_PER_SECOND = 100
+/** Time between two log lines about datagrams that were not sent. */
+export const DATAGRAM_LOG_INTERVAL_MILLISECONDS = 5000
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,4 +1,5 @@
 export { PeerClients, type PeerClientSettings } from './JayfallPeerClient'
+export { PeerDatagrams, type PeerDatagramsParts } from './JayfallPeerDatagrams'
 export { PeerDirectory, type Peer } from './JayfallPeerDirectory'
 export { PeerError } from './JayfallPeerError'
 export { createPeerRouter, peerProcedure, type PeerRouter } from './JayfallPeerRouter'
