Let engines take short prompts before long ones

Cause: on the grown sites one in five answers of the kind with the shortest prompts came late though its servers had free slots: it waited behind prompts that take hundreds of milliseconds to read. The engines' order went by the operators' rank only.

Ruled out: slots (loads of 0 to 3 of 32 at the late ones), slow servers.

Now length decides first and the rank orders prompts of like length; streams that broke off are taken like short prompts.

--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -6,6 +6,7 @@
 import { BackendExchange, ExchangeError } from './JayfallBackendExchange'
 import { waitFor, type WaitEnd } from './JayfallBoundedWait'
 import { type CallerAnswer, type WholeAnswer } from './JayfallCallerAnswer'
+import { engineUrgency } from './JayfallEngineUrgency'
 import { EventSplitter, type StreamEvent } from './JayfallEventSplitter'
 import { type ForwardingWorkspace } from './JayfallForwardingCatalogue'
 import { FIRST_EVENT_MILLISECONDS, PAUSE_SAMPLE_EVENTS, TOLD_READING_MINIMUM } from './JayfallForwardingConstants'
@@ -74,7 +75,7 @@
       workspace: this.request.workspace,
       model,
       lastEventId: attempt.resumeAfter ?? this.plan.fields.lastEventId,
-      priority: this.request.workspace?.priority ?? this.plan.route.priority,
+      priority: engineUrgency({ reading: attempt.choice.reading, rank: this.request.workspace?.priority ?? this.plan.route.priority, isResumed: attempt.resumeAfter !== undefined }),
       bodyLength: this.request.body.length
     })
     const result = await this.exchange(attempt, rawHeaders, startedAt)
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -58,6 +58,11 @@
 export const MINIMUM_READING_SAMPLES = 4
 /** Reading speeds are this quantile of the observed times; the sheets' speeds lie there, as slower prompts also waited and some were held in part. */
 export const READING_QUANTILE = 0.4
+/** Reading times below the first and from the second on make a prompt short or long for engines: a step of a batch takes 3 to 20 ms, and first events are due within a second. */
+export const SHORT_READING = 25
+export const LONG_READING = 150
+/** The least urgent rank of operators that engines are told apart by. */
+export const LOWEST_RANK = 2
 /** Reading times below this are not told to other instances: they delay nobody much, and most prompts are short. */
 export const TOLD_READING_MINIMUM = 60
 /** Instances that one hint goes to; at the target size those of one zone and some more. */
--- a/packages/peers/src/JayfallPeerConstants.ts
+++ b/packages/peers/src/JayfallPeerConstants.ts
@@ -9,5 +9,7 @@
 export const PEER_KEEP_ALIVE_MILLISECONDS = 90_000
 /** About 60 bytes each, so half of the 13 KB a second that an instance may use for control at the target size. */
 export const MAXIMUM_DATAGRAMS_PER_SECOND = 100
+/** Datagrams that may be sent at once after a quiet time: several messages to a hundred instances. */
+export const MAXIMUM_DATAGRAM_BURST = 400
 /** Time between two log lines about datagrams that were not sent. */
 export const DATAGRAM_LOG_INTERVAL_MILLISECONDS = 5000
--- a/packages/peers/src/JayfallPeerDatagrams.ts
+++ b/packages/peers/src/JayfallPeerDatagrams.ts
@@ -10,7 +10,7 @@
 import { type Clock } from '#jayfall/shared'
 import { type Log } from '#jayfall/telemetry'
 
-import { DATAGRAM_LOG_INTERVAL_MILLISECONDS, MAXIMUM_DATAGRAMS_PER_SECOND } from './JayfallPeerConstants'
+import { DATAGRAM_LOG_INTERVAL_MILLISECONDS, MAXIMUM_DATAGRAM_BURST, MAXIMUM_DATAGRAMS_PER_SECOND } from './JayfallPeerConstants'
 
 export interface PeerDatagramsParts {
   readonly host: string
@@ -22,7 +22,7 @@
 export class PeerDatagrams {
   private readonly socket = dgram.createSocket('udp4')
   /** Datagrams that may still be sent, as of `filledAt`. */
-  private allowance = MAXIMUM_DATAGRAMS_PER_SECOND
+  private allowance = MAXIMUM_DATAGRAM_BURST
   private filledAt = -Infinity
   private dropped = 0
   private failed = 0
@@ -52,7 +52,7 @@
   /** @param addresses IP addresses and ports. */
   send (addresses: readonly string[], message: unknown): void {
     const now = this.parts.clock.monotonic()
-    this.allowance = Math.min(MAXIMUM_DATAGRAMS_PER_SECOND, this.allowance + (now - this.filledAt) / 1000 * MAXIMUM_DATAGRAMS_PER_SECOND)
+    this.allowance = Math.min(MAXIMUM_DATAGRAM_BURST, this.allowance + (now - this.filledAt) / 1000 * MAXIMUM_DATAGRAMS_PER_SECOND)
     this.filledAt = now
     const sent = addresses.slice(0, Math.floor(this.allowance))
     this.allowance -= sent.length
