Continue requests elsewhere at once when their zone is cut off

Cause: a cut-off zone resets nothing, so streams there waited as long as for a slow server (1.5 s between events, 2.5 s for the first one) though other requests had found the zone out of reach.

Now an attempt that may be repeated goes on at another server when two servers of its zone could not be reached, none was reached since, and it has heard nothing for 0.25 s. Such an attempt says nothing against its server or version.

--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -6,6 +6,7 @@
 import { BackendExchange, ExchangeError } from './JayfallBackendExchange'
 import { waitFor, type WaitEnd } from './JayfallBoundedWait'
 import { type CallerAnswer, type WholeAnswer } from './JayfallCallerAnswer'
+import { CutOffWatch } from './JayfallCutOffWatch'
 import { engineUrgency } from './JayfallEngineUrgency'
 import { EventSplitter, type StreamEvent } from './JayfallEventSplitter'
 import { type ForwardingWorkspace } from './JayfallForwardingCatalogue'
@@ -43,6 +44,8 @@
   /** The confidence that the attempt's answer had to have. */
   minimumConfidence = 0
   private isRead = false
+  /** Of the running attempt, if it may go on at another server. */
+  private cutOff: CutOffWatch | undefined
   /** Attempts that ended with a failure of the server's own, until another server's answer tells whose fault that was. */
   private unconfirmed: AttemptPlan[] = []
   /** Mean milliseconds between the attempt's events; undefined when there were too few. */
@@ -78,7 +81,9 @@
       priority: engineUrgency({ reading: attempt.choice.reading, rank: this.request.workspace?.priority ?? this.plan.route.priority, isResumed: attempt.resumeAfter !== undefined }),
       bodyLength: this.request.body.length
     })
+    this.cutOff = this.plan.route.isRepeatable ? new CutOffWatch(directory, clock, server.zone) : undefined
     const result = await this.exchange(attempt, rawHeaders, startedAt)
+    this.cutOff?.close()
     this.noteRead(attempt, undefined)
     directory.noteEnded(server.id)
     this.learn(attempt, result)
@@ -108,6 +113,7 @@
   private async readAnswer (attempt: AttemptPlan, response: IncomingMessage, isWhole: () => boolean, startedAt: number): Promise<AttemptResult> {
     const { protocol, directory, clock } = this.context
     directory.noteReachable(attempt.server.id)
+    this.cutOff?.noteHeard()
     const head: AnswerHead = { response, status: response.statusCode ?? 0, fields: protocol.readAnswer(response.headers), isWhole }
     const { fields, status } = head
     if (fields.load !== undefined && (fields.server === undefined || fields.server === attempt.server.id)) directory.noteLoad(attempt.server.id, fields.load, clock.monotonic())
@@ -153,6 +159,7 @@
       const end = await this.waitWithin(iterator.next(), attempt, silence)
       if (end.kind !== 'value') return this.endOfWait(end, attempt)
       if (end.value.done === true) break
+      this.cutOff?.noteHeard()
       for (const event of splitter.push(end.value.value as Buffer)) {
         this.answeredAfter ??= this.context.clock.monotonic() - startedAt
         this.noteRead(attempt, this.answeredAfter)
@@ -174,11 +181,12 @@
   private waitWithin<Value> (promise: Promise<Value>, attempt: AttemptPlan, silence: number): Promise<WaitEnd<Value>> {
     // The promise may fail after the wait has ended.
     promise.catch(() => {})
-    return waitFor(promise, Math.min(silence, attempt.deadline - this.context.clock.monotonic()), this.answer.callerLeft)
+    const stops = [this.answer.callerLeft, ...this.cutOff === undefined ? [] : [this.cutOff.signal]]
+    return waitFor(promise, Math.min(silence, attempt.deadline - this.context.clock.monotonic()), stops)
   }
 
   private endOfWait (end: WaitEnd<unknown>, attempt: AttemptPlan): AttemptResult {
-    if (end.kind === 'stopped') return { kind: 'caller_left' }
+    if (end.kind === 'stopped') return this.answer.callerLeft.aborted ? { kind: 'caller_left' } : { kind: 'broken', cause: 'the zone of the server is out of reach' }
     return this.context.clock.monotonic() >= attempt.deadline - 1 ? { kind: 'expired' } : { kind: 'silent' }
   }
 
@@ -204,7 +212,9 @@
         return directory.noteUnreachable(attempt.server.id, clock.monotonic())
       case 'broken':
       case 'silent':
-        return this.blame(attempt)
+        // A zone that is out of reach tells nothing about its servers.
+        if (this.cutOff?.signal.aborted !== true) this.blame(attempt)
+        return
       case 'answered':
       case 'unsure':
         directory.noteSuccess(attempt.server.id, clock.monotonic())
--- a/packages/forwarding/src/JayfallBackendDirectory.ts
+++ b/packages/forwarding/src/JayfallBackendDirectory.ts
@@ -49,6 +49,8 @@
   private readonly unreachable = new Map<string, ReadonlyMap<string, number>>()
   /** Zones that count as cut off, with the time until which they do. */
   private readonly cutZones = new Map<string, number>()
+  /** Called when a zone counts as cut off, by zone. */
+  private readonly cutOffListeners = new Map<string, Set<() => void>>()
   /** Recent delays of first events, by service. */
   private readonly serviceDelays = new Map<string, { readonly delay: number, readonly at: number }>()
 
@@ -143,7 +145,19 @@
     const recent = [...this.unreachable.get(zone) ?? []].filter(([other, at]) => other !== id && now - at < CUT_ZONE_WINDOW)
     const servers = new Map<string, number>([...recent, [id, now]])
     this.unreachable.set(zone, servers)
-    if (servers.size >= CUT_ZONE_SERVERS) this.cutZones.set(zone, now + CUT_ZONE_AVOIDANCE)
+    if (servers.size < CUT_ZONE_SERVERS) return
+    this.cutZones.set(zone, now + CUT_ZONE_AVOIDANCE)
+    for (const listener of this.cutOffListeners.get(zone) ?? []) listener()
+  }
+
+  /** Has `listener` called whenever a server of the zone cannot be reached while the zone counts as cut off. */
+  registerCutOffListener (zone: string, listener: () => void): () => void {
+    const listeners = this.cutOffListeners.get(zone) ?? new Set()
+    this.cutOffListeners.set(zone, listeners.add(listener))
+    return () => {
+      listeners.delete(listener)
+      if (listeners.size === 0 && this.cutOffListeners.get(zone) === listeners) this.cutOffListeners.delete(zone)
+    }
   }
 
   /** Takes note that a connection was opened. */
--- a/packages/forwarding/src/JayfallBoundedWait.ts
+++ b/packages/forwarding/src/JayfallBoundedWait.ts
@@ -7,22 +7,24 @@
 
 /**
  * @param limit milliseconds; Infinity for none.
- * @param stop aborted when the waiting party is gone.
+ * @param stops the first one that is aborted ends the wait.
  */
-export function waitFor<Value> (promise: Promise<Value>, limit: number, stop: AbortSignal): Promise<WaitEnd<Value>> {
+export function waitFor<Value> (promise: Promise<Value>, limit: number, stops: readonly AbortSignal[]): Promise<WaitEnd<Value>> {
   return new Promise((resolve, reject) => {
     const timer = limit === Infinity ? undefined : setTimeout(() => finish({ kind: 'timeout' }), Math.max(0, limit))
     const onStop = (): void => finish({ kind: 'stopped' })
-    const finish = (end: WaitEnd<Value>): void => {
+    const release = (): void => {
       clearTimeout(timer)
-      stop.removeEventListener('abort', onStop)
+      for (const stop of stops) stop.removeEventListener('abort', onStop)
+    }
+    const finish = (end: WaitEnd<Value>): void => {
+      release()
       resolve(end)
     }
-    if (stop.aborted) return finish({ kind: 'stopped' })
-    stop.addEventListener('abort', onStop)
+    if (stops.some(({ aborted }) => aborted)) return finish({ kind: 'stopped' })
+    for (const stop of stops) stop.addEventListener('abort', onStop)
     promise.then(value => finish({ kind: 'value', value }), error => {
-      clearTimeout(timer)
-      stop.removeEventListener('abort', onStop)
+      release()
       reject(error)
     })
   })
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -26,6 +26,8 @@
 export const CUT_ZONE_WINDOW = 1500
 /** Servers out of reach, and none reached since, from which on their whole zone counts as cut off. */
 export const CUT_ZONE_SERVERS = 2
+/** Silence after which an attempt in a zone that counts as cut off goes on elsewhere: longer than events are apart, and short enough for a pause that nobody notices. */
+export const CUT_ZONE_CONFIRMATION = 250
 /** How long a zone that counts as cut off is avoided before one of its servers is tried again. */
 export const CUT_ZONE_AVOIDANCE = 800
 /** Weight of one outcome in a server's failure rate: about the last ten outcomes count. */
