--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -198,7 +198,7 @@
     directory.noteRead(server.id, choice.reading)
     if (firstEvent === undefined) return
     directory.noteDelay(server.id, firstEvent - FIRST_EVENT_MILLISECONDS - choice.reading, clock.monotonic())
-    times.noteFirstEvent(model, choice.unreadTokens, firstEvent)
+    times.noteFirstEvent({ model, unreadTokens: choice.unreadTokens, firstEvent }, clock.monotonic())
   }
 
   /** Takes note of what the result tells about the server and its version. */
--- a/packages/forwarding/src/JayfallBackendChoice.ts
+++ b/packages/forwarding/src/JayfallBackendChoice.ts
@@ -90,7 +90,7 @@
   private compareEngine (request: ChoiceRequest, model: string, homes: readonly string[], row: BackendRow, now: number): Candidate {
     const estimatedLoad = estimateLoad(row, now)
     const unreadTokens = Math.max(0, request.promptTokens - this.heldTokens(request, model, homes, row, now))
-    const reading = this.times.estimate(model, unreadTokens)
+    const reading = this.times.estimate(model, unreadTokens, now)
     const queued = Math.max(unreadTime(row, now), estimateWaiting(row, now) * this.times.usual, this.directory.expectedDelay(row, now))
     const firstEvent = (FIRST_EVENT_MILLISECONDS + queued + reading) * slownessOf(row)
     const steps = estimatedLoad * STEP_MILLISECONDS_PER_REQUEST * request.outputTokens
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -58,6 +58,9 @@
 export const READING_SAMPLES = 24
 /** Prompts of a model below which the fastest of them is taken. */
 export const MINIMUM_READING_SAMPLES = 4
+/** Time without a prompt of a model after which its estimate fades, and the half-life from then on: an instance sends prompts of each model in use every second or two. */
+export const READING_GRACE = 4000
+export const READING_HALF_LIFE = 2000
 /** Reading speeds are this quantile of the observed times; the sheets' speeds lie there, as slower prompts also waited and some were held in part. */
 export const READING_QUANTILE = 0.4
 /** Reading times below the first and from the second on make a prompt short or long for engines: a step of a batch takes 3 to 20 ms, and first events are due within a second. */
