Take hints back that answers contradict

The ladder compares these estimates with the time left, so it did not ask the largest model.

Now an answer that waited less than the hints let expect takes the difference back, and hints count for 3 s at most. The test fails before.

--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -197,7 +197,9 @@
     const { directory, times, clock } = this.context
     directory.noteRead(server.id, choice.reading)
     if (firstEvent === undefined) return
-    directory.noteDelay(server.id, firstEvent - FIRST_EVENT_MILLISECONDS - choice.reading, clock.monotonic())
+    const waited = Math.max(0, firstEvent - FIRST_EVENT_MILLISECONDS - choice.reading)
+    directory.noteDelay(server.id, waited, clock.monotonic())
+    if (choice.othersReading > waited) directory.noteShorterWait(server.id, choice.othersReading - waited)
     times.noteFirstEvent({ model, unreadTokens: choice.unreadTokens, firstEvent }, clock.monotonic())
   }
 
--- a/packages/forwarding/src/JayfallBackendChoice.ts
+++ b/packages/forwarding/src/JayfallBackendChoice.ts
@@ -9,7 +9,7 @@
 
 import { rendezvousRank } from '#jayfall/shared'
 
-import { currentFailureRate, estimateLoad, estimateWaiting, slotsOf, unreadTime, type BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
+import { currentFailureRate, estimateLoad, estimateWaiting, othersReading, slotsOf, type BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
 import {
   FIRST_EVENT_MILLISECONDS, MAXIMUM_FAILURE_RATE, OTHER_ZONE_MILLISECONDS, PLAIN_WORK_MILLISECONDS, READING_EXTERNALITY, SECOND_HOLDER_SHARE, STEP_MILLISECONDS_PER_REQUEST
 } from './JayfallForwardingConstants'
@@ -40,6 +40,8 @@
   readonly unreadTokens: number
   /** Estimated milliseconds of reading them. */
   readonly reading: number
+  /** Estimated milliseconds before that, of prompts that other instances sent. */
+  readonly othersReading: number
   /** Estimated milliseconds until the first event; of the whole answer for plain requests. */
   readonly firstEvent: number
 }
@@ -84,18 +86,18 @@
     const slots = slotsOf(row)
     const waiting = Math.max(0, estimatedLoad + 1 - slots)
     const firstEvent = (1 + (estimatedLoad + 1 + waiting) / slots) * PLAIN_WORK_MILLISECONDS * slownessOf(row)
-    return { row, estimatedLoad, reportAge: now - row.reportedAt, unreadTokens: 0, reading: 0, firstEvent, cost: firstEvent + this.zoneCost(row) }
+    return { row, estimatedLoad, reportAge: now - row.reportedAt, unreadTokens: 0, reading: 0, othersReading: 0, firstEvent, cost: firstEvent + this.zoneCost(row) }
   }
 
   private compareEngine (request: ChoiceRequest, model: string, homes: readonly string[], row: BackendRow, now: number): Candidate {
     const estimatedLoad = estimateLoad(row, now)
     const unreadTokens = Math.max(0, request.promptTokens - this.heldTokens(request, model, homes, row, now))
     const reading = this.times.estimate(model, unreadTokens, now)
-    const queued = Math.max(unreadTime(row, now), estimateWaiting(row, now) * this.times.usual, this.directory.expectedDelay(row, now))
+    const queued = Math.max(row.pendingReading + othersReading(row, now), estimateWaiting(row, now) * this.times.usual, this.directory.expectedDelay(row, now))
     const firstEvent = (FIRST_EVENT_MILLISECONDS + queued + reading) * slownessOf(row)
     const steps = estimatedLoad * STEP_MILLISECONDS_PER_REQUEST * request.outputTokens
     const cost = firstEvent + reading * (READING_EXTERNALITY - 1) + steps + this.zoneCost(row)
-    return { row, estimatedLoad, reportAge: now - row.reportedAt, unreadTokens, reading, firstEvent, cost }
+    return { row, estimatedLoad, reportAge: now - row.reportedAt, unreadTokens, reading, othersReading: othersReading(row, now), firstEvent, cost }
   }
 
   private heldTokens ({ parts }: ChoiceRequest, model: string, homes: readonly string[], row: BackendRow, now: number): number {
--- a/packages/forwarding/src/JayfallBackendDirectory.ts
+++ b/packages/forwarding/src/JayfallBackendDirectory.ts
@@ -108,6 +108,14 @@
     this.table.update(id, row => ({ ...row, othersReadUntil: Math.min(now + MAXIMUM_OTHERS_READING, Math.max(now, row.othersReadUntil) + milliseconds) }))
   }
 
+  /**
+   * Takes note that a prompt waited so much less than other instances' prompts let expect. Engines
+   * read in order, so what was told before it was sent has been read.
+   */
+  noteShorterWait (id: string, milliseconds: number): void {
+    this.table.update(id, row => ({ ...row, othersReadUntil: row.othersReadUntil - milliseconds }))
+  }
+
   /** Takes note that a first event came so much later than the reading of its prompt explains. */
   noteDelay (id: string, delay: number, now: number): void {
     const row = this.table.get(id)
@@ -200,9 +208,9 @@
   return { server, isLapsed: false, open: 0, report: undefined, reportedAt: now, openAtReport: 0, failuresInRow: 0, failureRate: 0, outcomeAt: now, pendingReading: 0, othersReadUntil: -Infinity, delay: 0, delayAt: now, avoidedUntil: -Infinity, avoidedFor: 0 }
 }
 
-/** Milliseconds until the server has read the prompts that it was sent, as far as this instance knows. */
-export function unreadTime ({ pendingReading, othersReadUntil }: BackendRow, now: number): number {
-  return pendingReading + Math.max(0, othersReadUntil - now)
+/** Milliseconds until the server has read the prompts of other instances, as far as they told. */
+export function othersReading ({ othersReadUntil }: BackendRow, now: number): number {
+  return Math.max(0, othersReadUntil - now)
 }
 
 /** The recent part of outcomes that were failures, fading with time. */
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -72,8 +72,8 @@
 export const TOLD_READING_MINIMUM = 60
 /** Instances that one hint goes to; at the target size those of one zone and some more. */
 export const MAXIMUM_HINT_TARGETS = 100
-/** Longest time for which servers are taken as busy with the prompts of other instances; a wrong hint does no more harm than that. */
-export const MAXIMUM_OTHERS_READING = 6000
+/** Longest time for which servers are taken as busy with the prompts of other instances: about that of the longest prompt of the sheets on the largest model. */
+export const MAXIMUM_OTHERS_READING = 3000
 /** How much more than its own time the reading of a prompt counts: those behind it wait as well. */
 export const READING_EXTERNALITY = 2
 /** Weight of one prompt in the usual time of reading a prompt. */
--- a/packages/forwarding/src/__tests__/unit/JayfallBackendChoice.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallBackendChoice.test.ts
@@ -53,6 +53,16 @@
       assert.equal(decisions.directory.get('a')?.othersReadUntil, now + MAXIMUM_OTHERS_READING)
     })
 
+    it('believes an answer more than hints (guards against servers that seem busy after hints with estimates far too high)', () => {
+      const decisions = new FakeDecisions([fakeServer('a')])
+      decisions.directory.noteOthersReading('a', 2000, decisions.clock.monotonic())
+      const choice = decisions.choice.choose(ENGINE_REQUEST, decisions.clock.monotonic())
+      assert.equal(choice?.othersReading, 2000)
+      decisions.clock.advance(100)
+      decisions.directory.noteShorterWait('a', 2000)
+      assert.ok((decisions.choice.choose(ENGINE_REQUEST, decisions.clock.monotonic())?.firstEvent ?? Infinity) < 300)
+    })
+
     it('counts the own prompts that are still being read', () => {
       const decisions = new FakeDecisions(['a', 'b'].map(id => fakeServer(id)))
       const first = chosen(decisions, { ...ENGINE_REQUEST, parts: [] })
