Ask a reader that stays away ever less often

An instance that is gone for good leaves its row for up to 25 minutes. If it is the zone's preferred reader, each other one waited 1.1 s for it every 5 s. The time for which it is left out now doubles up to 160 s and starts anew when it answers. The unit test fails before.

--- a/packages/feeds/src/JayfallFeedConstants.ts
+++ b/packages/feeds/src/JayfallFeedConstants.ts
@@ -21,8 +21,9 @@
 export const PEER_TIMEOUT = 1100
 /** How long an instance reads for others after the last call of one of them. */
 export const READER_SPAN = 5000
-/** How long a reader that did not answer is left out. */
+/** How long a reader that did not answer is left out: longer than most freezes and cuts; and at most, for one that is gone and whose row is still there. */
 export const READER_SUSPECT_SPAN = 5000
+export const MAXIMUM_SUSPECT_SPAN = 160_000
 /** How long an instance reads only by itself after its own reading of the store failed. */
 export const OWN_READING_SPAN = 2000
 /** Changed rows that a reader keeps for others; they need those of the last second or two. */
--- a/packages/feeds/src/JayfallPeerReadings.ts
+++ b/packages/feeds/src/JayfallPeerReadings.ts
@@ -62,6 +62,7 @@
       const replies = await this.client.changes(reader, { instance: this.id, tables, wait: PEER_WAIT })
       const now = this.clock.monotonic()
       if (Object.values(replies).some(reply => reply.kind === 'refused' && reply.reason === 'stale')) this.drop(reader, 'its own reading is stale')
+      else this.choice.noteReaderSuccess(reader.id)
       for (const { table, resolve } of waiting) resolve(toRelayed(replies[table], now))
     } catch (error) {
       this.drop(reader, error instanceof Error ? error.message : String(error))
--- a/packages/feeds/src/JayfallReaderChoice.ts
+++ b/packages/feeds/src/JayfallReaderChoice.ts
@@ -8,7 +8,7 @@
 
 import { rendezvousRank } from '#jayfall/shared'
 
-import { FEED_WAIT, MAXIMUM_READING_AGE, MINIMUM_SHARING_INSTANCES, OWN_READING_SPAN, READER_SPAN, READER_SUSPECT_SPAN } from './JayfallFeedConstants'
+import { FEED_WAIT, MAXIMUM_READING_AGE, MAXIMUM_SUSPECT_SPAN, MINIMUM_SHARING_INSTANCES, OWN_READING_SPAN, READER_SPAN, READER_SUSPECT_SPAN } from './JayfallFeedConstants'
 
 /** An instance that can read for others. */
 export interface FeedInstance {
@@ -18,13 +18,20 @@
   readonly address: string
 }
 
+interface Suspicion {
+  /** Monotonic milliseconds. */
+  readonly until: number
+  /** How long it is left out; doubles with each failure in a row. */
+  readonly span: number
+}
+
 const RANK_KEY = 'feed-reader'
 
 export class ReaderChoice {
   /** The zone's instances, the preferred reader first. */
   private ranked: readonly FeedInstance[] = []
-  /** Monotonic milliseconds until which instances are left out. */
-  private readonly suspectedUntil = new Map<string, number>()
+  /** Instances that are left out. */
+  private readonly suspects = new Map<string, Suspicion>()
   private isPreferred = false
   private askedAt = -Infinity
   private readerSince = -Infinity
@@ -37,7 +44,7 @@
     const others = new Map(instances.filter(({ id, zone }) => id !== this.id && zone === this.zone).map(instance => [instance.id, instance]))
     this.ranked = rendezvousRank(RANK_KEY, [this.id, ...others.keys()]).map(id => others.get(id) ?? { id, zone: this.zone, address: '' })
     this.isPreferred = this.isSharing && this.ranked[0].id === this.id
-    for (const id of this.suspectedUntil.keys()) if (!others.has(id)) this.suspectedUntil.delete(id)
+    for (const id of this.suspects.keys()) if (!others.has(id)) this.suspects.delete(id)
   }
 
   private get isSharing (): boolean {
@@ -52,7 +59,14 @@
 
   /** Takes note that a reader did not answer, or has lost the store. */
   noteReaderFailure (id: string, now: number): void {
-    this.suspectedUntil.set(id, now + READER_SUSPECT_SPAN)
+    const known = this.suspects.get(id)
+    const span = known === undefined ? READER_SUSPECT_SPAN : Math.min(MAXIMUM_SUSPECT_SPAN, known.span * 2)
+    this.suspects.set(id, { until: now + span, span })
+  }
+
+  /** Takes note that a reader answered. */
+  noteReaderSuccess (id: string): void {
+    this.suspects.delete(id)
   }
 
   /** Takes note that the store did not answer this instance; most likely it does not answer others either. */
@@ -73,7 +87,7 @@
   /** The instance to read from; undefined when this one reads from the store itself. */
   readerAt (now: number): FeedInstance | undefined {
     if (!this.isSharing || this.isReader(now) || now - this.ownFailureAt < OWN_READING_SPAN) return undefined
-    const reader = this.ranked.find(({ id }) => now >= (this.suspectedUntil.get(id) ?? -Infinity))
+    const reader = this.ranked.find(({ id }) => now >= (this.suspects.get(id)?.until ?? -Infinity))
     return reader === undefined || reader.id === this.id ? undefined : reader
   }
 }
--- a/packages/feeds/src/__tests__/unit/JayfallFeedHistory.test.ts
+++ b/packages/feeds/src/__tests__/unit/JayfallFeeds.test.ts
@@ -95,6 +95,19 @@
       assert.equal(follower.readerAt(100 + READER_SUSPECT_SPAN)?.id, first.id)
     })
 
+    it('asks a reader that stays away ever less often, until it answers (guards against stalls for an instance that is gone)', () => {
+      const follower = createFollower(instances(6))
+      const first = follower.readerAt(0)
+      assert.ok(first !== undefined)
+      follower.noteReaderFailure(first.id, 0)
+      follower.noteReaderFailure(first.id, READER_SUSPECT_SPAN)
+      assert.notEqual(follower.readerAt(READER_SUSPECT_SPAN * 2)?.id, first.id)
+      assert.equal(follower.readerAt(READER_SUSPECT_SPAN * 3)?.id, first.id)
+      follower.noteReaderSuccess(first.id)
+      follower.noteReaderFailure(first.id, 100_000)
+      assert.equal(follower.readerAt(100_000 + READER_SUSPECT_SPAN)?.id, first.id)
+    })
+
     it('reads from the store while others read from it, and when the store failed it (guards against circles of readers)', () => {
       const choice = createFollower(instances(6))
       choice.noteAsked(1000)
