--- a/packages/feeds/src/JayfallInstanceRegister.ts
+++ b/packages/feeds/src/JayfallInstanceRegister.ts
@@ -2,8 +2,8 @@
  * The rows in the store by which instances find each other.
  *
  * Each instance writes its row at its start and from time to time, removes it when it is stopped,
- * and lists all rows at intervals that grow with their number. Rows that nobody has written for long belong to
- * instances that ended without a word; whoever finds them removes them.
+ * and lists all rows at intervals that grow with their number. Rows that nobody has written for
+ * long belong to instances that ended without a word; whoever finds them removes them.
  */
 
 import { type Clock, type RandomSource } from '#jayfall/shared'
--- a/packages/peers/src/JayfallPeerDatagrams.ts
+++ b/packages/peers/src/JayfallPeerDatagrams.ts
@@ -40,7 +40,7 @@
     this.socket.unref()
   }
 
-  /** The port that is listened on; 0 before `listen`. */
+  /** The port that is listened on, once `listen` has resolved. */
   get port (): number {
     return this.socket.address().port
   }
