Make one piece of code serve where the shared readings wrote things again

Found on reading the whole change once more; behaviour stays as it is, but for one log line.

- The message of anything thrown was worked out in eight places; messageOf in packages/shared serves all of them now.
- TableFeedRow repeated TableChange of the store.
- The time of other instances' prompts was computed twice for each candidate, and the signals that end a wait were collected anew for each event of a stream.
Both are done once.
- Delays were cut off at 0 by the caller and again in the directory.
- Calls for changes carried the caller's name, which nobody read.
- feed_reader_changed named the reader that was preferred before the call; it now names the one that answered.

Looked at and left: the constants of the other packages that look alike hold other figures; the backoffs of the ledger, the control package and the feeds differ in their jitter.

--- a/packages/command/src/JayfallCommandError.ts
+++ b/packages/command/src/JayfallCommandError.ts
@@ -3,7 +3,7 @@
 import { CatalogueError } from '#jayfall/catalogue'
 import { isPlatformError } from '#jayfall/store'
 import { SettingsError } from '#jayfall/settings'
-import { JayfallError } from '#jayfall/shared'
+import { JayfallError, messageOf } from '#jayfall/shared'
 
 /** Exit statuses of every subcommand. */
 export const EXIT_STATUS = { done: 0, failed: 1, usage: 2, conflict: 3, unreachable: 4 } as const
@@ -28,5 +28,5 @@
   if (isPlatformError(error, 'conflict')) return new CommandError('conflict', `${error.message}; read it again with "jayfall catalogue show" and repeat the change`, error)
   if (isPlatformError(error, 'outcome_unknown')) return new CommandError('unreachable', `${error.message}; check with "jayfall catalogue show" whether it took effect before trying again`, error)
   if (isPlatformError(error)) return new CommandError('unreachable', `${error.message}; nothing was changed, try again later`, error)
-  return new CommandError('failed', error instanceof Error ? error.message : String(error), error)
+  return new CommandError('failed', messageOf(error), error)
 }
--- a/packages/feeds/src/JayfallFeedPeers.ts
+++ b/packages/feeds/src/JayfallFeedPeers.ts
@@ -10,7 +10,6 @@
 const revision = z.number().nonnegative()
 
 const changesRequest = z.object({
-  instance: z.string(),
   /** The revisions up to which the caller knows its tables. */
   tables: z.record(z.string(), revision).refine(tables => Object.keys(tables).length <= MAXIMUM_TABLES_PER_CALL),
   wait: z.number().min(0).max(PEER_WAIT)
@@ -54,6 +53,7 @@
 
   async changes (reader: FeedInstance, request: ChangesRequest): Promise<ChangesReply> {
     const reply = await this.clients.at(reader.address).feeds.changes.mutate(request)
+    // JSON leaves the undefined values of removed rows out, which reads alike.
     return reply as ChangesReply
   }
 
--- a/packages/feeds/src/JayfallInstanceRegister.ts
+++ b/packages/feeds/src/JayfallInstanceRegister.ts
@@ -6,7 +6,7 @@
  * long belong to instances that ended without a word; whoever finds them removes them.
  */
 
-import { type Clock, type RandomSource } from '#jayfall/shared'
+import { messageOf, type Clock, type RandomSource } from '#jayfall/shared'
 import { isPlatformError, listRows, type TableRow, type TableStore } from '#jayfall/store'
 import { type Log } from '#jayfall/telemetry'
 import { z } from 'zod'
@@ -112,6 +112,6 @@
   }
 
   private warn (event: string, error: unknown): void {
-    this.parts.log.warn(event, { message: error instanceof Error ? error.message : String(error) })
+    this.parts.log.warn(event, { message: messageOf(error) })
   }
 }
--- a/packages/feeds/src/JayfallPeerReadings.ts
+++ b/packages/feeds/src/JayfallPeerReadings.ts
@@ -5,7 +5,7 @@
  * instances do not grow with the tables.
  */
 
-import { type Clock } from '#jayfall/shared'
+import { messageOf, type Clock } from '#jayfall/shared'
 import { type TableChanges } from '#jayfall/store'
 import { type Log } from '#jayfall/telemetry'
 
@@ -15,6 +15,8 @@
 
 /** Changes that a reader passed on. */
 export interface RelayedReading {
+  /** The identifier of the reader. */
+  readonly reader: string
   readonly reading: TableChanges
   /** Monotonic milliseconds at which the reader heard them from the store. */
   readonly readAt: number
@@ -30,7 +32,7 @@
   private waiting: readonly WaitingTable[] = []
   private isAsking = false
 
-  constructor (private readonly id: string, private readonly client: FeedPeerClient, private readonly choice: ReaderChoice, private readonly clock: Clock, private readonly log: Log) {}
+  constructor (private readonly client: FeedPeerClient, private readonly choice: ReaderChoice, private readonly clock: Clock, private readonly log: Log) {}
 
   /** Changes of a table after a revision; undefined when the table has to be read from the store. */
   read (table: string, revision: number): Promise<RelayedReading | undefined> {
@@ -59,13 +61,13 @@
   private async askReader (reader: FeedInstance, waiting: readonly WaitingTable[]): Promise<void> {
     const tables = Object.fromEntries(waiting.map(({ table, revision }) => [table, revision]))
     try {
-      const replies = await this.client.changes(reader, { instance: this.id, tables, wait: PEER_WAIT })
+      const replies = await this.client.changes(reader, { tables, wait: PEER_WAIT })
       const now = this.clock.monotonic()
       if (Object.values(replies).some(reply => reply.kind === 'refused' && reply.reason === 'stale')) this.drop(reader, 'its own reading is stale')
       else this.choice.noteReaderSuccess(reader.id)
-      for (const { table, resolve } of waiting) resolve(toRelayed(replies[table], now))
+      for (const { table, resolve } of waiting) resolve(toRelayed(reader, replies[table], now))
     } catch (error) {
-      this.drop(reader, error instanceof Error ? error.message : String(error))
+      this.drop(reader, messageOf(error))
       resolveAll(waiting, undefined)
     }
   }
@@ -76,8 +78,8 @@
   }
 }
 
-function toRelayed (reply: TableReply | undefined, now: number): RelayedReading | undefined {
-  return reply?.kind === 'changes' ? { reading: reply.reading, readAt: now - reply.age } : undefined
+function toRelayed (reader: FeedInstance, reply: TableReply | undefined, now: number): RelayedReading | undefined {
+  return reply?.kind === 'changes' ? { reader: reader.id, reading: reply.reading, readAt: now - reply.age } : undefined
 }
 
 function resolveAll (waiting: readonly WaitingTable[], relayed: RelayedReading | undefined): void {
--- a/packages/feeds/src/JayfallSharedTableStore.ts
+++ b/packages/feeds/src/JayfallSharedTableStore.ts
@@ -50,7 +50,7 @@
     const { instance, zone, host, clock, log } = parts
     this.choice = new ReaderChoice(instance, zone)
     this.client = new FeedPeerClient(host)
-    this.readings = new PeerReadings(instance, this.client, this.choice, clock, log)
+    this.readings = new PeerReadings(this.client, this.choice, clock, log)
     this.changesServer = new ChangesServer(this.histories, this.choice, clock)
   }
 
@@ -100,9 +100,8 @@
 
   override async changes<Value> (table: string, revision: number, wait: number): Promise<TableChanges<Value>> {
     const { clock } = this.parts
-    const reader = this.choice.readerAt(clock.monotonic())
-    const relayed = reader === undefined ? undefined : await this.readings.read(table, revision)
-    this.noteReader(relayed === undefined ? undefined : reader?.id)
+    const relayed = this.choice.readerAt(clock.monotonic()) === undefined ? undefined : await this.readings.read(table, revision)
+    this.noteReader(relayed?.reader)
     const reading = relayed?.reading ?? await this.readFromStore(table, revision, wait)
     this.historyOf(table).take(revision, reading, relayed?.readAt ?? clock.monotonic())
     if (reading.changes.length > 0) this.changesServer.noteChange()
--- a/packages/feeds/src/__tests__/unit/JayfallFeeds.test.ts
+++ b/packages/feeds/src/__tests__/unit/JayfallFeeds.test.ts
@@ -119,7 +119,7 @@
   })
 
   describe('ChangesServer', () => {
-    const request = { instance: 'entry-1', tables: { op: 10 }, wait: 0 }
+    const request = { tables: { op: 10 }, wait: 0 }
 
     function serverAt (clock: ManualClock): ChangesServer {
       const history = new FeedHistory()
--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -2,6 +2,8 @@
 
 import { type IncomingMessage } from 'node:http'
 
+import { messageOf } from '#jayfall/shared'
+
 import { type AttemptPlan, type AttemptResult, type PlanContext } from './JayfallAttemptPlan'
 import { BackendExchange, ExchangeError } from './JayfallBackendExchange'
 import { waitFor, type WaitEnd } from './JayfallBoundedWait'
@@ -46,6 +48,8 @@
   private isRead = false
   /** Of the running attempt, if it may go on at another server. */
   private cutOff: CutOffWatch | undefined
+  /** What ends the waits of the running attempt. */
+  private stops: readonly AbortSignal[] = []
   /** Attempts that ended with a failure of the server's own, until another server's answer tells whose fault that was. */
   private unconfirmed: AttemptPlan[] = []
   /** Mean milliseconds between the attempt's events; undefined when there were too few. */
@@ -82,6 +86,7 @@
       bodyLength: this.request.body.length
     })
     this.cutOff = this.plan.route.isRepeatable ? new CutOffWatch(directory, clock, server.zone) : undefined
+    this.stops = this.cutOff === undefined ? [this.answer.callerLeft] : [this.answer.callerLeft, this.cutOff.signal]
     const result = await this.exchange(attempt, rawHeaders, startedAt)
     this.cutOff?.close()
     this.noteRead(attempt, undefined)
@@ -104,7 +109,7 @@
       return await this.readAnswer(attempt, response, () => response.complete && exchange?.hasFailed === false, startedAt)
     } catch (error) {
       if (error instanceof ExchangeError && error.failure === 'unsent') return { kind: 'unsent' }
-      return { kind: 'broken', cause: error instanceof Error ? error.message : String(error) }
+      return { kind: 'broken', cause: messageOf(error) }
     } finally {
       exchange?.destroy()
     }
@@ -181,8 +186,7 @@
   private waitWithin<Value> (promise: Promise<Value>, attempt: AttemptPlan, silence: number): Promise<WaitEnd<Value>> {
     // The promise may fail after the wait has ended.
     promise.catch(() => {})
-    const stops = [this.answer.callerLeft, ...this.cutOff === undefined ? [] : [this.cutOff.signal]]
-    return waitFor(promise, Math.min(silence, attempt.deadline - this.context.clock.monotonic()), stops)
+    return waitFor(promise, Math.min(silence, attempt.deadline - this.context.clock.monotonic()), this.stops)
   }
 
   private endOfWait (end: WaitEnd<unknown>, attempt: AttemptPlan): AttemptResult {
--- a/packages/forwarding/src/JayfallBackendChoice.ts
+++ b/packages/forwarding/src/JayfallBackendChoice.ts
@@ -93,11 +93,12 @@
     const estimatedLoad = estimateLoad(row, now)
     const unreadTokens = Math.max(0, request.promptTokens - this.heldTokens(request, model, homes, row, now))
     const reading = this.times.estimate(model, unreadTokens, now)
-    const queued = Math.max(row.pendingReading + othersReading(row, now), estimateWaiting(row, now) * this.times.usual, this.directory.expectedDelay(row, now))
+    const others = othersReading(row, now)
+    const queued = Math.max(row.pendingReading + others, estimateWaiting(row, now) * this.times.usual, this.directory.expectedDelay(row, now))
     const firstEvent = (FIRST_EVENT_MILLISECONDS + queued + reading) * slownessOf(row)
     const steps = estimatedLoad * STEP_MILLISECONDS_PER_REQUEST * request.outputTokens
     const cost = firstEvent + reading * (READING_EXTERNALITY - 1) + steps + this.zoneCost(row)
-    return { row, estimatedLoad, reportAge: now - row.reportedAt, unreadTokens, reading, othersReading: othersReading(row, now), firstEvent, cost }
+    return { row, estimatedLoad, reportAge: now - row.reportedAt, unreadTokens, reading, othersReading: others, firstEvent, cost }
   }
 
   private heldTokens ({ parts }: ChoiceRequest, model: string, homes: readonly string[], row: BackendRow, now: number): number {
--- a/packages/forwarding/src/JayfallBackendDirectory.ts
+++ b/packages/forwarding/src/JayfallBackendDirectory.ts
@@ -116,14 +116,13 @@
     this.table.update(id, row => ({ ...row, othersReadUntil: row.othersReadUntil - milliseconds }))
   }
 
-  /** Takes note that a first event came so much later than the reading of its prompt explains. */
+  /** Takes note that a first event came so much later than the reading of its prompt explains; 0 when it did not. */
   noteDelay (id: string, delay: number, now: number): void {
     const row = this.table.get(id)
     if (row === undefined) return
-    const observed = Math.max(0, delay)
-    this.table.set(id, { ...row, delay: this.expectedDelay(row, now) * (1 - DELAY_WEIGHT) + observed * DELAY_WEIGHT, delayAt: now })
+    this.table.set(id, { ...row, delay: this.expectedDelay(row, now) * (1 - DELAY_WEIGHT) + delay * DELAY_WEIGHT, delayAt: now })
     const { service } = row.server
-    this.serviceDelays.set(service, { delay: this.serviceDelay(service, now) * (1 - SERVICE_DELAY_WEIGHT) + observed * SERVICE_DELAY_WEIGHT, at: now })
+    this.serviceDelays.set(service, { delay: this.serviceDelay(service, now) * (1 - SERVICE_DELAY_WEIGHT) + delay * SERVICE_DELAY_WEIGHT, at: now })
   }
 
   /** The likely delay of a first event: the server's own of late, and that of its service as far as its own is old. */
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -5,8 +5,8 @@
  */
 
 import { followTable, type FeedReading } from '#jayfall/feeds'
-import { type Clock, delay, type RandomSource, type ReadonlyTable } from '#jayfall/shared'
-import { type WatchableTableStore } from '#jayfall/store'
+import { type Clock, delay, messageOf, type RandomSource, type ReadonlyTable } from '#jayfall/shared'
+import { type TableChange, type WatchableTableStore } from '#jayfall/store'
 import { type Log, Metrics } from '#jayfall/telemetry'
 
 import { EstimatedTimeChoice } from './JayfallBackendChoice'
@@ -24,7 +24,7 @@
 import { RetryBudget } from './JayfallRetryBudget'
 import { RolloutDuty } from './JayfallRolloutDuty'
 import { RolloutEvidence } from './JayfallRolloutEvidence'
-import { EVIDENCE_TABLE, ROLLOUTS_TABLE, type TableFeedRow } from './JayfallRolloutRows'
+import { EVIDENCE_TABLE, ROLLOUTS_TABLE } from './JayfallRolloutRows'
 import { VersionPolicy } from './JayfallVersionPolicy'
 
 /** An address to listen on. */
@@ -181,7 +181,7 @@
     const { store, random, log, clock } = this.parts
     for await (const event of followTable({ store, table, random, isStopped, coalescePause })) {
       if (event.kind === 'lost') {
-        log.warn('store_lost', { table, message: event.cause instanceof Error ? event.cause.message : String(event.cause) })
+        log.warn('store_lost', { table, message: messageOf(event.cause) })
         continue
       }
       if (event.isAfterLoss) log.info('store_regained', { table, revision: event.revision })
@@ -190,7 +190,7 @@
     }
   }
 
-  private takeOperatorRows (rows: readonly TableFeedRow[]): void {
+  private takeOperatorRows (rows: readonly TableChange[]): void {
     for (const { key, value, revision } of rows) {
       if (value === undefined) {
         this.orders.delete(key)
@@ -206,7 +206,7 @@
     if (this.duty.isSettled) this.state.takeRolloutsKnown()
   }
 
-  private takeRolloutRows (rows: readonly TableFeedRow[]): void {
+  private takeRolloutRows (rows: readonly TableChange[]): void {
     this.duty.takeRollouts(rows)
     this.state.takeRolloutsKnown()
   }
--- a/packages/forwarding/src/JayfallHealthProbe.ts
+++ b/packages/forwarding/src/JayfallHealthProbe.ts
@@ -1,6 +1,7 @@
 /** Asks backend servers for their load by their health path. */
 
 import Wreck from '@hapi/wreck'
+import { messageOf } from '#jayfall/shared'
 import { type Log } from '#jayfall/telemetry'
 
 import { PROBE_TIMEOUT } from './JayfallForwardingConstants'
@@ -21,7 +22,7 @@
       const { load } = this.protocol.readAnswer(response.headers)
       return load === undefined ? undefined : load.running + load.waiting
     } catch (error) {
-      this.log.info('probe_failed', { address, service, message: error instanceof Error ? error.message : String(error) })
+      this.log.info('probe_failed', { address, service, message: messageOf(error) })
       return undefined
     }
   }
--- a/packages/forwarding/src/JayfallReadingTimes.ts
+++ b/packages/forwarding/src/JayfallReadingTimes.ts
@@ -3,8 +3,9 @@
  *
  * Models differ in speed several times over, and an instance sees few long prompts of each, so the
  * first observations of a model count at once. Of the recent ones a quantile below the middle is
- * taken, because the slower ones waited behind other prompts. The estimate of a model that is no longer asked fades to the first guess: one that is far too high would keep work
- * away from its model, and so the observations that would correct it.
+ * taken, because the slower ones waited behind other prompts. The estimate of a model that is no
+ * longer asked fades to the first guess: one that is far too high would keep work away from its
+ * model, and so the observations that would correct it.
  */
 
 import { halfLifeWeight, quantileOf } from '#jayfall/shared'
--- a/packages/forwarding/src/JayfallRolloutDuty.ts
+++ b/packages/forwarding/src/JayfallRolloutDuty.ts
@@ -7,8 +7,8 @@
  * follows from the start time.
  */
 
-import { type Clock, type RandomSource } from '#jayfall/shared'
-import { isPlatformError, type TableStore } from '#jayfall/store'
+import { messageOf, type Clock, type RandomSource } from '#jayfall/shared'
+import { isPlatformError, type TableChange, type TableStore } from '#jayfall/store'
 import { type Log } from '#jayfall/telemetry'
 
 import { type BackendDirectory } from './JayfallBackendDirectory'
@@ -17,7 +17,7 @@
 import { EVIDENCE_INTERVAL, EVIDENCE_LIFETIME, STEP_PROBABILITY } from './JayfallForwardingConstants'
 import { type RolloutEvidence } from './JayfallRolloutEvidence'
 import { mayComplete, mayMoveSessions, mustComplete, type Rollout, type RolloutOutcome } from './JayfallRolloutPlan'
-import { EVIDENCE_TABLE, ROLLOUTS_TABLE, readEvidenceRow, readRolloutRow, type EvidenceRow, type RolloutRow, type TableFeedRow } from './JayfallRolloutRows'
+import { EVIDENCE_TABLE, ROLLOUTS_TABLE, readEvidenceRow, readRolloutRow, type EvidenceRow, type RolloutRow } from './JayfallRolloutRows'
 import { isBadVersion, sumEvidence, type EvidenceCounts } from './JayfallVersionEvidence'
 import { type VersionPolicy } from './JayfallVersionPolicy'
 
@@ -95,7 +95,7 @@
   }
 
   /** Takes the rollouts that the instances agreed on. */
-  takeRollouts (rows: readonly TableFeedRow[]): void {
+  takeRollouts (rows: readonly TableChange[]): void {
     this.hasReadRows = true
     for (const { key, value, revision } of rows) {
       const row = readRolloutRow(value)
@@ -105,7 +105,7 @@
     this.apply()
   }
 
-  takeEvidence (rows: readonly TableFeedRow[]): void {
+  takeEvidence (rows: readonly TableChange[]): void {
     for (const { key, value } of rows) {
       const row = readEvidenceRow(value)
       if (row === undefined) this.reports.delete(key)
@@ -121,7 +121,7 @@
       for (const order of this.orders.values()) await this.advance(order)
     } catch (error) {
       // The store's feeds report its loss; the step is due again at the next interval.
-      this.parts.log.warn('rollout_step_failed', { message: error instanceof Error ? error.message : String(error) })
+      this.parts.log.warn('rollout_step_failed', { message: messageOf(error) })
     } finally {
       this.isBusy = false
     }
--- a/packages/forwarding/src/JayfallRolloutRows.ts
+++ b/packages/forwarding/src/JayfallRolloutRows.ts
@@ -5,13 +5,6 @@
 export const ROLLOUTS_TABLE = 'rollouts'
 export const EVIDENCE_TABLE = 'rollout-evidence'
 
-/** A row of a feed; `value` is undefined when the row was removed. */
-export interface TableFeedRow {
-  readonly key: string
-  readonly value: unknown
-  readonly revision: number
-}
-
 const rolloutRow = z.object({
   version: z.string(),
   /** The revision of the order that this rollout carries out. */
--- a/packages/shared/src/JayfallError.ts
+++ b/packages/shared/src/JayfallError.ts
@@ -2,6 +2,11 @@
 
 import { VError } from 'verror'
 
+/** The message of anything that was thrown. */
+export function messageOf (error: unknown): string {
+  return error instanceof Error ? error.message : String(error)
+}
+
 /** Facts about an error that callers may branch on or log. */
 export type ErrorInfo = Readonly<Record<string, unknown>>
 
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,5 +1,5 @@
 export { Clock, ManualClock, SystemClock, delay } from './JayfallClock'
-export { JayfallError, type ErrorInfo } from './JayfallError'
+export { JayfallError, messageOf, type ErrorInfo } from './JayfallError'
 export { halfLifeWeight } from './JayfallHalfLife'
 export { invariant } from './JayfallInvariant'
 export { meanOf, quantileOf, quantileOfSorted } from './JayfallQuantile'
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,7 +1,7 @@
 export { CatalogueStore, type CatalogueEdit } from './JayfallCatalogueStore'
 export { HttpObjectStore, ObjectStore } from './JayfallObjectStore'
 export { Lease, type LeaseRow, type LeaseSettings } from './JayfallLease'
-export { DEFAULT_LEASE_TERM_MILLISECONDS, LEASES_TABLE } from './JayfallStoreConstants'
+export { DEFAULT_LEASE_TERM_MILLISECONDS, LEASES_TABLE, LISTING_PAGE_ROWS } from './JayfallStoreConstants'
 export { PlatformError, isPlatformError, type PlatformErrorCode } from './JayfallStoreError'
 export { PlatformHttp, type PlatformReply, type PlatformSettings } from './JayfallStoreHttp'
 export { PlatformServices, type AnswerRating, type ListedInstance, type RatingPage } from './JayfallStoreServices'
