--- a/packages/feeds/src/JayfallSharedTableStore.ts
+++ b/packages/feeds/src/JayfallSharedTableStore.ts
@@ -105,7 +105,7 @@
     const reading = relayed?.reading ?? await this.readFromStore(table, revision, wait)
     this.historyOf(table).take(revision, reading, relayed?.readAt ?? clock.monotonic())
     if (reading.changes.length > 0) this.changesServer.noteChange()
-    return reading as TableChanges<Value>
+    return { ...reading as TableChanges<Value>, reader: relayed?.reader }
   }
 
   private takeInstances (instances: readonly FeedInstance[]): void {
--- a/packages/feeds/src/JayfallTableFeed.ts
+++ b/packages/feeds/src/JayfallTableFeed.ts
@@ -21,12 +21,16 @@
   readonly storeTime: number
   /** Whether the readings before it failed. */
   readonly isAfterLoss: boolean
+  /** The instance that read it from the store; undefined when this one did. */
+  readonly reader: string | undefined
+  /** Milliseconds from the call to its answer, with the wait for a change. */
+  readonly took: number
 }
 
 export type FeedEvent =
   | FeedReading
-  /** The first failure since the last success. */
-  | { readonly kind: 'lost', readonly cause: unknown }
+  /** The first failure since the last success; `took` is the time of the call in milliseconds. */
+  | { readonly kind: 'lost', readonly cause: unknown, readonly took: number }
 
 export interface FeedOptions {
   readonly store: WatchableTableStore
@@ -42,20 +46,21 @@
   let revision: number | undefined
   let failures = 0
   while (!isStopped()) {
+    const calledAt = performance.now()
     try {
       const isSnapshot = revision === undefined
       const reading: TableChanges = revision === undefined ? await store.snapshot(table) : await store.changes(table, revision, FEED_WAIT)
       revision = reading.revision
       const isAfterLoss = failures > 0
       failures = 0
-      yield { kind: isSnapshot ? 'snapshot' : 'changes', rows: reading.changes, revision, storeTime: reading.storeTime, isAfterLoss }
+      yield { kind: isSnapshot ? 'snapshot' : 'changes', rows: reading.changes, revision, storeTime: reading.storeTime, isAfterLoss, reader: reading.reader, took: performance.now() - calledAt }
       if (reading.changes.length > 0 && reading.isRelayed !== true) await delay(Math.min(coalescePause(), store.longestPause))
     } catch (error) {
       if (isPlatformError(error, 'history_lost')) {
         revision = undefined
         continue
       }
-      if (failures++ === 0) yield { kind: 'lost', cause: error }
+      if (failures++ === 0) yield { kind: 'lost', cause: error, took: performance.now() - calledAt }
       await delay(Math.min(FEED_RETRY_MAXIMUM, FEED_RETRY_MINIMUM * 2 ** Math.min(failures - 1, 8)) * (0.5 + random.uniform()))
     }
   }
--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -17,7 +17,7 @@
 import { type CallerFields } from './JayfallForwardingProtocol'
 import { confidenceThreshold } from './JayfallModelLadder'
 import { type RetryBudget } from './JayfallRetryBudget'
-import { type VersionPolicy } from './JayfallVersionPolicy'
+import { type VersionPolicy, type VersionRule } from './JayfallVersionPolicy'
 
 /** One attempt at one server. */
 export interface AttemptPlan {
@@ -36,6 +36,13 @@
   readonly eventSilence: number
   /** Why this server was chosen; for the log. */
   readonly choice: BackendChoiceResult
+  /** Why a server of this version was chosen; for the log. */
+  readonly rule: VersionRule
+}
+
+interface ServerChoice {
+  readonly choice: BackendChoiceResult
+  readonly rule: VersionRule
 }
 
 /** How an attempt ended. */
@@ -97,14 +104,14 @@
   for (let number = 1; ; number++) {
     const now = clock.monotonic()
     if (deadline - now < MINIMUM_ATTEMPT_TIME) return endWithoutAnswer(mayHaveRun, 'too_late')
-    const choice = chooseServer(context, model, tried)
+    const chosen = chooseServer(context, model, tried)
     // Only what may have reached a server counts as a repeat.
     const isRepeat = previous !== undefined && previous.kind !== 'unsent'
-    if (choice === undefined || (isRepeat && !budget.trySpend(service, now))) {
+    if (chosen === undefined || (isRepeat && !budget.trySpend(service, now))) {
       if (previous?.kind === 'failed') return { kind: 'deliver' }
       return endWithoutAnswer(mayHaveRun, tried.size === 0 ? 'no_server' : 'servers_full')
     }
-    const result: AttemptResult = yield createPlan(context, choice, model, number, sends)
+    const result: AttemptResult = yield createPlan(context, chosen, model, number, sends)
     previous = result
     if (result.kind !== 'unsent') sends++
     switch (result.kind) {
@@ -123,7 +130,7 @@
       case 'silent':
         mayHaveRun = true
     }
-    tried.add(choice.row.server.id)
+    tried.add(chosen.choice.row.server.id)
     const isSurelyNotRun = result.kind === 'unsent' || result.kind === 'not_run'
     if ((isSurelyNotRun || route.isRepeatable) && sends < route.maximumAttempts) continue
     if (result.kind === 'failed') return { kind: 'deliver' }
@@ -141,18 +148,19 @@
   if (largest === undefined || model === largest || !route.isRepeatable || sends + 1 >= route.maximumAttempts || lastDelivered() !== undefined) return 0
   const now = clock.monotonic()
   const next = budget.hasRoom(service, now) ? chooseServer(context, largest, new Set()) : undefined
-  return next === undefined ? 0 : confidenceThreshold(next.firstEvent, arrivedAt + route.objective - now)
+  return next === undefined ? 0 : confidenceThreshold(next.choice.firstEvent, arrivedAt + route.objective - now)
 }
 
-function chooseServer (context: PlanContext, model: string | undefined, tried: ReadonlySet<string>): BackendChoiceResult | undefined {
+function chooseServer (context: PlanContext, model: string | undefined, tried: ReadonlySet<string>): ServerChoice | undefined {
   const { service, session, fields, clock, choice, versions } = context
   const now = clock.monotonic()
   const rule = versions.ruleFor(service, session, now)
   const request = { service, model, promptTokens: fields.promptTokens, outputTokens: fields.maximumOutputTokens, parts: fields.promptParts, tried }
-  return choice.choose({ ...request, allowsVersion: rule.prefers }, now) ?? choice.choose({ ...request, allowsVersion: version => rule.allows(version, tried.size > 0) }, now)
+  const found = choice.choose({ ...request, allowsVersion: rule.prefers }, now) ?? choice.choose({ ...request, allowsVersion: version => rule.allows(version, tried.size > 0) }, now)
+  return found === undefined ? undefined : { choice: found, rule }
 }
 
-function createPlan (context: PlanContext, choice: BackendChoiceResult, model: string | undefined, number: number, sends: number): AttemptPlan {
+function createPlan (context: PlanContext, { choice, rule }: ServerChoice, model: string | undefined, number: number, sends: number): AttemptPlan {
   const { route, deadline, lastDelivered } = context
   const resumeAfter = lastDelivered()
   const answerSilence = route.isStream
@@ -168,7 +176,8 @@
     // A request that must not run twice has nowhere else to go, so silence does not end it.
     answerSilence: route.isRepeatable ? answerSilence : Infinity,
     eventSilence: route.isRepeatable ? Math.max(MINIMUM_EVENT_SILENCE, route.gapObjective * EVENT_SILENCE_GAPS) : Infinity,
-    choice
+    choice,
+    rule
   }
 }
 
--- a/packages/forwarding/src/JayfallForwardedCall.ts
+++ b/packages/forwarding/src/JayfallForwardedCall.ts
@@ -53,14 +53,19 @@
     else this.answer.sendWhole(ready)
   }
 
-  private logAttempt ({ number, server, model, choice, resumeAfter }: AttemptPlan, result: AttemptResult): void {
+  private logAttempt ({ number, server, model, choice, rule, resumeAfter }: AttemptPlan, result: AttemptResult): void {
     const { log, metrics, clock } = this.context
     metrics.count('jayfall_forwarding_attempts_total', { service: this.plan.service, result: result.kind })
+    if (rule.known !== undefined && rule.known !== server.version) metrics.count('jayfall_forwarding_sessions_moved_total', { service: this.plan.service, reason: rule.reason })
     log.info('attempt_ended', {
       request: this.request.requestId,
       attempt: number,
       server: server.id,
       version: server.version,
+      session: this.plan.session,
+      session_version: rule.known,
+      version_rule: rule.reason,
+      version_forced: rule.prefers(server.version) ? undefined : true,
       model,
       result: result.kind,
       cause: 'cause' in result ? result.cause : undefined,
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -121,7 +121,7 @@
     await this.server.listen(callers.host, callers.port)
     this.parts.log.info('started', { instance, zone, address: `${callers.host}:${callers.port}` })
     const { source } = this.parts
-    this.follow(source.operatorTable, ({ rows }) => this.takeOperatorRows(rows))
+    this.follow(source.operatorTable, reading => this.takeOperatorRows(reading))
     this.follow(source.serverTable, reading => this.takeServerRows(reading))
     this.timers.push(setInterval(() => this.state.dropLapsed(), STATE_INTERVAL), setInterval(() => this.runRollouts(), ROLLOUT_INTERVAL))
   }
@@ -179,25 +179,28 @@
 
   private async follow (table: string, take: (reading: FeedReading) => void, isStopped = () => this.isStopping, coalescePause?: () => number): Promise<void> {
     const { store, random, log, clock } = this.parts
+    let lostAt = clock.monotonic()
     for await (const event of followTable({ store, table, random, isStopped, coalescePause })) {
       if (event.kind === 'lost') {
-        log.warn('store_lost', { table, message: messageOf(event.cause) })
+        lostAt = clock.monotonic()
+        log.warn('store_lost', { table, call_ms: Math.round(event.took), message: messageOf(event.cause) })
         continue
       }
-      if (event.isAfterLoss) log.info('store_regained', { table, revision: event.revision })
+      if (event.isAfterLoss) log.info('store_regained', { table, revision: event.revision, lost_ms: Math.round(clock.monotonic() - lostAt), call_ms: Math.round(event.took) })
+      this.metrics.record('jayfall_forwarding_feed_reading_seconds', { table, through: event.reader === undefined ? 'store' : 'reader' }, event.took)
       this.storeTimeOffset = Math.max(this.storeTimeOffset, event.storeTime - clock.monotonic())
       take(event)
     }
   }
 
-  private takeOperatorRows (rows: readonly TableChange[]): void {
+  private takeOperatorRows ({ rows, reader, took, storeTime }: FeedReading): void {
     for (const { key, value, revision } of rows) {
       if (value === undefined) {
         this.orders.delete(key)
         continue
       }
       const row = this.parts.source.readOperatorRow(key, value, revision)
-      if (row.kind === 'catalogue') this.state.takeCatalogue(row.catalogue)
+      if (row.kind === 'catalogue') this.state.takeCatalogue(row.catalogue, { revision, reader, took, age: this.parts.clock.monotonic() + this.storeTimeOffset - storeTime })
       else if (row.kind === 'rollout') this.orders.set(key, row.order)
       else if (row.reason !== undefined) this.parts.log.warn('operator_row_ignored', { key, revision, reason: row.reason })
     }
--- a/packages/forwarding/src/JayfallForwardingState.ts
+++ b/packages/forwarding/src/JayfallForwardingState.ts
@@ -7,7 +7,7 @@
  */
 
 import { type Clock } from '#jayfall/shared'
-import { type Log } from '#jayfall/telemetry'
+import { type Log, type LogFields } from '#jayfall/telemetry'
 
 import { type BackendDirectory } from './JayfallBackendDirectory'
 import { type BackendServer, type ForwardingCatalogue } from './JayfallForwardingCatalogue'
@@ -20,6 +20,17 @@
   readonly server: BackendServer | undefined
 }
 
+/** Where a version of the catalogue came from; for the log. */
+export interface CatalogueOrigin {
+  readonly revision: number
+  /** The instance that read it from the store; undefined when this one did. */
+  readonly reader: string | undefined
+  /** Milliseconds of the reading, with its wait for a change. */
+  readonly took: number
+  /** Milliseconds since the store answered the reading, by the store's clock. */
+  readonly age: number
+}
+
 export class ForwardingState {
   private table: RouteTable | undefined
   private hasServers = false
@@ -60,11 +71,11 @@
     this.releaseWaiting()
   }
 
-  takeCatalogue (catalogue: ForwardingCatalogue): void {
+  takeCatalogue (catalogue: ForwardingCatalogue, origin: CatalogueOrigin): void {
     const known = this.table?.catalogue.version
     if (known !== undefined && catalogue.version <= known) return
     this.table = new RouteTable(catalogue)
-    this.log.info('catalogue_in_force', { version: catalogue.version, replaced: known, routes: catalogue.routes.length, keys: catalogue.workspacesByKey?.size })
+    this.log.info('catalogue_in_force', { version: catalogue.version, replaced: known, routes: catalogue.routes.length, keys: catalogue.workspacesByKey?.size, ...describeOrigin(origin) })
     this.releaseWaiting()
   }
 
@@ -125,3 +136,7 @@
     this.log.info('server_gone', { server: id })
   }
 }
+
+function describeOrigin ({ revision, reader, took, age }: CatalogueOrigin): LogFields {
+  return { revision, through: reader ?? 'store', reading_ms: Math.round(took), age_ms: Math.round(age) }
+}
--- a/packages/forwarding/src/JayfallVersionPolicy.ts
+++ b/packages/forwarding/src/JayfallVersionPolicy.ts
@@ -13,15 +13,19 @@
 
 const MAXIMUM_REMEMBERED_SESSIONS = 20_000
 
+/** Why a request goes to a version; for the log. */
+export type VersionReason = 'no_rollout' | 'complete' | 'rolled_back' | 'suspended' | 'session_on_new' | 'in_share' | 'stays_old'
+
 export interface VersionRule {
+  readonly reason: VersionReason
+  /** The version on which this instance ran the session last; undefined when it does not know the session. */
+  readonly known: string | undefined
   /** Versions that the request should run on. */
   readonly prefers: (version: string) => boolean
   /** Versions that it may run on when no server of those can take it. */
   readonly allows: (version: string, isRepeat: boolean) => boolean
 }
 
-const ANY_VERSION: VersionRule = { prefers: () => true, allows: () => true }
-
 interface SessionVersion {
   readonly version: string
   /** Monotonic milliseconds. */
@@ -63,20 +67,20 @@
 
   ruleFor (service: string, session: string, now: number): VersionRule {
     const rollout = this.rollouts.get(service)
-    if (rollout === undefined) return ANY_VERSION
+    const known = this.knownVersion(service, session, now)
+    if (rollout === undefined) return { reason: 'no_rollout', known, prefers: () => true, allows: () => true }
     const target = rollout.order.version
     const isNew = (version: string): boolean => version === target
     const isOld = (version: string): boolean => version !== target
-    if (rollout.outcome === 'complete') return { prefers: isNew, allows: () => true }
-    if (rollout.outcome === 'rolled_back' || this.suspended.has(service)) return { prefers: isOld, allows: isOld }
-    const known = this.knownVersion(service, session, now)
+    if (rollout.outcome === 'complete') return { reason: 'complete', known, prefers: isNew, allows: () => true }
+    if (rollout.outcome === 'rolled_back' || this.suspended.has(service)) return { reason: rollout.outcome === 'rolled_back' ? 'rolled_back' : 'suspended', known, prefers: isOld, allows: isOld }
     const storeTime = this.storeTime()
     const isInShare = rendezvousShare(session, `${service}/${target}`) < newVersionShare(rollout, storeTime, this.settings.exposureShare)
     const mayMove = mayMoveSessions(rollout, storeTime)
     const goesToNew = known === target || (isInShare && (known === undefined || mayMove))
     // When no old server is left, the new version is in service, whatever this instance has not read yet.
-    if (!goesToNew) return { prefers: isOld, allows: (version, isRepeat) => !isRepeat || isOld(version) }
-    return { prefers: isNew, allows: () => true }
+    if (!goesToNew) return { reason: 'stays_old', known, prefers: isOld, allows: (version, isRepeat) => !isRepeat || isOld(version) }
+    return { reason: known === target ? 'session_on_new' : 'in_share', known, prefers: isNew, allows: () => true }
   }
 
   /** Takes note that a request of the session runs on a version. */
--- a/packages/store/src/JayfallTableStore.ts
+++ b/packages/store/src/JayfallTableStore.ts
@@ -59,6 +59,8 @@
   readonly storeTime: number
   /** Whether another instance read them from the store. */
   readonly isRelayed?: boolean
+  /** The instance that read them; undefined when this one did. */
+  readonly reader?: string
 }
 
 /** A table store that tells what has changed. */
