--- a/packages/store/src/JayfallStoreConstants.ts
+++ b/packages/store/src/JayfallStoreConstants.ts
@@ -2,6 +2,8 @@
 
 export const DEFAULT_PLATFORM_TIMEOUT_MILLISECONDS = 2000
 export const MAXIMUM_PLATFORM_CONNECTIONS = 16
+/** Pause within an answer after which it counts as broken off; packets that are lost once are back within a few hundred milliseconds. */
+export const MAXIMUM_ANSWER_PAUSE_MILLISECONDS = 1000
 
 /** Rows fetched with one listing call. */
 export const LISTING_PAGE_ROWS = 500
--- a/packages/store/src/JayfallStoreHttp.ts
+++ b/packages/store/src/JayfallStoreHttp.ts
@@ -4,14 +4,14 @@
 
 import Wreck from '@hapi/wreck'
 
-import { DEFAULT_PLATFORM_TIMEOUT_MILLISECONDS, MAXIMUM_PLATFORM_CONNECTIONS } from './JayfallStoreConstants'
+import { DEFAULT_PLATFORM_TIMEOUT_MILLISECONDS, MAXIMUM_ANSWER_PAUSE_MILLISECONDS, MAXIMUM_PLATFORM_CONNECTIONS } from './JayfallStoreConstants'
 import { PlatformError } from './JayfallStoreError'
 
 /** Where the platform is and how long to wait for it. */
 export interface PlatformSettings {
   /** IP address and port. */
   readonly address: string
-  /** Milliseconds for one call. */
+  /** Milliseconds until the answer to a call begins. */
   readonly timeout?: number
   /** IP address that connections are made from. */
   readonly localAddress?: string
@@ -38,14 +38,13 @@
   }
 
   /**
-   * Sends one call. @param timeout milliseconds; that of the settings by default. Statuses below 500 other than 429 are returned for the caller to interpret.
+   * Sends one call. @param timeout milliseconds until the answer begins; that of the settings by default. An answer that has begun may take as long as its bytes keep coming. Statuses below 500 other than 429 are returned for the caller to interpret.
    * @throws PlatformError `unavailable`, `rate_limited`, `outcome_unknown` or `malformed`.
    */
   async call (method: string, path: string, payload?: unknown, headers: Readonly<Record<string, string>> = {}, timeout = this.timeout): Promise<PlatformReply> {
-    const deadline = performance.now() + timeout
     const response = await this.send(method, path, payload, headers, timeout)
     const status = response.statusCode ?? 0
-    const text = await this.read(response, deadline - performance.now())
+    const text = await this.read(response, Math.min(timeout, MAXIMUM_ANSWER_PAUSE_MILLISECONDS))
     if (status === 429) throw new PlatformError('rate_limited', `the platform refused ${method} ${path} because of its rate limit`)
     if (status === 503) throw new PlatformError('unavailable', `the platform refused ${method} ${path} with status 503`)
     if (status >= 500) throw new PlatformError('outcome_unknown', `the platform failed ${method} ${path} with status ${status}`)
@@ -69,12 +68,17 @@
     }
   }
 
-  private async read (response: http.IncomingMessage, timeout: number): Promise<string> {
+  /** @param pause milliseconds without a byte after which the answer counts as broken off. */
+  private async read (response: http.IncomingMessage, pause: number): Promise<string> {
+    const timer = setTimeout(() => response.destroy(new Error(`nothing came for ${pause} ms`)), pause)
+    response.on('data', () => timer.refresh())
     try {
-      const body = await this.client.read(response, { timeout: Math.max(timeout, 1) })
+      const body = await this.client.read(response, {})
       return body.toString()
     } catch (error) {
       throw new PlatformError('outcome_unknown', 'the platform\'s answer broke off', error)
+    } finally {
+      clearTimeout(timer)
     }
   }
 }
