--- a/packages/store/src/JayfallStoreHttp.ts
+++ b/packages/store/src/JayfallStoreHttp.ts
@@ -56,6 +56,11 @@
     this.agent.destroy()
   }
 
+  /** What silenced one connection may have silenced the idle ones as well, and only a time-out each would show it. */
+  private dropIdleConnections (): void {
+    for (const sockets of Object.values(this.agent.freeSockets)) for (const socket of sockets ?? []) socket.destroy()
+  }
+
   private async send (method: string, path: string, payload: unknown, headers: Readonly<Record<string, string>>, timeout: number): Promise<http.IncomingMessage> {
     try {
       return await this.client.request(method, path, {
@@ -64,6 +69,7 @@
         timeout
       })
     } catch (error) {
+      this.dropIdleConnections()
       throw new PlatformError(isSurelyUnsent(error) ? 'unavailable' : 'outcome_unknown', `the platform did not answer ${method} ${path}`, error)
     }
   }
@@ -76,6 +82,7 @@
       const body = await this.client.read(response, {})
       return body.toString()
     } catch (error) {
+      this.dropIdleConnections()
       throw new PlatformError('outcome_unknown', 'the platform\'s answer broke off', error)
     } finally {
       clearTimeout(timer)
