--- a/packages/feeds/src/JayfallReaderChoice.ts
+++ b/packages/feeds/src/JayfallReaderChoice.ts
@@ -53,7 +53,7 @@
 
   /** Takes note that another instance reads from this one. */
   noteAsked (now: number): void {
-    if (!this.isReader(now)) this.readerSince = now
+    if (now - this.askedAt >= READER_SPAN) this.readerSince = now
     this.askedAt = now
   }
 
--- a/packages/feeds/src/__tests__/unit/JayfallFeeds.test.ts
+++ b/packages/feeds/src/__tests__/unit/JayfallFeeds.test.ts
@@ -140,6 +140,20 @@
       assert.deepEqual((await server.answer(request)).op, { kind: 'refused', reason: 'stale' })
     })
 
+    // The zone's preferred reader was called stale, and another one asked for 5 s, whenever it was first asked during a long reading of its own.
+    it('does not say so in a reading that it began before it was asked (guards against a second reader at each start)', async () => {
+      const clock = new ManualClock(1000)
+      const history = new FeedHistory()
+      history.begin(10, 0, clock.monotonic())
+      const preferred = instances(MINIMUM_SHARING_INSTANCES).map(({ id }) => new ReaderChoice(id, 'valdivia')).find(choice => {
+        choice.takeInstances(instances(MINIMUM_SHARING_INSTANCES))
+        return choice.isReader(clock.monotonic())
+      })
+      assert.ok(preferred !== undefined)
+      clock.advance(MAXIMUM_READING_AGE)
+      assert.deepEqual((await new ChangesServer(new Map([['op', history]]), preferred, clock).answer(request)).op, { kind: 'refused', reason: 'not_kept' })
+    })
+
     it('refuses a table that it does not follow without giving up the others', async () => {
       const replies = await serverAt(new ManualClock(1000)).answer({ ...request, tables: { op: 10, rollouts: 3 } })
       assert.equal(replies.op.kind, 'changes')
