--- a/packages/feeds/src/JayfallFeedConstants.ts
+++ b/packages/feeds/src/JayfallFeedConstants.ts
@@ -1,12 +1,15 @@
 /** Constants of the feeds of the store's tables. Durations are milliseconds. */
 
-/** Longest wait of one reading of the store's changes: a connection that went silent is noticed this late. */
-export const FEED_WAIT = 3000
+/**
+ * Longest wait of one reading of the store's changes. With the time that its answer may take and the next reading, a
+ * connection that went silent is replaced within the 3 s after which the platform expects an instance to know every change.
+ */
+export const FEED_WAIT = 1500
 /** Pause after a reading that brought changes, so that changes in quick succession are read together. */
 export const FEED_COALESCE_PAUSE = 250
-/** Pauses after a failed reading. */
+/** Pauses after a failed reading, half as much more or less. With the time-out of a reading without a wait they stay below the same 3 s. */
 export const FEED_RETRY_MINIMUM = 150
-export const FEED_RETRY_MAXIMUM = 1000
+export const FEED_RETRY_MAXIMUM = 500
 
 /** Instances of a zone from which on one of them reads for all: its frequent readings cost as much as about three instances of their own. */
 export const MINIMUM_SHARING_INSTANCES = 4
--- a/packages/feeds/src/JayfallTableFeed.ts
+++ b/packages/feeds/src/JayfallTableFeed.ts
@@ -3,7 +3,8 @@
  *
  * The feed begins with all rows and goes on with changes. A reading that fails is repeated with a
  * growing pause; when the store has forgotten the changes, all rows are read again. Between a
- * failure and the next success the store counts as lost.
+ * failure and the next success the store counts as lost. Meanwhile readings do not wait for changes:
+ * what a store in trouble does not answer must be given up early, to be asked again when it is back.
  */
 
 import { isPlatformError, type TableChange, type TableChanges, type WatchableTableStore } from '#jayfall/store'
@@ -49,7 +50,7 @@
     const calledAt = performance.now()
     try {
       const isSnapshot = revision === undefined
-      const reading: TableChanges = revision === undefined ? await store.snapshot(table) : await store.changes(table, revision, FEED_WAIT)
+      const reading: TableChanges = revision === undefined ? await store.snapshot(table) : await store.changes(table, revision, failures === 0 ? FEED_WAIT : 0)
       revision = reading.revision
       const isAfterLoss = failures > 0
       failures = 0
