--- a/packages/feeds/src/JayfallChangesServer.ts
+++ b/packages/feeds/src/JayfallChangesServer.ts
@@ -2,7 +2,7 @@
 
 import { type Clock } from '#jayfall/shared'
 
-import { MAXIMUM_READING_AGE } from './JayfallFeedConstants'
+import { MAXIMUM_READING_AGE, MAXIMUM_RELAYED_BYTES } from './JayfallFeedConstants'
 import { type FeedHistory } from './JayfallFeedHistory'
 import { ChangesSource, type ChangesReply, type ChangesRequest, type TableReply } from './JayfallFeedPeers'
 import { type ReaderChoice } from './JayfallReaderChoice'
@@ -45,6 +45,7 @@
     if (this.isStopping || this.hasLostStore(now)) return { kind: 'refused', reason: 'stale' }
     const reading = history?.after(revision, now)
     if (history === undefined || reading === undefined || !isFresh(history, now)) return { kind: 'refused', reason: 'not_kept' }
+    if (history.bytesAfter(revision) > MAXIMUM_RELAYED_BYTES) return { kind: 'refused', reason: 'too_large' }
     return { kind: 'changes', reading, age: now - history.completeUntil }
   }
 
--- a/packages/feeds/src/JayfallFeedConstants.ts
+++ b/packages/feeds/src/JayfallFeedConstants.ts
@@ -31,6 +31,8 @@
 export const OWN_READING_SPAN = 2000
 /** Changed rows that a reader keeps for others; they need those of the last second or two. */
 export const MAXIMUM_HISTORY_ROWS = 2000
+/** Bytes of changes that a reader sends to one instance: 20 instances get them over a link of 7 Mbit/s within about 0.2 s. */
+export const MAXIMUM_RELAYED_BYTES = 8192
 /** Tables that one call may name. */
 export const MAXIMUM_TABLES_PER_CALL = 16
 
--- a/packages/feeds/src/JayfallFeedPeers.ts
+++ b/packages/feeds/src/JayfallFeedPeers.ts
@@ -21,6 +21,8 @@
 export type RefusalReason =
   /** It does not follow the table, or no longer has all changes that the caller lacks. */
   | 'not_kept'
+  /** There are changes, but too many bytes of them for its link; the store has more. */
+  | 'too_large'
   /** It has not heard from the store lately, or is about to end. */
   | 'stale'
 
--- a/packages/feeds/src/__tests__/integration/JayfallSharedTableStore.test.ts
+++ b/packages/feeds/src/__tests__/integration/JayfallSharedTableStore.test.ts
@@ -142,6 +142,16 @@
     assert.ok(await timeUntilKnown(2, members) < 500)
   })
 
+  it('brings large rows to all instances in time, and keeps one reader (guards against instances that wait for what the reader does not send)', async () => {
+    const reader = await startSharing()
+    const value = 'x'.repeat(400_000)
+    rows.current.put('op', 'config', value)
+    assert.ok(await timeUntilKnown(value, members) < 500)
+    const before = members.map(({ own }) => own.calls)
+    await delay(1500)
+    assert.deepEqual(members.filter(({ own }, index) => own.calls > before[index]), [reader])
+  })
+
   it('brings changes in time when the reader is cut off from the store (guards against a zone that is stuck on an old configuration)', async () => {
     const reader = await startSharing()
     reader.own.isCutOff = true
