--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -82,6 +82,8 @@
   readonly service: string
   /** Requests of one session stay on one version. */
   readonly session: string
+  /** Whether other requests may belong to the same session. */
+  readonly isSession: boolean
   readonly fields: CallerFields
   /** Monotonic milliseconds. */
   readonly arrivedAt: number
@@ -152,9 +154,9 @@
 }
 
 function chooseServer (context: PlanContext, model: string | undefined, tried: ReadonlySet<string>): ServerChoice | undefined {
-  const { service, session, fields, clock, choice, versions } = context
+  const { service, session, isSession, fields, clock, choice, versions } = context
   const now = clock.monotonic()
-  const rule = versions.ruleFor(service, session, now)
+  const rule = versions.ruleFor(service, session, now, isSession)
   const request = { service, model, promptTokens: fields.promptTokens, outputTokens: fields.maximumOutputTokens, parts: fields.promptParts, tried }
   const found = choice.choose({ ...request, allowsVersion: rule.prefers }, now) ?? choice.choose({ ...request, allowsVersion: version => rule.allows(version, tried.size > 0) }, now)
   return found === undefined ? undefined : { choice: found, rule }
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -120,16 +120,18 @@
 /** Part of the allowed exposure that a rollout's trial uses; the rest is left for its ramp and for requests under way. */
 export const TRIAL_EXPOSURE_SHARE = 0.6
 /** Part of the rollout's period after which sessions may move to the new version; before a half of it they must not. */
-export const RAMP_START_SHARE = 0.53
+export const SESSION_START_SHARE = 0.51
+/** Part of the rollout's period at which the trial ends; a version that is bad from its start shows within 1.5 s of answers to sessions. */
+export const RAMP_START_SHARE = 0.61
 /** Part of the rollout's period by which both versions share the work, so that the servers of both carry the load. */
-export const RAMP_END_SHARE = 0.62
+export const RAMP_END_SHARE = 0.69
 /** The part of sessions on the new version between the two ramps. */
 export const RAMP_MIDDLE = 0.5
 /** Parts of the rollout's period between which the rest moves to the new version. */
-export const FINAL_RAMP_START_SHARE = 0.74
-export const FINAL_RAMP_END_SHARE = 0.78
+export const FINAL_RAMP_START_SHARE = 0.76
+export const FINAL_RAMP_END_SHARE = 0.8
 /** Part of the rollout's period from which the old servers are checked for remaining work. */
-export const COMPLETION_START_SHARE = 0.82
+export const COMPLETION_START_SHARE = 0.83
 /** Before the rollout's deadline, the time at which it is completed even if old servers still have work. */
 export const COMPLETION_RESERVE = 1200
 /** Interval of the rollout duty. */
--- a/packages/forwarding/src/JayfallForwardingServer.ts
+++ b/packages/forwarding/src/JayfallForwardingServer.ts
@@ -95,7 +95,8 @@
       if (body === 'too_large') return this.refuse(answer, requestId, 413, 'body_too_large')
       if (body === 'broken') return
       const { route, workspace } = decision
-      const session = fields.session ?? fields.promptParts.at(-1)?.id ?? requestId
+      const sharedSession = fields.session ?? fields.promptParts.at(-1)?.id
+      const session = sharedSession ?? requestId
       const service = chooseTarget(route, session)
       this.context.budget.noteRequest(service, arrivedAt)
       const plan: PlanContext = {
@@ -103,6 +104,7 @@
         route,
         service,
         session,
+        isSession: sharedSession !== undefined,
         fields,
         arrivedAt,
         deadline: arrivedAt + Math.min(fields.patience ?? Infinity, route.timeout),
--- a/packages/forwarding/src/JayfallRolloutPlan.ts
+++ b/packages/forwarding/src/JayfallRolloutPlan.ts
@@ -1,13 +1,13 @@
 /**
  * The course of a rollout as pure functions of the store's clock.
  *
- * A small trial share of new sessions goes to the new version from the order on. In the second
- * half of the period the share grows, old sessions included: first to a half, so that the servers
- * of both versions carry the load for a while, and then to everything. Each instance computes the
- * share from the same start time, so the ramps need no messages.
+ * A small trial share goes to the new version: of requests without a session from the order on, of
+ * sessions from the second half of the period on. Then the share grows, first to a half, so that the
+ * servers of both versions carry the load for a while, and then to everything. Each instance computes
+ * the share from the same start time, so the ramps need no messages.
  */
 
-import { COMPLETION_RESERVE, COMPLETION_START_SHARE, FINAL_RAMP_END_SHARE, FINAL_RAMP_START_SHARE, RAMP_END_SHARE, RAMP_MIDDLE, RAMP_START_SHARE, TRIAL_EXPOSURE_SHARE } from './JayfallForwardingConstants'
+import { COMPLETION_RESERVE, COMPLETION_START_SHARE, FINAL_RAMP_END_SHARE, FINAL_RAMP_START_SHARE, RAMP_END_SHARE, RAMP_MIDDLE, RAMP_START_SHARE, SESSION_START_SHARE, TRIAL_EXPOSURE_SHARE } from './JayfallForwardingConstants'
 import { type RolloutOrder } from './JayfallForwardingCatalogue'
 
 export type RolloutOutcome = 'running' | 'complete' | 'rolled_back'
@@ -36,7 +36,7 @@
 
 /** Whether sessions of the old version may move to the new one. */
 export function mayMoveSessions ({ order, startedAt, outcome }: Rollout, storeTime: number): boolean {
-  return outcome !== 'running' || storeTime - startedAt >= order.period * RAMP_START_SHARE
+  return outcome !== 'running' || storeTime - startedAt >= order.period * SESSION_START_SHARE
 }
 
 /** Whether the old servers' remaining work is worth a check. */
--- a/packages/forwarding/src/JayfallVersionPolicy.ts
+++ b/packages/forwarding/src/JayfallVersionPolicy.ts
@@ -1,8 +1,10 @@
 /**
  * Which version of a service a request may run on.
  *
- * Sessions keep the version of their last request, except when its rollout ended otherwise or,
- * in the second half of a rollout, moves them to the new version.
+ * A session may run at several instances, which tell each other nothing about it. So in the first
+ * half of a rollout all sessions stay on the old version, whatever an instance knows of them; in the
+ * second half each instance moves the same sessions at the same time of the store's clock, and none
+ * goes back unless the rollout does. Requests without a session take part in the trial from its start.
  */
 
 import { rendezvousShare } from '#jayfall/shared'
@@ -65,7 +67,8 @@
     this.suspended.set(service, version)
   }
 
-  ruleFor (service: string, session: string, now: number): VersionRule {
+  /** @param isSession whether other requests may belong to the same session. */
+  ruleFor (service: string, session: string, now: number, isSession = true): VersionRule {
     const rollout = this.rollouts.get(service)
     const known = this.knownVersion(service, session, now)
     if (rollout === undefined) return { reason: 'no_rollout', known, prefers: () => true, allows: () => true }
@@ -76,8 +79,7 @@
     if (rollout.outcome === 'rolled_back' || this.suspended.has(service)) return { reason: rollout.outcome === 'rolled_back' ? 'rolled_back' : 'suspended', known, prefers: isOld, allows: isOld }
     const storeTime = this.storeTime()
     const isInShare = rendezvousShare(session, `${service}/${target}`) < newVersionShare(rollout, storeTime, this.settings.exposureShare)
-    const mayMove = mayMoveSessions(rollout, storeTime)
-    const goesToNew = known === target || (isInShare && (known === undefined || mayMove))
+    const goesToNew = known === target || (isInShare && (!isSession || mayMoveSessions(rollout, storeTime)))
     // When no old server is left, the new version is in service, whatever this instance has not read yet.
     if (!goesToNew) return { reason: 'stays_old', known, prefers: isOld, allows: (version, isRepeat) => !isRepeat || isOld(version) }
     return { reason: known === target ? 'session_on_new' : 'in_share', known, prefers: isNew, allows: () => true }
--- a/packages/forwarding/src/__tests__/unit/JayfallFakes.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallFakes.ts
@@ -62,6 +62,7 @@
       route,
       service: SERVICE,
       session: 'session',
+      isSession: true,
       fields,
       arrivedAt: now,
       deadline: now + 5000,
