--- a/packages/feeds/src/JayfallChangesServer.ts
+++ b/packages/feeds/src/JayfallChangesServer.ts
@@ -6,11 +6,13 @@
 import { type FeedHistory } from './JayfallFeedHistory'
 import { ChangesSource, type ChangesReply, type ChangesRequest, type TableReply } from './JayfallFeedPeers'
 import { type ReaderChoice } from './JayfallReaderChoice'
+import { RelayedChanges } from './JayfallRelayedChange'
 
 export class ChangesServer extends ChangesSource {
   private isStopping = false
   /** Calls that wait for a change. */
   private readonly waiting = new Set<() => void>()
+  private readonly relayed = new RelayedChanges()
 
   constructor (private readonly histories: ReadonlyMap<string, FeedHistory>, private readonly choice: ReaderChoice, private readonly clock: Clock) {
     super()
@@ -45,8 +47,9 @@
     if (this.isStopping || this.hasLostStore(now)) return { kind: 'refused', reason: 'stale' }
     const reading = history?.after(revision, now)
     if (history === undefined || reading === undefined || !isFresh(history, now)) return { kind: 'refused', reason: 'not_kept' }
-    if (history.bytesAfter(revision) > MAXIMUM_RELAYED_BYTES) return { kind: 'refused', reason: 'too_large' }
-    return { kind: 'changes', reading, age: now - history.completeUntil }
+    const changes = this.relayed.within(MAXIMUM_RELAYED_BYTES, reading.changes)
+    if (changes === undefined) return { kind: 'refused', reason: 'too_large' }
+    return { kind: 'changes', reading: { ...reading, changes }, age: now - history.completeUntil }
   }
 
   /** Whether no table was heard of lately; a single old one is no longer followed. */
--- a/packages/feeds/src/JayfallFeedConstants.ts
+++ b/packages/feeds/src/JayfallFeedConstants.ts
@@ -33,6 +33,9 @@
 export const MAXIMUM_HISTORY_ROWS = 2000
 /** Bytes of changes that a reader sends to one instance: 20 instances get them over a link of 7 Mbit/s within about 0.2 s. */
 export const MAXIMUM_RELAYED_BYTES = 8192
+/** Bytes of a value from which on it is compressed, and beyond which it is too large even then: values shrink to a fifth or a third. */
+export const MINIMUM_PACKED_VALUE_BYTES = 1024
+export const MAXIMUM_PACKED_VALUE_BYTES = 65_536
 /** Tables that one call may name. */
 export const MAXIMUM_TABLES_PER_CALL = 16
 
--- a/packages/feeds/src/JayfallFeedHistory.ts
+++ b/packages/feeds/src/JayfallFeedHistory.ts
@@ -12,8 +12,6 @@
 export class FeedHistory {
   /** The last change of each row, in the order of revisions. */
   private readonly changes = new Map<string, TableChange>()
-  /** Bytes of changes as they are sent; counted when they are asked for. */
-  private readonly sizes = new WeakMap<TableChange, number>()
   /** All changes after this revision, up to `known`, are kept. */
   private keptAfter = Infinity
   private known = 0
@@ -47,19 +45,6 @@
     return { changes, revision: Math.max(revision, this.known), storeTime: this.storeTime + now - this.readAt, isRelayed: true }
   }
 
-  /** Bytes of the changes after a revision, as they are sent to others. */
-  bytesAfter (revision: number): number {
-    let bytes = 0
-    for (const change of this.changes.values()) if (change.revision > revision) bytes += this.sizeOf(change)
-    return bytes
-  }
-
-  private sizeOf (change: TableChange): number {
-    const known = this.sizes.get(change) ?? Buffer.byteLength(JSON.stringify(change))
-    this.sizes.set(change, known)
-    return known
-  }
-
   private keep (change: TableChange): void {
     const known = this.changes.get(change.key)
     if (known !== undefined && known.revision >= change.revision) return
--- a/packages/feeds/src/JayfallFeedPeers.ts
+++ b/packages/feeds/src/JayfallFeedPeers.ts
@@ -6,6 +6,7 @@
 
 import { MAXIMUM_TABLES_PER_CALL, PEER_TIMEOUT, PEER_WAIT } from './JayfallFeedConstants'
 import { type FeedInstance } from './JayfallReaderChoice'
+import { unpackChange, type RelayedChange } from './JayfallRelayedChange'
 
 const revision = z.number().nonnegative()
 
@@ -28,7 +29,7 @@
 
 export type TableReply =
   /** `age`: milliseconds since the reader heard from the store. */
-  | { readonly kind: 'changes', readonly reading: TableChanges, readonly age: number }
+  | { readonly kind: 'changes', readonly reading: TableChanges & { readonly changes: readonly RelayedChange[] }, readonly age: number }
   | { readonly kind: 'refused', readonly reason: RefusalReason }
 
 export type ChangesReply = Readonly<Record<string, TableReply>>
@@ -56,10 +57,14 @@
   async changes (reader: FeedInstance, request: ChangesRequest): Promise<ChangesReply> {
     const reply = await this.clients.at(reader.address).feeds.changes.mutate(request)
     // JSON leaves the undefined values of removed rows out, which reads alike.
-    return reply as ChangesReply
+    return Object.fromEntries(Object.entries(reply as ChangesReply).map(([table, sent]) => [table, unpackReply(sent)]))
   }
 
   close (): void {
     this.clients.close()
   }
 }
+
+function unpackReply (reply: TableReply): TableReply {
+  return reply.kind === 'refused' ? reply : { ...reply, reading: { ...reply.reading, changes: reply.reading.changes.map(unpackChange) } }
+}
--- a/packages/feeds/src/__tests__/unit/JayfallLargeChanges.test.ts
+++ b/packages/feeds/src/__tests__/unit/JayfallLargeChanges.test.ts
@@ -8,6 +8,7 @@
 import { ChangesServer } from '../../JayfallChangesServer'
 import { FeedHistory } from '../../JayfallFeedHistory'
 import { ReaderChoice } from '../../JayfallReaderChoice'
+import { unpackChange } from '../../JayfallRelayedChange'
 
 /** A configuration of 1,800 routes. */
 const LARGE_VALUE = { routes: Array.from({ length: 1800 }, (_, index) => ({ name: `route-${index}`, prefix: `/path-${index}/` })) }
@@ -33,6 +34,14 @@
     assert.notEqual(reply.op.kind === 'changes' && reply.op.reading.revision === 11, true)
   })
 
+  // LOST and CONFIG on smritivan-ops-grown: twenty configurations of 14 KB in quick succession filled the links of the zones' readers, whose streams then broke off.
+  it('compresses what it sends to many instances (guards against readers whose link is full while configurations come in quick succession)', async () => {
+    const value = { routes: LARGE_VALUE.routes.slice(0, 200) }
+    const { op } = await createServer(value).answer({ tables: { op: 10 }, wait: 100 })
+    assert.ok(op.kind === 'changes' && JSON.stringify(op).length < JSON.stringify(value).length / 3)
+    assert.deepEqual(op.reading.changes.map(unpackChange), [{ key: 'config', revision: 11, value }])
+  })
+
   it('sends small rows as before', async () => {
     const { op } = await createServer({ routes: [] }).answer({ tables: { op: 10 }, wait: 100 })
     assert.equal(op.kind === 'changes' ? op.reading.changes.length : undefined, 1)
