--- a/packages/forwarding/src/JayfallBackendExchange.ts
+++ b/packages/forwarding/src/JayfallBackendExchange.ts
@@ -40,7 +40,10 @@
   private constructor (call: ExchangeCall, private readonly onHead: (response: http.IncomingMessage) => void, private readonly onFailure: (error: ExchangeError) => void) {
     const [host, port] = call.address.split(':')
     this.request = http.request({ host, port: Number(port), method: call.method, path: call.path, agent: false, headers: [...call.rawHeaders] })
-    const connectTimer = setTimeout(() => this.fail(new ExchangeError('unsent', 'the connection was not opened in time')), CONNECT_TIMEOUT)
+    // After a time in which the process stood still, timers run before the connections that were opened meanwhile are noticed.
+    const connectTimer = setTimeout(() => setImmediate(() => {
+      if (!this.isConnected) this.fail(new ExchangeError('unsent', 'the connection was not opened in time'))
+    }), CONNECT_TIMEOUT)
     this.request.on('socket', socket => {
       socket.once('connect', () => {
         clearTimeout(connectTimer)
