--- a/packages/forwarding/src/JayfallBackendDirectory.ts
+++ b/packages/forwarding/src/JayfallBackendDirectory.ts
@@ -54,6 +54,9 @@
   /** Recent delays of first events, by service. */
   private readonly serviceDelays = new Map<string, { readonly delay: number, readonly at: number }>()
 
+  /** @param ownZone the availability zone of this instance. */
+  constructor (private readonly ownZone: string) {}
+
   get rows (): ReadonlyTable<BackendRow> {
     return this.table
   }
@@ -152,11 +155,16 @@
     const recent = [...this.unreachable.get(zone) ?? []].filter(([other, at]) => other !== id && now - at < CUT_ZONE_WINDOW)
     const servers = new Map<string, number>([...recent, [id, now]])
     this.unreachable.set(zone, servers)
-    if (servers.size < CUT_ZONE_SERVERS) return
+    if (servers.size < CUT_ZONE_SERVERS || (zone !== this.ownZone && this.isOwnZoneMissed(now))) return
     this.cutZones.set(zone, now + CUT_ZONE_AVOIDANCE)
     for (const listener of this.cutOffListeners.get(zone) ?? []) listener()
   }
 
+  /** Whether the servers beside this instance were out of reach of late: then its own link is the likely cause. */
+  private isOwnZoneMissed (now: number): boolean {
+    return [...this.unreachable.get(this.ownZone)?.values() ?? []].some(at => now - at < CUT_ZONE_WINDOW)
+  }
+
   /** Has `listener` called whenever a server of the zone cannot be reached while the zone counts as cut off. */
   registerCutOffListener (zone: string, listener: () => void): () => void {
     const listeners = this.cutOffListeners.get(zone) ?? new Set()
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -60,7 +60,7 @@
 
 export class ForwardingInstance {
   readonly metrics = new Metrics()
-  private readonly directory = new BackendDirectory()
+  private readonly directory: BackendDirectory
   private readonly state: ForwardingState
   private readonly versions: VersionPolicy
   private readonly budget: RetryBudget
@@ -79,6 +79,7 @@
     const { clock, log, protocol } = parts
     const storeTime = (): number => clock.monotonic() + this.storeTimeOffset
     this.settings = settings
+    this.directory = new BackendDirectory(settings.zone)
     this.state = new ForwardingState(this.directory, clock, log)
     this.versions = new VersionPolicy(settings, storeTime)
     this.budget = new RetryBudget(settings.retryRatio)
--- a/packages/forwarding/src/__tests__/unit/JayfallBackendChoice.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallBackendChoice.test.ts
@@ -109,6 +109,19 @@
       assert.notEqual(chosen(decisions, PLAIN_REQUEST), 'near')
     })
 
+    // LOST on smritivan-ops-grown: a reader whose link was full broke streams off at servers of zones that nobody had cut off.
+    it('blames no zone while servers of its own zone are out of reach too (guards against streams broken off by a full link)', () => {
+      const decisions = new FakeDecisions([fakeServer('near'), ...['x', 'y'].map(id => fakeServer(id, { zone: 'osorno' }))])
+      const now = decisions.clock.monotonic()
+      let suspected = 0
+      decisions.directory.registerCutOffListener('osorno', () => suspected++)
+      for (const id of ['near', 'x', 'y']) decisions.directory.noteUnreachable(id, now)
+      assert.deepEqual([suspected, decisions.directory.isCutOff('osorno', now)], [0, false])
+      decisions.directory.noteReachable('near')
+      decisions.directory.noteUnreachable('y', now)
+      assert.deepEqual([suspected, decisions.directory.isCutOff('osorno', now)], [1, true])
+    })
+
     it('uses a server that fails when there is no other', () => {
       const decisions = new FakeDecisions([fakeServer('only')])
       for (let count = 0; count < 5; count++) decisions.directory.noteFailure('only', decisions.clock.monotonic())
--- a/packages/forwarding/src/__tests__/unit/JayfallFakes.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallFakes.ts
@@ -44,7 +44,7 @@
 /** The parts that decide on one request, over a clock that tests move. */
 export class FakeDecisions {
   readonly clock = new ManualClock(1000)
-  readonly directory = new BackendDirectory()
+  readonly directory = new BackendDirectory('valdivia')
   readonly holders = new PromptHolders()
   readonly times = new ReadingTimes()
   readonly choice = new EstimatedTimeChoice(this.directory, this.holders, this.times, 'valdivia')
