--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -15,6 +15,7 @@
 import { FIRST_EVENT_MILLISECONDS, PAUSE_SAMPLE_EVENTS, TOLD_READING_MINIMUM } from './JayfallForwardingConstants'
 import { type ForwardingContext } from './JayfallForwardingContext'
 import { type AnswerFields } from './JayfallForwardingProtocol'
+import { type VersionOutcome } from './JayfallRolloutEvidence'
 
 /** The request as the caller sent it. */
 export interface CallerRequest {
@@ -54,6 +55,8 @@
   private unconfirmed: AttemptPlan[] = []
   /** Mean milliseconds between the attempt's events; undefined when there were too few. */
   private meanPause: number | undefined
+  /** Attempts that have counted for or against their version. */
+  private readonly judged = new Set<AttemptPlan>()
 
   constructor (
     private readonly context: ForwardingContext,
@@ -169,6 +172,7 @@
         this.answeredAfter ??= this.context.clock.monotonic() - startedAt
         this.noteRead(attempt, this.answeredAfter)
         if (++events >= PAUSE_SAMPLE_EVENTS) this.meanPause = (this.context.clock.monotonic() - startedAt - this.answeredAfter) / (events - 1)
+        this.judgeEarly(attempt)
         silence = attempt.eventSilence
         if (!isAfter(event, this.answer.lastEventId)) continue
         this.answer.beginStream(status, response.rawHeaders)
@@ -250,9 +254,20 @@
     this.noteOutcome(attempt, true)
   }
 
-  private noteOutcome ({ server, model }: AttemptPlan, hasFailed: boolean): void {
+  /** A slow stream may end long after its rollout, so it counts as soon as it is known to be slow. */
+  private judgeEarly (attempt: AttemptPlan): void {
+    if (!this.judged.has(attempt) && this.context.evidence.isSlow(this.outcomeOf(attempt))) this.noteOutcome(attempt, true)
+  }
+
+  private noteOutcome (attempt: AttemptPlan, hasFailed: boolean): void {
+    if (this.judged.has(attempt)) return
+    this.judged.add(attempt)
+    this.context.evidence.note({ ...this.outcomeOf(attempt), hasFailed })
+  }
+
+  private outcomeOf ({ server, model }: AttemptPlan): Omit<VersionOutcome, 'hasFailed'> {
     const { service, route } = this.plan
-    this.context.evidence.note({ service, version: server.version, route: route.name, model, hasFailed, pace: { firstEvent: this.answeredAfter, pause: this.meanPause } })
+    return { service, version: server.version, route: route.name, model, pace: { firstEvent: this.answeredAfter, pause: this.meanPause } }
   }
 }
 
--- a/packages/forwarding/src/JayfallRolloutEvidence.ts
+++ b/packages/forwarding/src/JayfallRolloutEvidence.ts
@@ -25,6 +25,12 @@
     return known
   }
 
+  /** Whether an attempt that still runs is already known to be slow, and tells something about a rollout. */
+  isSlow ({ service, version, route, model, pace }: Omit<VersionOutcome, 'hasFailed'>): boolean {
+    const rollout = this.versions.rolloutOf(service)
+    return rollout?.outcome === 'running' && version === rollout.order.version && this.of(service).isSlow(route, model, pace)
+  }
+
   note ({ service, version, route, model, hasFailed, pace }: VersionOutcome): void {
     const rollout = this.versions.rolloutOf(service)
     const evidence = this.of(service)
--- a/packages/forwarding/src/JayfallVersionEvidence.ts
+++ b/packages/forwarding/src/JayfallVersionEvidence.ts
@@ -93,7 +93,8 @@
     this.usualTimes.set(key, usual === undefined ? milliseconds : usual + (milliseconds - usual) * USUAL_TIME_WEIGHT)
   }
 
-  private isSlow (route: string, model: string | undefined, { firstEvent, pause }: AnswerPace): boolean {
+  /** Whether an answer, or what has come of it, is several times slower than usual. */
+  isSlow (route: string, model: string | undefined, { firstEvent, pause }: AnswerPace): boolean {
     const usualFirst = this.usualTimes.get(`first/${route}/${model ?? ''}`)
     const usualPause = this.usualTimes.get(`pause/${route}/${model ?? ''}`)
     if (pause !== undefined && usualPause !== undefined && pause > usualPause * SLOW_PAUSE_FACTOR) return true
