--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -12,7 +12,7 @@
 import { engineUrgency } from './JayfallEngineUrgency'
 import { EventSplitter, type StreamEvent } from './JayfallEventSplitter'
 import { type ForwardingWorkspace } from './JayfallForwardingCatalogue'
-import { FIRST_EVENT_MILLISECONDS, PAUSE_SAMPLE_EVENTS, TOLD_READING_MINIMUM } from './JayfallForwardingConstants'
+import { FIRST_EVENT_MILLISECONDS, MAXIMUM_ANSWER_BYTES, MAXIMUM_EVENT_BYTES, PAUSE_SAMPLE_EVENTS, TOLD_READING_MINIMUM } from './JayfallForwardingConstants'
 import { type ForwardingContext } from './JayfallForwardingContext'
 import { type AnswerFields } from './JayfallForwardingProtocol'
 import { type VersionOutcome } from './JayfallRolloutEvidence'
@@ -143,12 +143,15 @@
 
   private async readWhole (attempt: AttemptPlan, { response, status, isWhole }: AnswerHead, startedAt: number): Promise<AttemptResult> {
     const chunks: Buffer[] = []
+    let length = 0
     const iterator = response[Symbol.asyncIterator]()
     for (;;) {
       const end = await this.waitWithin(iterator.next(), attempt, attempt.answerSilence)
       if (end.kind !== 'value') return this.endOfWait(end, attempt)
       if (end.value.done === true) break
       chunks.push(end.value.value as Buffer)
+      length += chunks[chunks.length - 1].length
+      if (length > MAXIMUM_ANSWER_BYTES) return { kind: 'broken', cause: `the answer goes on after ${length} bytes` }
     }
     if (!isWhole()) return { kind: 'broken', cause: 'the answer broke off' }
     // A stream that has begun cannot become another answer.
@@ -178,6 +181,7 @@
         this.answer.beginStream(status, response.rawHeaders)
         if (!this.answer.writeEvent(event.bytes, event.id)) await this.answer.drained()
       }
+      if (splitter.pendingBytes > MAXIMUM_EVENT_BYTES) return { kind: 'broken', cause: `an event goes on after ${splitter.pendingBytes} bytes` }
     }
     // Without a length, a stream's end cannot be told from a server that stopped.
     if (!isWhole() || splitter.pendingBytes > 0 || !isFramed(response)) return { kind: 'broken', cause: 'the stream broke off' }
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -14,6 +14,9 @@
 export const MINIMUM_EVENT_SILENCE = 1500
 /** The same in pauses that a timely stream may have. */
 export const EVENT_SILENCE_GAPS = 2
+/** Bytes of an answer, and of one event, from which on it counts as one without end: as much as requests may have by default, and several hundred usual events. */
+export const MAXIMUM_ANSWER_BYTES = 4 * 1024 * 1024
+export const MAXIMUM_EVENT_BYTES = 256 * 1024
 /** With less time left another attempt cannot end before the caller leaves. */
 export const MINIMUM_ATTEMPT_TIME = 30
 
