--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -179,7 +179,9 @@
         silence = attempt.eventSilence
         if (!isAfter(event, this.answer.lastEventId)) continue
         this.answer.beginStream(status, response.rawHeaders)
-        if (!this.answer.writeEvent(event.bytes, event.id)) await this.answer.drained()
+        if (this.answer.writeEvent(event.bytes, event.id)) continue
+        const drained = await this.waitWithin(this.answer.drained(), attempt, Infinity)
+        if (drained.kind !== 'value') return this.endOfWait(drained, attempt)
       }
       if (splitter.pendingBytes > MAXIMUM_EVENT_BYTES) return { kind: 'broken', cause: `an event goes on after ${splitter.pendingBytes} bytes` }
     }
