--- a/packages/forwarding/src/JayfallHealthProbe.ts
+++ b/packages/forwarding/src/JayfallHealthProbe.ts
@@ -18,7 +18,8 @@
     const path = this.state.routes?.catalogue.services.get(service)?.healthPath ?? '/'
     try {
       const response = await Wreck.request('GET', `http://${address}${path}`, { timeout: PROBE_TIMEOUT })
-      response.resume()
+      // The load is in the head, and the body of a server in trouble need not end.
+      response.destroy()
       const { load } = this.protocol.readAnswer(response.headers)
       return load === undefined ? undefined : load.running + load.waiting
     } catch (error) {
