--- a/packages/feeds/src/JayfallFeedConstants.ts
+++ b/packages/feeds/src/JayfallFeedConstants.ts
@@ -13,6 +13,8 @@
 
 /** Instances of a zone from which on one of them reads for all: its frequent readings cost as much as about three instances of their own. */
 export const MINIMUM_SHARING_INSTANCES = 4
+/** Part of the widest link in a zone from which on an instance is preferred as a reader: instances of one size stay alike. */
+export const WIDE_LINK_SHARE = 0.5
 /** Wait of a reading by an instance that others read from; bounds how late they notice that it lost the store. */
 export const READER_WAIT = 600
 /** Pause between two readings by such an instance. */
--- a/packages/feeds/src/JayfallInstanceRegister.ts
+++ b/packages/feeds/src/JayfallInstanceRegister.ts
@@ -18,6 +18,8 @@
   id: z.string(),
   zone: z.string(),
   address: z.string(),
+  /** Mbit/s; rows of older versions have none. */
+  link: z.number().positive().optional(),
   /** Wall-clock milliseconds of the write. */
   at: z.number()
 }).readonly()
@@ -94,7 +96,7 @@
     for await (const row of listRows<unknown>(store, INSTANCES_TABLE, '')) {
       const parsed = instanceRow.safeParse(row.value)
       if (!parsed.success || clock.wall() - parsed.data.at > REGISTRATION_LIFETIME) await this.remove(row)
-      else instances.push({ id: parsed.data.id, zone: parsed.data.zone, address: parsed.data.address })
+      else instances.push({ id: parsed.data.id, zone: parsed.data.zone, address: parsed.data.address, link: parsed.data.link })
     }
     this.listed = instances.length
     onListing(instances)
--- a/packages/feeds/src/JayfallReaderChoice.ts
+++ b/packages/feeds/src/JayfallReaderChoice.ts
@@ -1,14 +1,14 @@
 /**
  * Which instance of an availability zone reads the store's changes for the others.
  *
- * All instances rank the zone's instances alike, so they agree on the reader without messages. A
- * reader that does not answer is left out for a while by those who noticed it. Two readers at a
- * time do no harm: they only read twice.
+ * All instances rank the zone's instances alike, those with wide links first, so they agree on the
+ * reader without messages. A reader that does not answer is left out for a while by those who noticed
+ * it. Two readers at a time do no harm: they only read twice.
  */
 
 import { rendezvousRank } from '#jayfall/shared'
 
-import { FEED_WAIT, MAXIMUM_READING_AGE, MAXIMUM_SUSPECT_SPAN, MINIMUM_SHARING_INSTANCES, OWN_READING_SPAN, READER_SPAN, READER_SUSPECT_SPAN } from './JayfallFeedConstants'
+import { FEED_WAIT, MAXIMUM_READING_AGE, MAXIMUM_SUSPECT_SPAN, MINIMUM_SHARING_INSTANCES, OWN_READING_SPAN, READER_SPAN, READER_SUSPECT_SPAN, WIDE_LINK_SHARE } from './JayfallFeedConstants'
 
 /** An instance that can read for others. */
 export interface FeedInstance {
@@ -16,6 +16,8 @@
   readonly zone: string
   /** IP address and port at which it is asked. */
   readonly address: string
+  /** Bandwidth of its link, in Mbit/s; undefined when it did not tell. */
+  readonly link?: number
 }
 
 interface Suspicion {
@@ -37,12 +39,16 @@
   private readerSince = -Infinity
   private ownFailureAt = -Infinity
 
-  constructor (private readonly id: string, private readonly zone: string) {}
+  /** @param link bandwidth of the own link, in Mbit/s. */
+  constructor (private readonly id: string, private readonly zone: string, private readonly link = 0) {}
 
   /** @param instances all that are known, with or without this one. */
   takeInstances (instances: readonly FeedInstance[]): void {
     const others = new Map(instances.filter(({ id, zone }) => id !== this.id && zone === this.zone).map(instance => [instance.id, instance]))
-    this.ranked = rendezvousRank(RANK_KEY, [this.id, ...others.keys()]).map(id => others.get(id) ?? { id, zone: this.zone, address: '' })
+    const all = [...others.values(), { id: this.id, zone: this.zone, address: '', link: this.link }]
+    const widest = Math.max(...all.map(linkOf))
+    const isWide = (instance: FeedInstance): boolean => linkOf(instance) >= widest * WIDE_LINK_SHARE
+    this.ranked = [...rank(all.filter(isWide)), ...rank(all.filter(instance => !isWide(instance)))]
     this.isPreferred = this.isSharing && this.ranked[0].id === this.id
     for (const id of this.suspects.keys()) if (!others.has(id)) this.suspects.delete(id)
   }
@@ -91,3 +97,12 @@
     return reader === undefined || reader.id === this.id ? undefined : reader
   }
 }
+
+function linkOf ({ link = 0 }: FeedInstance): number {
+  return link
+}
+
+function rank (instances: readonly FeedInstance[]): readonly FeedInstance[] {
+  const byId = new Map(instances.map(instance => [instance.id, instance]))
+  return rendezvousRank(RANK_KEY, byId.keys()).map(id => byId.get(id)).filter(instance => instance !== undefined)
+}
--- a/packages/feeds/src/JayfallSharedTableStore.ts
+++ b/packages/feeds/src/JayfallSharedTableStore.ts
@@ -27,6 +27,8 @@
   /** Where other instances ask this one: IP address and port. */
   readonly host: string
   readonly port: number
+  /** Bandwidth of this instance's link, in Mbit/s; undefined when it is not known. */
+  readonly link?: number
   readonly clock: Clock
   readonly random: RandomSource
   readonly log: Log
@@ -47,8 +49,8 @@
 
   constructor (private readonly parts: SharedTableStoreParts) {
     super()
-    const { instance, zone, host, clock, log } = parts
-    this.choice = new ReaderChoice(instance, zone)
+    const { instance, zone, host, link, clock, log } = parts
+    this.choice = new ReaderChoice(instance, zone, link)
     this.client = new FeedPeerClient(host)
     this.readings = new PeerReadings(this.client, this.choice, clock, log)
     this.changesServer = new ChangesServer(this.histories, this.choice, clock)
@@ -56,9 +58,9 @@
 
   /** Begins to answer other instances, and to look for them. */
   async start (): Promise<void> {
-    const { instance, zone, host, port } = this.parts
+    const { instance, zone, host, port, link } = this.parts
     this.peerServer = await startPeerServer(`${host}:${port}`, createFeedRouter(this.changesServer))
-    const self = { id: instance, zone, address: `${host}:${this.peerServer.info.port}` }
+    const self = { id: instance, zone, address: `${host}:${this.peerServer.info.port}`, link }
     this.register = new InstanceRegister({ ...this.parts, self, onListing: instances => this.takeInstances(instances) })
     await this.register.start()
   }
--- a/packages/feeds/src/__tests__/unit/JayfallFeeds.test.ts
+++ b/packages/feeds/src/__tests__/unit/JayfallFeeds.test.ts
@@ -79,6 +79,24 @@
       assert.equal(new Set(readers).size, 1)
     })
 
+    // CONFIG and LOST on smritivan-ops-grown: in all four zones the reader was one with a link of 10 Mbit/s, beside two with 200.
+    it('prefers instances with a wide link, first and when one of them is gone (guards against a reader whose link is the bottleneck)', () => {
+      const zone = instances(18).map((instance, index) => ({ ...instance, link: index < 2 ? 200 : 10 }))
+      const readers = zone.map(({ id, link }) => {
+        const choice = new ReaderChoice(id, 'valdivia', link)
+        choice.takeInstances(zone)
+        return choice
+      })
+      assert.deepEqual(new Set(readers.slice(2).map(choice => choice.readerAt(0)?.id)).size, 1)
+      for (const choice of readers.slice(2)) {
+        const first = choice.readerAt(0)?.id
+        assert.ok(first === 'entry-0' || first === 'entry-1')
+        choice.noteReaderFailure(first, 0)
+        const second = choice.readerAt(1)?.id
+        assert.ok(second !== first && (second === 'entry-0' || second === 'entry-1'))
+      }
+    })
+
     it('lets few instances read by themselves', () => {
       const choice = new ReaderChoice('entry-0', 'valdivia')
       choice.takeInstances(instances(MINIMUM_SHARING_INSTANCES - 1))
