--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -271,9 +271,10 @@
     this.context.evidence.note({ ...this.outcomeOf(attempt), hasFailed })
   }
 
-  private outcomeOf ({ server, model }: AttemptPlan): Omit<VersionOutcome, 'hasFailed'> {
+  private outcomeOf ({ server, model, choice }: AttemptPlan): Omit<VersionOutcome, 'hasFailed'> {
     const { service, route } = this.plan
-    return { service, version: server.version, route: route.name, model, pace: { firstEvent: this.answeredAfter, pause: this.meanPause } }
+    const expected = model === undefined ? undefined : FIRST_EVENT_MILLISECONDS + choice.reading
+    return { service, version: server.version, route: route.name, model, pace: { firstEvent: this.answeredAfter, pause: this.meanPause, expected } }
   }
 }
 
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -165,6 +165,8 @@
 export const VERDICT_RATE_CEILING = 0.9
 /** A first event, or a plain answer, later than this many usual ones counts as a failure of the version. */
 export const SLOW_ANSWER_FACTOR = 4
+/** The same in estimates for the prompt's length: long prompts that no server of a new version holds yet take up to twice as long as estimated. */
+export const SLOW_ESTIMATE_FACTOR = 2.5
 /** Events that come this many times as slowly as usual count as a failure of the version; load alone slows them to about half the speed. */
 export const SLOW_PAUSE_FACTOR = 3
 /** Streams with fewer events tell nothing about their pauses. */
--- a/packages/forwarding/src/JayfallVersionEvidence.ts
+++ b/packages/forwarding/src/JayfallVersionEvidence.ts
@@ -5,7 +5,7 @@
  * version is bad when it fails much more often than the old one, over all routes or on one.
  */
 
-import { EVIDENCE_SPAN, POOLED_RATE_OUTCOMES, SLOW_ANSWER_FACTOR, SLOW_ANSWER_MINIMUM, SLOW_PAUSE_FACTOR, USUAL_TIME_WEIGHT, VERDICT_EXCESS_FAILURES, VERDICT_FAILURES, VERDICT_FAILURE_RATE, VERDICT_RATE_CEILING, VERDICT_RELATIVE_RATE } from './JayfallForwardingConstants'
+import { EVIDENCE_SPAN, POOLED_RATE_OUTCOMES, SLOW_ANSWER_FACTOR, SLOW_ANSWER_MINIMUM, SLOW_ESTIMATE_FACTOR, SLOW_PAUSE_FACTOR, USUAL_TIME_WEIGHT, VERDICT_EXCESS_FAILURES, VERDICT_FAILURES, VERDICT_FAILURE_RATE, VERDICT_RATE_CEILING, VERDICT_RELATIVE_RATE } from './JayfallForwardingConstants'
 
 /** Outcomes of one route: good and bad ones of the new version, good and bad ones of the old. */
 export type RouteCounts = readonly [newGood: number, newBad: number, oldGood: number, oldBad: number]
@@ -21,6 +21,8 @@
   readonly firstEvent: number | undefined
   /** Mean milliseconds between two events. */
   readonly pause: number | undefined
+  /** Estimated milliseconds until the first event from the length of the prompt, without waiting; undefined for plain answers. */
+  readonly expected?: number
 }
 
 interface Span {
@@ -94,11 +96,11 @@
   }
 
   /** Whether an answer, or what has come of it, is several times slower than usual. */
-  isSlow (route: string, model: string | undefined, { firstEvent, pause }: AnswerPace): boolean {
+  isSlow (route: string, model: string | undefined, { firstEvent, pause, expected = 0 }: AnswerPace): boolean {
     const usualFirst = this.usualTimes.get(`first/${route}/${model ?? ''}`)
     const usualPause = this.usualTimes.get(`pause/${route}/${model ?? ''}`)
     if (pause !== undefined && usualPause !== undefined && pause > usualPause * SLOW_PAUSE_FACTOR) return true
-    return firstEvent !== undefined && usualFirst !== undefined && firstEvent > Math.max(SLOW_ANSWER_MINIMUM, usualFirst * SLOW_ANSWER_FACTOR)
+    return firstEvent !== undefined && usualFirst !== undefined && firstEvent > Math.max(SLOW_ANSWER_MINIMUM, usualFirst * SLOW_ANSWER_FACTOR, expected * SLOW_ESTIMATE_FACTOR)
   }
 }
 
--- a/packages/forwarding/src/__tests__/unit/JayfallRollouts.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallRollouts.test.ts
@@ -101,6 +101,16 @@
       assert.equal(isBadVersion(evidence.recent(40)), true)
     })
 
+    // A good version was rolled back in a hunted day (good-rollout-restarts, --vary, seed 768672505127): its servers held no prompts yet, and long ones took 4 times the usual time of shorter, held ones.
+    it('does not count first events as slow that were late because of long prompts (guards against roll-backs of good versions)', () => {
+      const evidence = new VersionEvidence()
+      for (let count = 0; count < 20; count++) evidence.noteOutcome('route', 'small', false, false, { firstEvent: 100, pause: 20, expected: 90 }, count)
+      for (let count = 0; count < 6; count++) evidence.noteOutcome('route', 'small', true, false, { firstEvent: 1400, pause: undefined, expected: 750 }, 30)
+      assert.equal(isBadVersion(evidence.recent(40)), false)
+      for (let count = 0; count < 6; count++) evidence.noteOutcome('route', 'small', true, false, { firstEvent: 1400, pause: undefined, expected: 180 }, 50)
+      assert.equal(isBadVersion(evidence.recent(60)), true)
+    })
+
     it('finds slow events behind a first event in time (guards against a slow version that hides in waiting times)', () => {
       const evidence = new VersionEvidence()
       for (let count = 0; count < 20; count++) evidence.noteOutcome('route', 'small', false, false, { firstEvent: 500, pause: 20 }, count)
