--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -12,7 +12,7 @@
 import { engineUrgency } from './JayfallEngineUrgency'
 import { EventSplitter, type StreamEvent } from './JayfallEventSplitter'
 import { type ForwardingWorkspace } from './JayfallForwardingCatalogue'
-import { FIRST_EVENT_MILLISECONDS, MAXIMUM_ANSWER_BYTES, MAXIMUM_EVENT_BYTES, PAUSE_SAMPLE_EVENTS, TOLD_READING_MINIMUM } from './JayfallForwardingConstants'
+import { FIRST_EVENT_MILLISECONDS, MAXIMUM_ANSWER_BYTES, MAXIMUM_EVENT_BYTES, PAUSE_SAMPLE_EVENTS, TIMELY_EVENTS, TOLD_READING_MINIMUM } from './JayfallForwardingConstants'
 import { type ForwardingContext } from './JayfallForwardingContext'
 import { type AnswerFields } from './JayfallForwardingProtocol'
 import { type VersionOutcome } from './JayfallRolloutEvidence'
@@ -55,8 +55,8 @@
   private unconfirmed: AttemptPlan[] = []
   /** Mean milliseconds between the attempt's events; undefined when there were too few. */
   private meanPause: number | undefined
-  /** Attempts that have counted for or against their version. */
-  private readonly judged = new Set<AttemptPlan>()
+  /** Attempts that have counted for or against their version, and whether as failures. */
+  private readonly judged = new Map<AttemptPlan, boolean>()
 
   constructor (
     private readonly context: ForwardingContext,
@@ -175,7 +175,7 @@
         this.answeredAfter ??= this.context.clock.monotonic() - startedAt
         this.noteRead(attempt, this.answeredAfter)
         if (++events >= PAUSE_SAMPLE_EVENTS) this.meanPause = (this.context.clock.monotonic() - startedAt - this.answeredAfter) / (events - 1)
-        this.judgeEarly(attempt)
+        this.judgeEarly(attempt, events)
         silence = attempt.eventSilence
         if (!isAfter(event, this.answer.lastEventId)) continue
         this.answer.beginStream(status, response.rawHeaders)
@@ -260,14 +260,18 @@
     this.noteOutcome(attempt, true)
   }
 
-  /** A slow stream may end long after its rollout, so it counts as soon as it is known to be slow. */
-  private judgeEarly (attempt: AttemptPlan): void {
-    if (!this.judged.has(attempt) && this.context.evidence.isSlow(this.outcomeOf(attempt))) this.noteOutcome(attempt, true)
+  /** A slow stream may end long after its rollout, so it counts as soon as it is known to be slow; and one in time after some events, lest slow ones seem to be most. */
+  private judgeEarly (attempt: AttemptPlan, events: number): void {
+    if (this.judged.has(attempt)) return
+    const isSlow = this.context.evidence.isSlow(this.outcomeOf(attempt))
+    if (isSlow || events >= TIMELY_EVENTS) this.noteOutcome(attempt, isSlow)
   }
 
   private noteOutcome (attempt: AttemptPlan, hasFailed: boolean): void {
-    if (this.judged.has(attempt)) return
-    this.judged.add(attempt)
+    const known = this.judged.get(attempt)
+    // What was in time at first may still fail.
+    if (known === true || known === hasFailed) return
+    this.judged.set(attempt, hasFailed)
     this.context.evidence.note({ ...this.outcomeOf(attempt), hasFailed })
   }
 
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -171,6 +171,8 @@
 export const SLOW_PAUSE_FACTOR = 3
 /** Streams with fewer events tell nothing about their pauses. */
 export const PAUSE_SAMPLE_EVENTS = 4
+/** Events after which a stream that is not slow counts as in time: twice those that tell its pace. */
+export const TIMELY_EVENTS = 2 * PAUSE_SAMPLE_EVENTS
 /** Span over which outcomes are counted; a verdict looks at the current one and the one before. */
 export const EVIDENCE_SPAN = 4000
 /** Age of another instance's report from which on it no longer counts. */
