Relay answers of backend servers without the HTTP client of Node.js

Cause of the processor time: each event of a stream went through the HTTP client's parser, a readable stream, an asynchronous iteration, a timer and two listeners, and left as three buffers.

Change: AnswerParser (no network) reads answers strictly and hands out bytes with callbacks; StreamRelay holds one timer a stream and counts only new complete events as progress; an attempt without progress is given up only when another one can follow. Events leave as one buffer. Affinity of servers to prompt parts is computed from one hash a name instead of one a pair, so instances of this and the former build prefer different servers for a part during a rolling restart.

--- a/packages/entry/src/JayfallBackendClient.ts
+++ b/packages/entry/src/JayfallBackendClient.ts
@@ -1,11 +1,10 @@
 /** HTTP client for backend servers (engines and plain services) with pooled connections. */
 
 import * as http from 'node:http'
-import * as net from 'node:net'
 
 import Wreck from '@hapi/wreck'
 import { type LoadReport } from '#jayfall/routing'
-import { type Clock } from '#jayfall/shared'
+import { createReadBuffer, type Clock } from '#jayfall/shared'
 
 import { BackendError } from './JayfallBackendError'
 import { type LeavingPolicy } from './JayfallLeavingPolicy'
@@ -27,24 +26,9 @@
 /** Idle connections that the pool keeps for each backend server. */
 const MAXIMUM_IDLE_CONNECTIONS_PER_SERVER = 64
 
-const READ_BUFFER_BYTES = 64 * 1024
-
 /** Socket errors that prove that no byte of the request was sent. */
 const UNSENT_ERROR_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL'])
 
-/**
- * Creates the one buffer that all connections read into. Without it, Node.js allocates 64 KiB for each
- * read, which is many times the size of the event of one token.
- */
-function createReadBuffer (): net.OnReadOpts {
-  return {
-    buffer: Buffer.allocUnsafe(READ_BUFFER_BYTES),
-    callback (this: net.Socket, length, buffer) {
-      return this.push(Buffer.from(buffer.subarray(0, length)))
-    }
-  } as net.OnReadOpts
-}
-
 /** Receives the state that servers report in their response headers. */
 export interface BackendObserver {
   onLoad (address: string, report: LoadReport): void
--- a/packages/entry/src/JayfallResponseWriter.ts
+++ b/packages/entry/src/JayfallResponseWriter.ts
@@ -2,6 +2,8 @@
 
 import { type ServerResponse } from 'node:http'
 
+import { encodeChunk, LAST_CHUNK } from '#jayfall/shared'
+
 import { toApiError, type ApiError } from './JayfallApiError'
 
 /** Headers of a response by name. */
@@ -115,19 +117,6 @@
   }
 }
 
-/** The empty chunk that ends a chunked body. */
-const LAST_CHUNK = Buffer.from('0\r\n\r\n')
-
-/** Encodes one chunk of the chunked transfer coding of HTTP/1.1. */
-function encodeChunk (data: Buffer): Buffer {
-  const size = `${data.length.toString(16)}\r\n`
-  const frame = Buffer.allocUnsafe(size.length + data.length + 2)
-  frame.write(size, 0, 'latin1')
-  data.copy(frame, size.length)
-  frame.write('\r\n', size.length + data.length, 'latin1')
-  return frame
-}
-
 /** The data of one event of a streamed chat completion. */
 interface CompletionChunk {
   readonly id: string
--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -34,6 +34,8 @@
   readonly answerTimeout: number
   /** Milliseconds without a further event after which the attempt is given up. */
   readonly eventGapTimeout: number
+  /** Whether another attempt could follow now. A late attempt is only given up when one can. */
+  readonly isReplaceable: () => boolean
   /** The estimates behind the selection of this server; for the log. */
   readonly selection: BackendSelection
   /** The rule that led to the version of this server; for the log. */
@@ -113,7 +115,7 @@
       if (previous?.kind === 'failed') return { kind: 'deliver' }
       return decideWithoutAnswer(mayHaveRun, triedServers.size === 0 ? 'no_server' : 'servers_full')
     }
-    const result: AttemptResult = yield createPlan(context, chosen, model, number, sentAttempts)
+    const result: AttemptResult = yield createPlan(context, chosen, model, number, sentAttempts, triedServers)
     previous = result
     if (result.kind !== 'unsent') sentAttempts++
     switch (result.kind) {
@@ -162,7 +164,7 @@
   return selection === undefined ? undefined : { selection, versionRule }
 }
 
-function createPlan (context: PlanContext, { selection, versionRule }: ChosenServer, model: string | undefined, number: number, sentAttempts: number): AttemptPlan {
+function createPlan (context: PlanContext, { selection, versionRule }: ChosenServer, model: string | undefined, number: number, sentAttempts: number, triedServers: ReadonlySet<string>): AttemptPlan {
   const { route, deadline, lastDeliveredEventId } = context
   const resumeAfter = lastDeliveredEventId()
   const answerTimeout = route.isStream
@@ -178,11 +180,18 @@
     // A request that must not run twice cannot be sent to another server, so it has no such timeout.
     answerTimeout: route.isRepeatable ? answerTimeout : Infinity,
     eventGapTimeout: route.isRepeatable ? Math.max(MINIMUM_EVENT_GAP_TIMEOUT_MILLISECONDS, route.eventGapObjective * EVENT_GAP_TIMEOUT_OBJECTIVES) : Infinity,
+    isReplaceable: () => isReplaceable(context, model, sentAttempts, new Set([...triedServers, selection.row.server.id])),
     selection,
     versionRule
   }
 }
 
+/** Whether the route, the retry budget and the servers allow another attempt after the running one. */
+function isReplaceable (context: PlanContext, model: string | undefined, sentAttempts: number, triedServers: ReadonlySet<string>): boolean {
+  const { route, retryBudget, service, clock } = context
+  return route.isRepeatable && sentAttempts + 1 < route.maximumAttempts && retryBudget.hasRetryLeft(service, clock.monotonic()) && chooseServer(context, model, triedServers) !== undefined
+}
+
 function decideWithoutAnswer (mayHaveRun: boolean, code: RefusalCode): FinalDecision {
   if (!mayHaveRun) return { kind: 'refuse', code, retryAfter: DEFAULT_RETRY_AFTER_MILLISECONDS }
   return { kind: 'fail', code: code === 'too_late' ? 'timeout' : 'answer_lost' }
--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -1,21 +1,20 @@
 /** Runs attempts: sends the request, reads the answer, and forwards events to the caller. */
 
-import { type IncomingMessage } from 'node:http'
-
-import { messageOf } from '#jayfall/shared'
+import { invariant, messageOf } from '#jayfall/shared'
 
+import { type AnswerHead } from './JayfallAnswerParser'
 import { type AttemptPlan, type AttemptResult, type PlanContext } from './JayfallAttemptPlan'
 import { BackendExchange, ExchangeError } from './JayfallBackendExchange'
+import { BodyReader } from './JayfallBodyReader'
 import { waitFor, type WaitResult } from './JayfallBoundedWait'
 import { type CallerAnswer, type BufferedAnswer } from './JayfallCallerAnswer'
 import { ZoneOutageDetector } from './JayfallZoneOutageDetector'
 import { enginePriority } from './JayfallEnginePriority'
-import { EventSplitter, type StreamEvent } from './JayfallEventSplitter'
 import { type ForwardingWorkspace } from './JayfallForwardingCatalogue'
-import { FIRST_EVENT_OVERHEAD_MILLISECONDS, MAXIMUM_ANSWER_BYTES, MAXIMUM_EVENT_BYTES, EVENT_GAP_SAMPLE_EVENTS, TIMELY_STREAM_EVENTS, MINIMUM_PUBLISHED_PREFILL_MILLISECONDS } from './JayfallForwardingConstants'
+import { FIRST_EVENT_OVERHEAD_MILLISECONDS, MAXIMUM_ANSWER_BYTES, EVENT_GAP_SAMPLE_EVENTS, TIMELY_STREAM_EVENTS, MINIMUM_PUBLISHED_PREFILL_MILLISECONDS } from './JayfallForwardingConstants'
 import { type ForwardingContext } from './JayfallForwardingContext'
-import { type AnswerFields } from './JayfallForwardingProtocol'
 import { type VersionOutcome } from './JayfallRolloutEvidence'
+import { StreamRelay } from './JayfallStreamRelay'
 
 /** The request as the caller sent it. */
 export interface CallerRequest {
@@ -27,14 +26,6 @@
   readonly workspace: ForwardingWorkspace | undefined
 }
 
-interface AnswerHead {
-  readonly response: IncomingMessage
-  readonly status: number
-  readonly fields: AnswerFields
-  /** Whether the body ended properly. */
-  readonly isComplete: () => boolean
-}
-
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([421])
 /** Statuses that guarantee to callers that the request has not run. */
 export const NOT_RUN_GUARANTEE_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
@@ -100,16 +91,14 @@
 
   private async exchange (attempt: AttemptPlan, rawHeaders: readonly string[], startedAt: number): Promise<AttemptResult> {
     let exchange: BackendExchange | undefined
-    const responsePromise = new Promise<IncomingMessage>((resolve, reject) => {
+    const headPromise = new Promise<AnswerHead>((resolve, reject) => {
       exchange = BackendExchange.open({ method: this.request.method, address: attempt.server.address, path: this.request.path, rawHeaders, body: this.request.body }, resolve, reject)
     })
     try {
-      const wait = await this.waitWithin(responsePromise, attempt, attempt.answerTimeout)
+      const wait = await this.waitForAnswer(headPromise, attempt)
       if (wait.kind !== 'value') return this.resultOfInterruptedWait(wait, attempt)
-      const response = wait.value
-      // Errors are reported by the iteration over the body; those of an answer that is dropped are ignored.
-      response.on('error', () => {})
-      return await this.readAnswer(attempt, response, () => response.complete && exchange?.hasFailed === false, startedAt)
+      invariant(exchange !== undefined, 'an answer has an exchange')
+      return await this.readAnswer(attempt, exchange, wait.value, startedAt)
     } catch (error) {
       if (error instanceof ExchangeError && error.failure === 'unsent') return { kind: 'unsent' }
       return { kind: 'broken', cause: messageOf(error) }
@@ -118,12 +107,12 @@
     }
   }
 
-  private async readAnswer (attempt: AttemptPlan, response: IncomingMessage, isComplete: () => boolean, startedAt: number): Promise<AttemptResult> {
+  private async readAnswer (attempt: AttemptPlan, exchange: BackendExchange, head: AnswerHead, startedAt: number): Promise<AttemptResult> {
     const { protocol, directory, clock } = this.context
     directory.recordReachable(attempt.server.id)
     this.zoneOutageDetector?.recordActivity()
-    const head: AnswerHead = { response, status: response.statusCode ?? 0, fields: protocol.decodeAnswerHeaders(response.headers), isComplete }
-    const { fields, status } = head
+    const { status } = head
+    const fields = protocol.decodeAnswerHeaders(head.headers)
     if (fields.load !== undefined && (fields.server === undefined || fields.server === attempt.server.id)) directory.recordLoad(attempt.server.id, fields.load, clock.monotonic())
     if (fields.isNotRun || NOT_RUN_STATUSES.has(status)) return { kind: 'not_run', status }
     if (fields.requestId !== this.request.requestId) return { kind: 'broken', cause: 'the answer belongs to another request' }
@@ -138,70 +127,76 @@
         return { kind: 'unsure', confidence: fields.confidence }
       }
     }
-    return isSuccess && this.plan.route.isStream ? this.relayEvents(attempt, head, startedAt) : this.readCompleteAnswer(attempt, head, startedAt)
+    return isSuccess && this.plan.route.isStream ? this.relayEvents(attempt, exchange, head, startedAt) : this.readCompleteAnswer(attempt, exchange, head, startedAt)
   }
 
-  private async readCompleteAnswer (attempt: AttemptPlan, { response, status, isComplete }: AnswerHead, startedAt: number): Promise<AttemptResult> {
-    const chunks: Buffer[] = []
-    let length = 0
-    const iterator = response[Symbol.asyncIterator]()
-    for (;;) {
-      const wait = await this.waitWithin(iterator.next(), attempt, attempt.answerTimeout)
-      if (wait.kind !== 'value') return this.resultOfInterruptedWait(wait, attempt)
-      if (wait.value.done === true) break
-      chunks.push(wait.value.value as Buffer)
-      length += chunks[chunks.length - 1].length
-      if (length > MAXIMUM_ANSWER_BYTES) return { kind: 'broken', cause: `the answer goes on after ${length} bytes` }
-    }
-    if (!isComplete()) return { kind: 'broken', cause: 'the answer broke off' }
+  private async readCompleteAnswer (attempt: AttemptPlan, exchange: BackendExchange, head: AnswerHead, startedAt: number): Promise<AttemptResult> {
+    const reader = new BodyReader(MAXIMUM_ANSWER_BYTES)
+    exchange.readBody(reader)
+    const wait = await this.waitForAnswer(reader.result, attempt, () => reader.receivedBytes)
+    if (wait.kind !== 'value') return this.resultOfInterruptedWait(wait, attempt)
+    const body = wait.value
+    if (body === 'too_large') return { kind: 'broken', cause: `the answer goes on after ${reader.receivedBytes} bytes` }
+    if (body === 'broken') return { kind: 'broken', cause: 'the answer broke off' }
     // A stream that has begun cannot be replaced by another answer.
-    if (this.answer.hasBegun) return { kind: 'broken', cause: `the stream could not be resumed: status ${status}` }
+    if (this.answer.hasBegun) return { kind: 'broken', cause: `the stream could not be resumed: status ${head.status}` }
     this.timeToAnswer = this.context.clock.monotonic() - startedAt
-    this.bufferedAnswer = { status, rawHeaders: response.rawHeaders, body: Buffer.concat(chunks), isSelfDelimited: isSelfDelimited(response) }
-    return status >= 500 ? { kind: 'failed', status } : { kind: 'answered' }
+    this.bufferedAnswer = { ...head, body }
+    return head.status >= 500 ? { kind: 'failed', status: head.status } : { kind: 'answered' }
   }
 
-  private async relayEvents (attempt: AttemptPlan, { response, status, isComplete }: AnswerHead, startedAt: number): Promise<AttemptResult> {
-    const splitter = new EventSplitter()
-    const iterator = response[Symbol.asyncIterator]()
-    let timeout = attempt.answerTimeout
+  private async relayEvents (attempt: AttemptPlan, exchange: BackendExchange, head: AnswerHead, startedAt: number): Promise<AttemptResult> {
+    const { clock } = this.context
     let events = 0
-    for (;;) {
-      const wait = await this.waitWithin(iterator.next(), attempt, timeout)
-      if (wait.kind !== 'value') return this.resultOfInterruptedWait(wait, attempt)
-      if (wait.value.done === true) break
-      this.zoneOutageDetector?.recordActivity()
-      for (const event of splitter.push(wait.value.value as Buffer)) {
-        this.timeToAnswer ??= this.context.clock.monotonic() - startedAt
+    const end = await new StreamRelay({
+      exchange,
+      head,
+      answer: this.answer,
+      clock,
+      deadline: attempt.deadline,
+      firstEventTimeout: attempt.answerTimeout,
+      eventGapTimeout: attempt.eventGapTimeout,
+      stopSignals: this.stopSignals,
+      isReplaceable: attempt.isReplaceable,
+      onBytes: () => this.zoneOutageDetector?.recordActivity(),
+      onEvent: () => {
+        this.timeToAnswer ??= clock.monotonic() - startedAt
         this.recordPrefillEnd(attempt, this.timeToAnswer)
-        if (++events >= EVENT_GAP_SAMPLE_EVENTS) this.meanEventGap = (this.context.clock.monotonic() - startedAt - this.timeToAnswer) / (events - 1)
+        if (++events >= EVENT_GAP_SAMPLE_EVENTS) this.meanEventGap = (clock.monotonic() - startedAt - this.timeToAnswer) / (events - 1)
         this.recordEarlyOutcome(attempt, events)
-        timeout = attempt.eventGapTimeout
-        if (!isLaterEvent(event, this.answer.lastEventId)) continue
-        this.answer.beginStream(status, response.rawHeaders)
-        if (this.answer.writeEvent(event.bytes, event.id)) continue
-        const drained = await this.waitWithin(this.answer.waitForDrain(), attempt, Infinity)
-        if (drained.kind !== 'value') return this.resultOfInterruptedWait(drained, attempt)
       }
-      if (splitter.pendingBytes > MAXIMUM_EVENT_BYTES) return { kind: 'broken', cause: `an event goes on after ${splitter.pendingBytes} bytes` }
-    }
+    }).run()
+    if (end.kind === 'stopped') return this.resultOfStop()
+    if (end.kind !== 'ended') return end
     // Without a stated end of the body, the end of a stream cannot be distinguished from a server that stopped.
-    if (!isComplete() || splitter.pendingBytes > 0 || !isSelfDelimited(response)) return { kind: 'broken', cause: 'the stream broke off' }
-    this.answer.beginStream(status, response.rawHeaders)
+    if (!end.isWhole || !head.isSelfDelimited) return { kind: 'broken', cause: 'the stream broke off' }
+    this.answer.beginStream(head)
     this.answer.endStream()
     return { kind: 'answered' }
   }
 
-  /** Waits until the attempt's deadline or for `timeout` milliseconds, whichever ends earlier. */
-  private waitWithin<Value> (promise: Promise<Value>, attempt: AttemptPlan, timeout: number): Promise<WaitResult<Value>> {
+  /** Waits for a part of the answer until the attempt's deadline, or until the answer makes no progress and another server can be tried. */
+  private async waitForAnswer<Value> (promise: Promise<Value>, attempt: AttemptPlan, progress = () => 0): Promise<WaitResult<Value>> {
     // The promise may be rejected after the wait has ended.
     promise.catch(() => {})
-    return waitFor(promise, Math.min(timeout, attempt.deadline - this.context.clock.monotonic()), this.stopSignals)
+    for (let known = progress(); ; known = progress()) {
+      const wait = await waitFor(promise, Math.min(attempt.answerTimeout, attempt.deadline - this.context.clock.monotonic()), this.stopSignals)
+      if (wait.kind !== 'timeout' || this.isExpired(attempt)) return wait
+      if (progress() === known && attempt.isReplaceable()) return wait
+    }
   }
 
   private resultOfInterruptedWait (wait: WaitResult<unknown>, attempt: AttemptPlan): AttemptResult {
-    if (wait.kind === 'stopped') return this.answer.callerDisconnected.aborted ? { kind: 'caller_left' } : { kind: 'broken', cause: 'the zone of the server is out of reach' }
-    return this.context.clock.monotonic() >= attempt.deadline - 1 ? { kind: 'expired' } : { kind: 'silent' }
+    if (wait.kind === 'stopped') return this.resultOfStop()
+    return this.isExpired(attempt) ? { kind: 'expired' } : { kind: 'silent' }
+  }
+
+  private resultOfStop (): AttemptResult {
+    return this.answer.callerDisconnected.aborted ? { kind: 'caller_left' } : { kind: 'broken', cause: 'the zone of the server is out of reach' }
+  }
+
+  private isExpired ({ deadline }: AttemptPlan): boolean {
+    return this.context.clock.monotonic() >= deadline - 1
   }
 
   /** Records that the prompt was processed; `timeToFirstEvent` is undefined when the attempt ended before. */
@@ -281,14 +276,3 @@
     return { service, version: server.version, route: route.name, model, timing: { timeToFirstEvent: this.timeToAnswer, meanEventGap: this.meanEventGap, expectedTimeToFirstEvent } }
   }
 }
-
-/** Whether the end of the body is given by the headers rather than by the end of the connection. */
-function isSelfDelimited ({ headers }: IncomingMessage): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
-}
-
-/** Whether an event comes after the last one that the caller has received; the events of a stream have increasing numbers. */
-function isLaterEvent ({ id }: StreamEvent, lastEventId: string | undefined): boolean {
-  if (id === undefined || lastEventId === undefined) return true
-  return Number(id) > Number(lastEventId)
-}
--- a/packages/forwarding/src/JayfallBackendDirectory.ts
+++ b/packages/forwarding/src/JayfallBackendDirectory.ts
@@ -5,7 +5,7 @@
  * report, the requests that this instance started and ended since then, and the age of the report.
  */
 
-import { halfLifeWeight, type ReadonlyTable, Table } from '#jayfall/shared'
+import { halfLifeWeight, hashName, type ReadonlyTable, Table } from '#jayfall/shared'
 
 import { type BackendServer } from './JayfallForwardingCatalogue'
 import {
@@ -16,6 +16,8 @@
 
 export interface BackendRow {
   readonly server: BackendServer
+  /** Hash of the server's identifier, from which its affinity to prompt parts follows. */
+  readonly affinityHash: number
   /** Whether the server's entry disappeared around an outage of the store, so that the server may have left. */
   readonly isLapsed: boolean
   /** Requests of this instance that have not ended. */
@@ -215,7 +217,7 @@
 }
 
 function createRow (server: BackendServer, now: number): BackendRow {
-  return { server, isLapsed: false, openRequests: 0, loadReport: undefined, loadReportedAt: now, openRequestsAtReport: 0, consecutiveFailures: 0, failureRate: 0, failureRateAt: now, pendingPrefillTime: 0, peerPrefillUntil: -Infinity, firstEventDelay: 0, firstEventDelayAt: now, avoidedUntil: -Infinity, avoidanceDuration: 0 }
+  return { server, affinityHash: hashName(server.id), isLapsed: false, openRequests: 0, loadReport: undefined, loadReportedAt: now, openRequestsAtReport: 0, consecutiveFailures: 0, failureRate: 0, failureRateAt: now, pendingPrefillTime: 0, peerPrefillUntil: -Infinity, firstEventDelay: 0, firstEventDelayAt: now, avoidedUntil: -Infinity, avoidanceDuration: 0 }
 }
 
 /** Milliseconds until the server has processed the announced prompts of other instances. */
--- a/packages/forwarding/src/JayfallBackendExchange.ts
+++ b/packages/forwarding/src/JayfallBackendExchange.ts
@@ -5,8 +5,11 @@
  * open it proves that nothing was sent. Late or additional answers are discarded with the connection.
  */
 
-import * as http from 'node:http'
+import * as net from 'node:net'
 
+import { messageOf } from '#jayfall/shared'
+
+import { AnswerConsumer, AnswerParser, type AnswerHead } from './JayfallAnswerParser'
 import { CONNECT_TIMEOUT_MILLISECONDS } from './JayfallForwardingConstants'
 
 export interface ExchangeRequest {
@@ -31,56 +34,136 @@
   }
 }
 
-export class BackendExchange {
-  private readonly request: http.ClientRequest
+/** Receives the body of an answer. Either `onEnd` or `onFailure` is called, exactly once. */
+export interface BodyReceiver {
+  /** @param bytes are only valid during the call. */
+  onBytes (bytes: Buffer): void
+  /** The body is complete. */
+  onEnd (): void
+  onFailure (error: ExchangeError): void
+}
+
+const READ_BUFFER_BYTES = 64 * 1024
+/** All connections read into one buffer, because each read is processed before the next one. */
+const READ_BUFFER = Buffer.allocUnsafe(READ_BUFFER_BYTES)
+const METHODS_WITHOUT_BODY: ReadonlySet<string> = new Set(['GET', 'HEAD'])
+
+export class BackendExchange extends AnswerConsumer {
+  private readonly socket: net.Socket
+  private readonly parser: AnswerParser
   private isConnected = false
-  private hasConnectionFailed = false
-  private response: http.IncomingMessage | undefined
+  private head: AnswerHead | undefined
+  private receiver: BodyReceiver | undefined
+  /** Parts of the body that arrived before their receiver was known. */
+  private earlyBytes: readonly Buffer[] = []
+  private failure: ExchangeError | undefined
+  private isDestroyed = false
 
-  private constructor (exchangeRequest: ExchangeRequest, private readonly onResponse: (response: http.IncomingMessage) => void, private readonly onFailure: (error: ExchangeError) => void) {
-    const [host, port] = exchangeRequest.address.split(':')
-    this.request = http.request({ host, port: Number(port), method: exchangeRequest.method, path: exchangeRequest.path, agent: false, headers: [...exchangeRequest.rawHeaders] })
+  private constructor (request: ExchangeRequest, private readonly onAnswer: (head: AnswerHead) => void, private readonly onFailure: (error: ExchangeError) => void) {
+    super()
+    this.parser = new AnswerParser(this, request.method === 'HEAD')
+    const [host, port] = request.address.split(':')
+    const onread = { buffer: READ_BUFFER, callback: (length: number, buffer: Uint8Array) => this.receive((buffer as Buffer).subarray(0, length)) }
+    this.socket = net.connect({ host, port: Number(port), noDelay: true, onread })
     // After the process was paused, timers run before the connections that were opened meanwhile are noticed,
     // so the check is deferred until pending I/O events have been processed.
     const connectTimer = setTimeout(() => setImmediate(() => {
-      if (!this.isConnected) this.fail(new ExchangeError('unsent', 'the connection was not opened in time'))
+      if (!this.isConnected) this.fail('the connection was not opened in time')
     }), CONNECT_TIMEOUT_MILLISECONDS)
-    this.request.on('socket', socket => {
-      socket.once('connect', () => {
-        clearTimeout(connectTimer)
-        this.isConnected = true
-      })
-      // For a body without a length, the HTTP parser treats the end of the connection as the end of the body, even after a reset.
-      socket.once('error', () => { this.hasConnectionFailed = true })
+    this.socket.once('connect', () => {
+      clearTimeout(connectTimer)
+      this.isConnected = true
     })
-    this.request.on('close', () => clearTimeout(connectTimer))
-    this.request.on('response', response => {
-      this.response = response
-      this.onResponse(response)
+    this.socket.once('end', () => this.finish())
+    this.socket.once('error', error => this.fail(error.message, error))
+    this.socket.once('close', () => {
+      clearTimeout(connectTimer)
+      this.fail('the connection was closed')
     })
-    this.request.on('error', error => this.fail(new ExchangeError(this.isConnected ? 'broken' : 'unsent', error.message, error)))
-    this.request.end(exchangeRequest.body)
+    this.send(request)
+  }
+
+  /** Sends a request. Either `onAnswer` or `onFailure` is called, exactly once. */
+  static open (request: ExchangeRequest, onAnswer: (head: AnswerHead) => void, onFailure: (error: ExchangeError) => void): BackendExchange {
+    return new BackendExchange(request, onAnswer, onFailure)
   }
 
-  /** Sends a request. Either `onResponse` or `onFailure` is called, exactly once. */
-  static open (exchangeRequest: ExchangeRequest, onResponse: (response: http.IncomingMessage) => void, onFailure: (error: ExchangeError) => void): BackendExchange {
-    return new BackendExchange(exchangeRequest, onResponse, onFailure)
+  /** Passes the body of the answer to a receiver, beginning with what has arrived already. */
+  readBody (receiver: BodyReceiver): void {
+    this.receiver = receiver
+    const { earlyBytes } = this
+    this.earlyBytes = []
+    for (const bytes of earlyBytes) receiver.onBytes(bytes)
+    if (this.parser.isComplete) receiver.onEnd()
+    else if (this.failure !== undefined) receiver.onFailure(this.failure)
   }
 
-  /** Whether the connection failed, in which case a body that ended with the connection is not complete. */
-  get hasFailed (): boolean {
-    return this.hasConnectionFailed
+  /** Stops reading until `resume`, so that the server has to wait. */
+  pause (): void {
+    this.socket.pause()
+  }
+
+  resume (): void {
+    this.socket.resume()
   }
 
   /** Ends the exchange and closes its connection immediately, in any state. */
   destroy (): void {
-    this.request.destroy()
-    this.response?.destroy()
+    this.isDestroyed = true
+    this.receiver = undefined
+    this.socket.destroy()
+  }
+
+  override onHead (head: AnswerHead): void {
+    this.head = head
+    this.onAnswer(head)
+  }
+
+  override onBody (bytes: Buffer): void {
+    if (this.receiver === undefined) this.earlyBytes = [...this.earlyBytes, Buffer.from(bytes)]
+    else this.receiver.onBytes(bytes)
+  }
+
+  override onEnd (): void {
+    this.receiver?.onEnd()
+  }
+
+  private send ({ method, path, rawHeaders, body }: ExchangeRequest): void {
+    const lines = [`${method} ${path} HTTP/1.1`]
+    for (let index = 0; index < rawHeaders.length; index += 2) lines.push(`${rawHeaders[index]}: ${rawHeaders[index + 1]}`)
+    const hasLength = rawHeaders.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length')
+    if (!hasLength && !METHODS_WITHOUT_BODY.has(method)) lines.push(`Content-Length: ${body.length}`)
+    lines.push('Connection: close', '', '')
+    this.socket.cork()
+    this.socket.write(lines.join('\r\n'), 'latin1')
+    if (body.length > 0) this.socket.write(body)
+    this.socket.uncork()
+  }
+
+  /** @returns true, so that the socket goes on reading. */
+  private receive (bytes: Buffer): boolean {
+    if (this.isDestroyed) return true
+    this.tryParse(() => this.parser.push(bytes))
+    return true
+  }
+
+  private finish (): void {
+    if (!this.isDestroyed) this.tryParse(() => this.parser.finish())
+  }
+
+  private tryParse (parse: () => void): void {
+    try {
+      parse()
+    } catch (error) {
+      this.fail(messageOf(error), error)
+    }
   }
 
-  private fail (error: ExchangeError): void {
-    this.hasConnectionFailed = true
-    if (this.response === undefined) this.onFailure(error)
-    this.destroy()
+  private fail (message: string, cause?: unknown): void {
+    if (this.isDestroyed || this.failure !== undefined || this.parser.isComplete) return
+    this.failure = new ExchangeError(this.isConnected ? 'broken' : 'unsent', message, cause)
+    this.socket.destroy()
+    if (this.head === undefined) this.onFailure(this.failure)
+    else this.receiver?.onFailure(this.failure)
   }
 }
--- a/packages/forwarding/src/JayfallBackendSelector.ts
+++ b/packages/forwarding/src/JayfallBackendSelector.ts
@@ -7,7 +7,7 @@
  * instances, so that few servers process the part although the instances exchange no messages.
  */
 
-import { rendezvousRank } from '#jayfall/shared'
+import { combineHashes, hashName } from '#jayfall/shared'
 
 import { currentFailureRate, estimateLoad, estimateWaitingRequests, remainingPeerPrefillTime, slotsOf, type BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
 import {
@@ -56,6 +56,13 @@
   readonly cost: number
 }
 
+interface WeightedServer {
+  readonly id: string
+  readonly weight: number
+}
+
+const NO_SERVER: WeightedServer = { id: '', weight: -1 }
+
 /** Selects the server with the lowest estimated time to the first event, plus costs for other requests and for leaving the zone. */
 export class EstimatedTimeSelector extends BackendSelector {
   constructor (private readonly directory: BackendDirectory, private readonly promptCache: PromptCacheTracker, private readonly prefillTimes: PrefillTimes, private readonly ownZone: string) {
@@ -111,7 +118,14 @@
   private findAffinityServers ({ model, promptParts }: SelectionRequest, candidates: readonly BackendRow[]): readonly string[] {
     const lastSharedPart = promptParts.at(-2)
     if (lastSharedPart === undefined || model === undefined) return []
-    return rendezvousRank(lastSharedPart.id, candidates.map(({ server }) => server.id)).slice(0, 2)
+    const partHash = hashName(lastSharedPart.id)
+    let [first, second]: readonly WeightedServer[] = [NO_SERVER, NO_SERVER]
+    for (const { server, affinityHash } of candidates) {
+      const weight = combineHashes(partHash, affinityHash)
+      if (weight > first.weight) [first, second] = [{ id: server.id, weight }, first]
+      else if (weight > second.weight) second = { id: server.id, weight }
+    }
+    return [first.id, second.id]
   }
 
   private zoneCost ({ server }: BackendRow): number {
--- a/packages/forwarding/src/JayfallBoundedWait.ts
+++ b/packages/forwarding/src/JayfallBoundedWait.ts
@@ -11,7 +11,8 @@
  */
 export function waitFor<Value> (promise: Promise<Value>, limit: number, stopSignals: readonly AbortSignal[]): Promise<WaitResult<Value>> {
   return new Promise((resolve, reject) => {
-    const timer = limit === Infinity ? undefined : setTimeout(() => finish({ kind: 'timeout' }), Math.max(0, limit))
+    // After the process was paused, timers run before the data that arrived meanwhile is read.
+    const timer = limit === Infinity ? undefined : setTimeout(() => setImmediate(() => finish({ kind: 'timeout' })), Math.max(0, limit))
     const onStop = (): void => finish({ kind: 'stopped' })
     const cleanUp = (): void => {
       clearTimeout(timer)
--- a/packages/forwarding/src/JayfallCallerAnswer.ts
+++ b/packages/forwarding/src/JayfallCallerAnswer.ts
@@ -2,17 +2,15 @@
 
 import { type IncomingMessage, type ServerResponse } from 'node:http'
 
-import { type Clock } from '#jayfall/shared'
+import { beginChunkedResponse, encodeChunk, LAST_CHUNK, type Clock } from '#jayfall/shared'
 
+import { type AnswerHead } from './JayfallAnswerParser'
+import { type StreamEvent } from './JayfallEventSplitter'
 import { endToEndHeaders } from './JayfallForwardingProtocol'
 
 /** A backend server's answer that has been received completely. */
-export interface BufferedAnswer {
-  readonly status: number
-  readonly rawHeaders: readonly string[]
+export interface BufferedAnswer extends Pick<AnswerHead, 'status' | 'rawHeaders' | 'isSelfDelimited'> {
   readonly body: Buffer
-  /** Whether the end of the body is given by the headers rather than by the end of the connection. */
-  readonly isSelfDelimited: boolean
 }
 
 const EXCLUDED_HEADERS: ReadonlySet<string> = new Set(['content-length'])
@@ -64,32 +62,35 @@
     this.response.end(hasBody ? body : undefined)
   }
 
-  beginStream (status: number, rawHeaders: readonly string[]): void {
-    if (this.response.headersSent) return
-    this.response.writeHead(status, [...this.copyHeaders(rawHeaders), 'Transfer-Encoding', 'chunked'])
+  beginStream ({ status, rawHeaders }: AnswerHead): void {
+    if (!this.response.headersSent) beginChunkedResponse(this.response, status, [...this.copyHeaders(rawHeaders)])
   }
 
-  /** @returns false when the caller reads more slowly than events arrive; `waitForDrain` must then be awaited. */
-  writeEvent (bytes: Buffer, id: string | undefined): boolean {
-    this.lastEventId = id ?? this.lastEventId
-    this.eventsWritten++
+  /** @returns false when the caller reads more slowly than events arrive; the next events should wait for `onceDrained`. */
+  writeEvents (events: readonly StreamEvent[]): boolean {
     const now = this.clock.monotonic()
     if (this.firstEventAt === undefined) this.firstEventAt = now
     else this.longestEventGap = Math.max(this.longestEventGap, now - this.previousEventAt)
     this.previousEventAt = now
-    return this.response.write(bytes)
+    this.eventsWritten += events.length
+    for (const { id } of events) this.lastEventId = id ?? this.lastEventId
+    return this.response.write(encodeChunk(events.length === 1 ? events[0].bytes : Buffer.concat(events.map(({ bytes }) => bytes))))
   }
 
-  waitForDrain (): Promise<void> {
-    return new Promise(resolve => {
-      this.response.once('drain', resolve)
-      this.response.once('close', resolve)
-    })
+  /** Calls `callback` when the caller has read what was written, or has disconnected. */
+  onceDrained (callback: () => void): void {
+    const settle = (): void => {
+      this.response.off('drain', settle)
+      this.response.off('close', settle)
+      callback()
+    }
+    this.response.on('drain', settle)
+    this.response.on('close', settle)
   }
 
   endStream (): void {
     this.hasEnded = true
-    this.response.end()
+    this.response.end(LAST_CHUNK)
   }
 
   /** Closes the connection, so that a partial answer does not look complete. */
--- a/packages/forwarding/src/JayfallEventSplitter.ts
+++ b/packages/forwarding/src/JayfallEventSplitter.ts
@@ -2,6 +2,7 @@
 
 const LINE_FEED = 0x0a
 const IDENTIFIER_LINE = /^id:[ ]?(.*)$/m
+const IDENTIFIER_FIELD = Buffer.from('id:')
 
 /** A complete event as received, with the blank line that ends it. */
 export interface StreamEvent {
@@ -18,17 +19,19 @@
     return this.remainder.length
   }
 
-  /** Adds received bytes and yields the events that are complete now. */
-  * push (chunk: Buffer): Generator<StreamEvent> {
+  /** Adds received bytes and returns the events that are complete now. Their bytes are valid as long as those of `chunk`. */
+  push (chunk: Buffer): readonly StreamEvent[] {
     const buffer = this.remainder.length === 0 ? chunk : Buffer.concat([this.remainder, chunk])
+    const events: StreamEvent[] = []
     let start = 0
     for (let end = findEventEnd(buffer, start); end !== -1; end = findEventEnd(buffer, start)) {
       const bytes = buffer.subarray(start, end)
       start = end
-      this.remainder = buffer.subarray(start)
-      yield { bytes, id: IDENTIFIER_LINE.exec(bytes.toString('utf8'))?.[1].trim() }
+      events.push({ bytes, id: readIdentifier(bytes) })
     }
-    this.remainder = buffer.subarray(start)
+    // The bytes of a read are only valid until the next one.
+    this.remainder = Buffer.from(buffer.subarray(start))
+    return events
   }
 }
 
@@ -40,3 +43,9 @@
   }
   return -1
 }
+
+function readIdentifier (bytes: Buffer): string | undefined {
+  // The identifier is usually the first line, so the other lines need not be decoded.
+  const text = bytes.subarray(0, IDENTIFIER_FIELD.length).equals(IDENTIFIER_FIELD) ? bytes.toString('utf8', 0, bytes.indexOf(LINE_FEED)) : bytes.toString('utf8')
+  return IDENTIFIER_LINE.exec(text)?.[1].trim()
+}
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -14,6 +14,10 @@
 export const MINIMUM_EVENT_GAP_TIMEOUT_MILLISECONDS = 1500
 /** Gap between events after which a stream is moved to another server, as a multiple of the route's objective for event gaps. */
 export const EVENT_GAP_TIMEOUT_OBJECTIVES = 2
+/** Size of the heads and trailers of one answer above which they are treated as endless. It is the default limit of Node.js. */
+export const MAXIMUM_ANSWER_HEAD_BYTES = 16 * 1024
+/** Size above which a line between the chunks of an answer is treated as endless. */
+export const MAXIMUM_CHUNK_LINE_BYTES = 1024
 /** Size above which an answer is treated as endless. It equals the default limit on request bodies. */
 export const MAXIMUM_ANSWER_BYTES = 4 * 1024 * 1024
 /** Size above which one event is treated as endless. It equals several hundred usual events. */
--- a/packages/forwarding/src/JayfallForwardingServer.ts
+++ b/packages/forwarding/src/JayfallForwardingServer.ts
@@ -6,6 +6,7 @@
 import { rendezvousShare } from '#jayfall/shared'
 
 import { type PlanContext } from './JayfallAttemptPlan'
+import { readRequestBody } from './JayfallBodyReader'
 import { CallerAnswer } from './JayfallCallerAnswer'
 import { ForwardedCall } from './JayfallForwardedCall'
 import { type ForwardingRoute } from './JayfallForwardingCatalogue'
@@ -91,7 +92,7 @@
     if (decision.kind === 'unknown_key') return this.refuse(answer, requestId, 401, 'unknown_key', undefined, version)
     this.openRequests++
     try {
-      const body = await readBody(request, limits.bodyBytes)
+      const body = await readRequestBody(request, limits.bodyBytes)
       if (body === 'too_large') return this.refuse(answer, requestId, 413, 'body_too_large')
       if (body === 'broken') return
       const { route, workspace } = decision
@@ -129,23 +130,6 @@
   return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
 }
 
-async function readBody (request: http.IncomingMessage, limit: number): Promise<Buffer | 'too_large' | 'broken'> {
-  const chunks: Buffer[] = []
-  let length = 0
-  try {
-    // Leaving the loop early must not close the connection, which still has to carry the answer.
-    for await (const chunk of request.iterator({ destroyOnReturn: false })) {
-      length += (chunk as Buffer).length
-      if (length > limit) return 'too_large'
-      chunks.push(chunk as Buffer)
-    }
-  } catch {
-    // The caller left before its request was complete, so no answer is needed.
-    return 'broken'
-  }
-  return request.complete ? Buffer.concat(chunks) : 'broken'
-}
-
 /** Chooses one of the route's services by weight. All requests of a session get the same service. */
 export function chooseService ({ name, targets }: ForwardingRoute, session: string): string {
   const total = targets.reduce((sum, { weight }) => sum + weight, 0)
--- a/packages/shared/src/JayfallRendezvous.ts
+++ b/packages/shared/src/JayfallRendezvous.ts
@@ -22,3 +22,20 @@
     .sort((left, right) => right.weight - left.weight || (left.member < right.member ? -1 : 1))
     .map(({ member }) => member)
 }
+
+/** A hash of a name as an unsigned 32-bit integer, for `combineHashes`. */
+export function hashName (name: string): number {
+  return createHash('sha256').update(name).digest().readUInt32BE(0)
+}
+
+/**
+ * The weight of a member for a key as an unsigned 32-bit integer, from the hashes of their names. Ranking many
+ * members for many keys this way needs one hash of each name instead of one for each pair.
+ */
+export function combineHashes (keyHash: number, memberHash: number): number {
+  // The finalizer of MurmurHash3, which makes every bit of the result depend on every bit of the input.
+  let mixed = keyHash ^ memberHash
+  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b)
+  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35)
+  return (mixed ^ (mixed >>> 16)) >>> 0
+}
