Load only what an entry instance uses on the users' platform

Cause: a start took about 0.66 s of processor time, on machines with a third to two thirds of a core. A profile of the start names the web framework around the trpc listener (a third), modules of the product's own interface that the bundle contained because it was made from CommonJS (catalogue, traces), the locales of the validation library, and the log writer of the histogram library, which initializes number formats.

Change: the bundle is made from the sources, so unused modules are left out; trpc serves the listener of Node.js itself; the validation library is imported as a namespace; the histograms come without the log writer.

--- a/packages/catalogue/src/JayfallCatalogueEntry.ts
+++ b/packages/catalogue/src/JayfallCatalogueEntry.ts
@@ -5,7 +5,7 @@
  * and again when it is read, so that no component receives a malformed one.
  */
 
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { IDENTIFIER_PATTERN, MAXIMUM_IDENTIFIER_LENGTH } from './JayfallCatalogueConstants'
 import { CatalogueError } from './JayfallCatalogueError'
--- a/packages/control/src/JayfallExchangeMessage.ts
+++ b/packages/control/src/JayfallExchangeMessage.ts
@@ -1,7 +1,7 @@
 /** The schema of the messages that instances exchange; requests and replies have the same form. */
 
 import { parseEntry, type CatalogueChange, type CatalogueSnapshot } from '#jayfall/catalogue'
-import { z } from 'zod'
+import * as z from 'zod'
 
 const count = z.number().int().nonnegative()
 
--- a/packages/entry/src/JayfallChatRequest.ts
+++ b/packages/entry/src/JayfallChatRequest.ts
@@ -1,7 +1,7 @@
 /** Validation of the body of a chat completion request, and the choice of the version that handles it. */
 
 import { chooseByTrafficShare, findAllowedVersions, type CascadeEntry, type VersionEntry, type WorkspaceEntry } from '#jayfall/catalogue'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { ApiError, type ApiErrorCode, type ExecutionState } from './JayfallApiError'
 import { type DataContext, findCurrentRefusal } from './JayfallDataContext'
--- a/packages/entry/src/JayfallPeerControl.ts
+++ b/packages/entry/src/JayfallPeerControl.ts
@@ -3,9 +3,8 @@
  * instances, the message exchanges with them, the platform's list of instances and the status row of the zone.
  */
 
-import { type Server } from '@hapi/hapi'
 import { ANNOUNCE_MILLISECONDS, ControlNode, ControlService, INSTANCE_LIST_BYTES_PER_SECOND, INSTANCE_LIST_MILLISECONDS, LISTED_INSTANCE_BYTES, ZONE_STATUS_MILLISECONDS, ZONE_STATUS_TABLE, createControlRouter, createPeerSender, createZoneStatus, type KnownAddress, type PeerSender } from '#jayfall/control'
-import { createPeerRouter, startPeerServer, type PeerDirectory, type PeerRouter } from '#jayfall/peers'
+import { createPeerRouter, PeerServer, type PeerDirectory, type PeerRouter } from '#jayfall/peers'
 import { type CatalogueStore, type ListedInstance, type PlatformServices, type TableStore } from '#jayfall/store'
 import { createRandomSource, type Clock } from '#jayfall/shared'
 import { type Log } from '#jayfall/telemetry'
@@ -38,7 +37,7 @@
   readonly node: ControlNode
   private readonly service: ControlService
   private readonly sender: PeerSender
-  private server: Server | undefined
+  private server: PeerServer | undefined
   private listedInstances: readonly ListedInstance[] = []
   /** Monotonic milliseconds before which the platform's list is not read again. */
   private nextListReadAt = -Infinity
@@ -71,7 +70,7 @@
       control: createControlRouter(request => this.service.answer(request)),
       ...additionalRouters
     })
-    this.server = await startPeerServer(this.settings.peersAddress, router)
+    this.server = await PeerServer.start(this.settings.peersAddress, router)
     await this.readInstanceList().catch((error: Error) => this.parts.log.warn('instance_list_unread', { message: error.message }))
     await this.service.start()
     this.timers = [
@@ -91,8 +90,7 @@
     for (const timer of this.timers) clearInterval(timer)
     this.service.stop()
     this.sender.close()
-    this.server?.listener.closeAllConnections()
-    await this.server?.stop({ timeout: 0 })
+    await this.server?.stop()
   }
 
   /** Runs `task` now and at each interval (in milliseconds). */
--- a/packages/feeds/src/JayfallFeedPeerClient.ts
+++ b/packages/feeds/src/JayfallFeedPeerClient.ts
@@ -2,7 +2,7 @@
 
 import { createPeerRouter, PeerClients, peerProcedure } from '#jayfall/peers'
 import { type TableChanges } from '#jayfall/store'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { MAXIMUM_TABLES_PER_CALL, PEER_TIMEOUT_MILLISECONDS, PEER_POLL_WAIT_MILLISECONDS } from './JayfallFeedConstants'
 import { type FeedInstance } from './JayfallReaderSelector'
--- a/packages/feeds/src/JayfallInstanceRegistry.ts
+++ b/packages/feeds/src/JayfallInstanceRegistry.ts
@@ -9,7 +9,7 @@
 import { messageOf, type Clock, type RandomSource } from '#jayfall/shared'
 import { isPlatformError, listRows, type TableRow, type TableStore } from '#jayfall/store'
 import { type Log } from '#jayfall/telemetry'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { FIRST_LISTING_DELAY_MILLISECONDS, INSTANCES_TABLE, LISTING_INTERVAL_MILLISECONDS, LISTING_INTERVAL_PER_INSTANCE_MILLISECONDS, REGISTRY_RETRY_PAUSE_MILLISECONDS, REGISTRATION_INTERVAL_MILLISECONDS, REGISTRATION_LIFETIME_MILLISECONDS } from './JayfallFeedConstants'
 import { type FeedInstance } from './JayfallReaderSelector'
--- a/packages/feeds/src/JayfallSharedTableStore.ts
+++ b/packages/feeds/src/JayfallSharedTableStore.ts
@@ -6,8 +6,7 @@
  * read from the store themselves until another reader answers. All other operations go directly to the store.
  */
 
-import { type Server } from '@hapi/hapi'
-import { startPeerServer } from '#jayfall/peers'
+import { PeerServer } from '#jayfall/peers'
 import { type Clock, type RandomSource } from '#jayfall/shared'
 import { isPlatformError, WatchableTableStore, type TableChanges, type TableRow, type TableWrite } from '#jayfall/store'
 import { type Log } from '#jayfall/telemetry'
@@ -43,7 +42,7 @@
   private readonly client: FeedPeerClient
   private readonly peerReader: PeerChangesReader
   private readonly changesServer: ChangesServer
-  private peerServer: Server | undefined
+  private peerServer: PeerServer | undefined
   private registry: InstanceRegistry | undefined
   /** Identifier of the reader that answered the last read of changes; undefined when the store did. */
   private lastReader: string | undefined
@@ -60,8 +59,8 @@
   /** Starts to answer other instances, registers this instance and starts to list the others. */
   async start (): Promise<void> {
     const { instance, zone, host, port, link } = this.parts
-    this.peerServer = await startPeerServer(`${host}:${port}`, createFeedRouter(this.changesServer))
-    const self = { id: instance, zone, address: `${host}:${this.peerServer.info.port}`, link }
+    this.peerServer = await PeerServer.start(`${host}:${port}`, createFeedRouter(this.changesServer))
+    const self = { id: instance, zone, address: `${host}:${this.peerServer.port}`, link }
     this.registry = new InstanceRegistry({ ...this.parts, self, onListing: instances => this.updateInstances(instances) })
     await this.registry.start()
   }
@@ -75,8 +74,7 @@
   /** Closes all connections without a notice to other instances, as a killed process does. */
   async closeAbruptly (): Promise<void> {
     this.client.close()
-    this.peerServer?.listener.closeAllConnections()
-    await this.peerServer?.stop({ timeout: 0 })
+    await this.peerServer?.stop()
   }
 
   override transact (writes: readonly TableWrite[]): Promise<readonly number[]> {
--- a/packages/forwarding/src/JayfallDatagramHints.ts
+++ b/packages/forwarding/src/JayfallDatagramHints.ts
@@ -1,7 +1,7 @@
 /** Exchanges prefill hints between instances as UDP datagrams. */
 
 import { PeerDatagrams, type PeerDatagramsParts } from '#jayfall/peers'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { MAXIMUM_HINT_TARGETS } from './JayfallForwardingConstants'
 import { PrefillHints, type PrefillHint } from './JayfallPrefillHints'
--- a/packages/forwarding/src/JayfallRolloutRows.ts
+++ b/packages/forwarding/src/JayfallRolloutRows.ts
@@ -1,6 +1,6 @@
 /** Schemas of the table rows by which instances share the state and the evidence of rollouts. */
 
-import { z } from 'zod'
+import * as z from 'zod'
 
 export const ROLLOUTS_TABLE = 'rollouts'
 export const EVIDENCE_TABLE = 'rollout-evidence'
--- a/packages/ledger/src/JayfallLedgerPeers.ts
+++ b/packages/ledger/src/JayfallLedgerPeers.ts
@@ -1,7 +1,7 @@
 /** Peer calls by which entry instances replicate bills to one another. */
 
 import { createPeerRouter, PeerClients, PeerError, peerProcedure, type Peer } from '#jayfall/peers'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { type BillWitness, type ReplicatedBills, type BatchConfirmation } from './JayfallBillWitness'
 import { MAXIMUM_BILLS_PER_BATCH, WITNESS_TIMEOUT_MILLISECONDS } from './JayfallLedgerConstants'
--- a/packages/peers/src/JayfallPeerServer.ts
+++ b/packages/peers/src/JayfallPeerServer.ts
@@ -1,28 +1,45 @@
-/** The HTTP listener on which an entry instance accepts calls from other entry instances. */
+/**
+ * The HTTP listener on which an entry instance accepts calls from other entry instances.
+ *
+ * The trpc library serves the listener of Node.js itself: a web framework around it would take a third of the
+ * processor time of a start, and an instance that starts again under load keeps callers waiting for so long.
+ */
+
+import * as http from 'node:http'
+import { type AddressInfo } from 'node:net'
 
-import Hapi, { type Server } from '@hapi/hapi'
 import { createHTTPHandler } from '@trpc/server/adapters/standalone'
 
 import { MAXIMUM_PEER_BODY_BYTES, PEER_KEEP_ALIVE_MILLISECONDS, PEER_PATH } from './JayfallPeerConstants'
 import { type PeerRouter } from './JayfallPeerRouter'
 
-/** Starts the listener at `address` (IP address and port). */
-export async function startPeerServer (address: string, router: PeerRouter): Promise<Server> {
-  const [host, port] = address.split(':')
-  const server = Hapi.server({ host, port: Number(port) })
-  // No instance reads the Date header, which costs 0.3 kB/s at some calls per second.
-  server.listener.on('request', (_request, response) => { response.sendDate = false })
-  server.listener.keepAliveTimeout = PEER_KEEP_ALIVE_MILLISECONDS
-  const handler = createHTTPHandler({ router, basePath: PEER_PATH, maxBodySize: MAXIMUM_PEER_BODY_BYTES })
-  server.route({
-    method: 'POST',
-    path: `${PEER_PATH}{procedure}`,
-    options: { payload: { parse: false, output: 'stream', maxBytes: MAXIMUM_PEER_BODY_BYTES } },
-    handler: (request, toolkit) => {
-      handler(request.raw.req, request.raw.res)
-      return toolkit.abandon
-    }
-  })
-  await server.start()
-  return server
+export class PeerServer {
+  private constructor (private readonly listener: http.Server) {}
+
+  /** Starts the listener at `address` (IP address and port). */
+  static start (address: string, router: PeerRouter): Promise<PeerServer> {
+    const [host, port] = address.split(':')
+    const handle = createHTTPHandler({ router, basePath: PEER_PATH, maxBodySize: MAXIMUM_PEER_BODY_BYTES })
+    const listener = http.createServer({ keepAliveTimeout: PEER_KEEP_ALIVE_MILLISECONDS }, (request, response) => {
+      // No instance reads the Date header, which costs 0.3 kB/s at some calls per second.
+      response.sendDate = false
+      if (request.method === 'POST' && request.url?.startsWith(PEER_PATH) === true) handle(request, response)
+      else response.writeHead(404).end()
+    })
+    return new Promise((resolve, reject) => {
+      listener.once('error', reject)
+      listener.listen(Number(port), host, () => resolve(new PeerServer(listener)))
+    })
+  }
+
+  get port (): number {
+    return (this.listener.address() as AddressInfo).port
+  }
+
+  /** Closes the listener and all its connections. */
+  async stop (): Promise<void> {
+    const closed = new Promise<void>(resolve => { this.listener.close(() => resolve()) })
+    this.listener.closeAllConnections()
+    await closed
+  }
 }
--- a/packages/peers/src/__tests__/unit/JayfallPeerCalls.test.ts
+++ b/packages/peers/src/__tests__/unit/JayfallPeerCalls.test.ts
@@ -3,11 +3,11 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { PeerClients } from '../../JayfallPeerClient'
 import { createPeerRouter, peerProcedure } from '../../JayfallPeerRouter'
-import { startPeerServer } from '../../JayfallPeerServer'
+import { PeerServer } from '../../JayfallPeerServer'
 
 const router = createPeerRouter({
   test: createPeerRouter({
@@ -17,10 +17,10 @@
 
 describe('calls between entry instances', () => {
   it('reach the procedure and return its result', async () => {
-    const server = await startPeerServer('127.0.0.1:0', router)
+    const server = await PeerServer.start('127.0.0.1:0', router)
     const clients = new PeerClients<typeof router>({ localAddress: '127.0.0.5' })
     try {
-      assert.equal(await clients.clientFor(`127.0.0.1:${server.info.port}`).test.double.mutate(21), 42)
+      assert.equal(await clients.clientFor(`127.0.0.1:${server.port}`).test.double.mutate(21), 42)
     } finally {
       clients.close()
       await server.stop()
--- a/packages/settings/src/JayfallEntrySettings.ts
+++ b/packages/settings/src/JayfallEntrySettings.ts
@@ -7,7 +7,7 @@
 import * as fs from 'node:fs'
 
 import * as ini from 'ini'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { SettingsError } from './JayfallSettingsError'
 import { durationSetting, sizeSetting } from './JayfallUnits'
--- a/packages/settings/src/JayfallUnits.ts
+++ b/packages/settings/src/JayfallUnits.ts
@@ -1,6 +1,6 @@
 /** Parsing of durations and sizes with units in settings and command arguments. */
 
-import { z } from 'zod'
+import * as z from 'zod'
 
 const MILLISECONDS_BY_UNIT: Readonly<Record<string, number>> = { ms: 1, s: 1000, m: 60_000, h: 3_600_000 }
 const BYTES_BY_UNIT: Readonly<Record<string, number>> = { B: 1, KiB: 1024, MiB: 1024 ** 2, GiB: 1024 ** 3 }
--- a/packages/telemetry/src/JayfallMetrics.ts
+++ b/packages/telemetry/src/JayfallMetrics.ts
@@ -5,7 +5,10 @@
  * are summed when the metrics of the instance are read.
  */
 
-import { build, decodeFromCompressedBase64, encodeIntoCompressedBase64, type Histogram } from 'hdr-histogram-js'
+import { type Histogram } from 'hdr-histogram-js'
+// The index of the library also loads its log writer, which initializes the formatting of numbers for a locale.
+import { decodeFromCompressedBase64, encodeIntoCompressedBase64 } from 'hdr-histogram-js/dist/encoding'
+import { build } from 'hdr-histogram-js/dist/HistogramBuilder'
 
 import { HIGHEST_DURATION_MICROSECONDS, HISTOGRAM_SIGNIFICANT_DIGITS, REPORTED_PERCENTILES } from './JayfallTelemetryConstants'
 
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,24 +1,26 @@
-// Bundles tsc's output to CommonJS files. esbuild reads tsc's output because it emits no decorator metadata itself.
+// Bundles the programs to CommonJS files.
+import path from 'node:path'
 import { build } from 'esbuild'
 
+/** Resolves the packages of this project to their sources, whose unused modules can be left out of a bundle. */
+const sources = {
+  name: 'sources',
+  setup ({ onResolve }) {
+    onResolve({ filter: /^#jayfall\// }, ({ path: name }) => ({ path: path.resolve(`packages/${name.slice('#jayfall/'.length)}/src/index.ts`), sideEffects: false }))
+    onResolve({ filter: /^\.\// }, ({ path: name, resolveDir, kind }) => kind === 'entry-point' || resolveDir.includes('node_modules') ? undefined : { path: path.resolve(resolveDir, `${name}.ts`), sideEffects: false })
+  }
+}
+
 const bundles = [
-  { entry: 'target/packages/command/src/main.js', file: 'dist/jayfall.cjs' },
-  // The entry instance on the users' platform loads only what it uses, as its memory is small.
-  { entry: 'target/platform/src/main.js', file: 'target/jayfall-platform.cjs' }
+  // esbuild emits no decorator metadata, so the command line is bundled from tsc's output.
+  { entryPoints: ['target/packages/command/src/main.js'], outfile: 'dist/jayfall.cjs' },
+  // The entry instance on the users' platform has little processor time and memory, so it loads only what it uses.
+  { entryPoints: ['platform/src/main.ts'], outfile: 'target/jayfall-platform.cjs', plugins: [sources], mainFields: ['module', 'main'] }
 ]
 
 // An argument names the only folder to write to.
 const [folder = ''] = process.argv.slice(2)
 
-for (const { entry, file } of bundles.filter(({ file }) => file.startsWith(folder))) {
-  await build({
-    entryPoints: [entry],
-    outfile: file,
-    bundle: true,
-    platform: 'node',
-    target: 'node20',
-    format: 'cjs',
-    sourcemap: false,
-    logLevel: 'warning'
-  })
+for (const bundle of bundles.filter(({ outfile }) => outfile.startsWith(folder))) {
+  await build({ ...bundle, bundle: true, platform: 'node', target: 'node20', format: 'cjs', sourcemap: false, logLevel: 'warning' })
 }
