Judge versions at the same age of their attempts, and slow answers apart from failures

Cause: a tenth of slow answers counted like a tenth of failures, although load alone makes a tenth of the answers late once the new servers carry nearly everything. And slow attempts counted as soon as they were known to be slow, timely ones only after eight events, so a verdict between the two times saw mostly slow ones.

Change: VersionObservation judges every attempt at the same age, or at its end. A first event is slow when it is late against the old version and against what the prompt and the known work of the server explain. Slow answers have a rate of their own in the verdict (a quarter, against those of the old version in the same seconds). Evidence rows carry them in a field that older instances pass over.

Steps of a rollout: all instances made the due step at once, and all but one read the row again. StepContention lets about three of them try in an interval, and more the longer a step stays due. The tables of a rollout are followed from its order on, without a listing, where the order was seen to be made.

--- a/packages/feeds/src/JayfallTableFeed.ts
+++ b/packages/feeds/src/JayfallTableFeed.ts
@@ -1,7 +1,7 @@
 /**
  * Follows the changes of one table of the store.
  *
- * The feed starts with all rows and continues with changes. It repeats a failed read after a growing
+ * The feed starts with all rows, or with the changes after a revision, and continues with changes. It repeats a failed read after a growing
  * pause, and reads all rows again when the store no longer has the changes. Between a failure and the
  * next success the store counts as lost. In this state the reads do not wait for changes, so that a
  * read that a failing store does not answer times out early and is repeated soon after the store recovers.
@@ -42,11 +42,13 @@
   readonly isStopped: () => boolean
   /** Pause after a read from the store that returned changes, in milliseconds. */
   readonly coalescePause?: () => number
+  /** Revision after which to begin with the changes; undefined to begin with all rows. */
+  readonly after?: number
 }
 
 /** Yields the rows of a table and then its changes until `isStopped` returns true. */
-export async function * followTable ({ store, table, random, isStopped, coalescePause = () => COALESCING_PAUSE_MILLISECONDS }: FeedOptions): AsyncGenerator<FeedEvent> {
-  let revision: number | undefined
+export async function * followTable ({ store, table, random, isStopped, coalescePause = () => COALESCING_PAUSE_MILLISECONDS, after }: FeedOptions): AsyncGenerator<FeedEvent> {
+  let revision = after
   let failures = 0
   while (!isStopped()) {
     const calledAt = performance.now()
--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -11,10 +11,10 @@
 import { ZoneOutageDetector } from './JayfallZoneOutageDetector'
 import { enginePriority } from './JayfallEnginePriority'
 import { type ForwardingWorkspace } from './JayfallForwardingCatalogue'
-import { FIRST_EVENT_OVERHEAD_MILLISECONDS, MAXIMUM_ANSWER_BYTES, EVENT_GAP_SAMPLE_EVENTS, TIMELY_STREAM_EVENTS, MINIMUM_PUBLISHED_PREFILL_MILLISECONDS } from './JayfallForwardingConstants'
+import { FIRST_EVENT_OVERHEAD_MILLISECONDS, MAXIMUM_ANSWER_BYTES, MINIMUM_PUBLISHED_PREFILL_MILLISECONDS } from './JayfallForwardingConstants'
 import { type ForwardingContext } from './JayfallForwardingContext'
-import { type VersionOutcome } from './JayfallRolloutEvidence'
 import { StreamRelay } from './JayfallStreamRelay'
+import { type VersionObservation } from './JayfallVersionObservation'
 
 /** The request as the caller sent it. */
 export interface CallerRequest {
@@ -44,10 +44,7 @@
   private stopSignals: readonly AbortSignal[] = []
   /** Attempts that ended with an error answer of the server. They are not counted until the answer of another server shows whether the server or the request is at fault. */
   private unattributedFailures: AttemptPlan[] = []
-  /** Mean milliseconds between the attempt's events; undefined when there were too few. */
-  private meanEventGap: number | undefined
-  /** Attempts that are counted as outcomes of their version, and whether as failures. */
-  private readonly recordedOutcomes = new Map<AttemptPlan, boolean>()
+  private readonly observations = new Map<AttemptPlan, VersionObservation>()
 
   constructor (
     private readonly context: ForwardingContext,
@@ -62,7 +59,6 @@
     const startedAt = clock.monotonic()
     this.bufferedAnswer = undefined
     this.timeToAnswer = undefined
-    this.meanEventGap = undefined
     directory.recordSent(server.id, attempt.selection.prefillTime)
     this.context.prefillTimes.recordSent(attempt.selection.prefillTime)
     if (attempt.selection.prefillTime >= MINIMUM_PUBLISHED_PREFILL_MILLISECONDS) this.context.hints.publish({ server: server.id, reading: attempt.selection.prefillTime })
@@ -81,6 +77,7 @@
     })
     this.zoneOutageDetector = this.plan.route.isRepeatable ? new ZoneOutageDetector(directory, clock, server.zone) : undefined
     this.stopSignals = this.zoneOutageDetector === undefined ? [this.answer.callerDisconnected] : [this.answer.callerDisconnected, this.zoneOutageDetector.signal]
+    this.observations.set(attempt, this.observe(attempt, startedAt))
     const result = await this.exchange(attempt, rawHeaders, startedAt)
     this.zoneOutageDetector?.close()
     this.recordPrefillEnd(attempt, undefined)
@@ -147,7 +144,6 @@
 
   private async relayEvents (attempt: AttemptPlan, exchange: BackendExchange, head: AnswerHead, startedAt: number): Promise<AttemptResult> {
     const { clock } = this.context
-    let events = 0
     const end = await new StreamRelay({
       exchange,
       head,
@@ -162,8 +158,7 @@
       onEvent: () => {
         this.timeToAnswer ??= clock.monotonic() - startedAt
         this.recordPrefillEnd(attempt, this.timeToAnswer)
-        if (++events >= EVENT_GAP_SAMPLE_EVENTS) this.meanEventGap = (clock.monotonic() - startedAt - this.timeToAnswer) / (events - 1)
-        this.recordEarlyOutcome(attempt, events)
+        this.observations.get(attempt)?.recordEvent(clock.monotonic())
       }
     }).run()
     if (end.kind === 'stopped') return this.resultOfStop()
@@ -236,13 +231,15 @@
 
   /**
    * Counts the remaining failures at the end of the request. A request that failed at several servers is at
-   * fault itself, unless all of them run the new version of a rollout.
+   * fault itself, unless all of them run the new version of a rollout. Attempts that ended for other reasons are
+   * not observed any longer.
    */
-  attributeRemainingFailures (): void {
+  finishObservations (): void {
     const versions = new Set(this.unattributedFailures.map(({ server }) => server.version))
     const rollout = this.context.versionPolicy.rolloutOf(this.plan.service)
     const isNewVersion = rollout?.outcome === 'running' && versions.size === 1 && versions.has(rollout.order.version)
     if (this.unattributedFailures.length === 1 || isNewVersion) this.recordUnattributedFailures()
+    for (const observation of this.observations.values()) this.context.evidence.forget(observation)
   }
 
   private recordUnattributedFailures (): void {
@@ -255,24 +252,13 @@
     this.recordVersionOutcome(attempt, true)
   }
 
-  /** Counts an attempt before it ends. A slow stream may end long after its rollout, so it is counted as soon as it is known to be slow. A timely stream is counted after some events, because otherwise slow streams would be overrepresented. */
-  private recordEarlyOutcome (attempt: AttemptPlan, events: number): void {
-    if (this.recordedOutcomes.has(attempt)) return
-    const isSlow = this.context.evidence.isSlow(this.describeOutcome(attempt))
-    if (isSlow || events >= TIMELY_STREAM_EVENTS) this.recordVersionOutcome(attempt, isSlow)
-  }
-
   private recordVersionOutcome (attempt: AttemptPlan, hasFailed: boolean): void {
-    const recorded = this.recordedOutcomes.get(attempt)
-    // An attempt that was counted as timely may still fail.
-    if (recorded === true || recorded === hasFailed) return
-    this.recordedOutcomes.set(attempt, hasFailed)
-    this.context.evidence.recordOutcome({ ...this.describeOutcome(attempt), hasFailed })
+    const observation = this.observations.get(attempt)
+    if (observation !== undefined) this.context.evidence.recordOutcome(observation, hasFailed)
   }
 
-  private describeOutcome ({ server, model, selection }: AttemptPlan): Omit<VersionOutcome, 'hasFailed'> {
+  private observe ({ server, model, selection }: AttemptPlan, startedAt: number): VersionObservation {
     const { service, route } = this.plan
-    const expectedTimeToFirstEvent = model === undefined ? undefined : FIRST_EVENT_OVERHEAD_MILLISECONDS + selection.prefillTime
-    return { service, version: server.version, route: route.name, model, timing: { timeToFirstEvent: this.timeToAnswer, meanEventGap: this.meanEventGap, expectedTimeToFirstEvent } }
+    return this.context.evidence.observe({ service, version: server.version, route: route.name, model, startedAt, explainedTimeToFirstEvent: model === undefined ? undefined : selection.explainedTimeToFirstEvent })
   }
 }
--- a/packages/forwarding/src/JayfallBackendSelector.ts
+++ b/packages/forwarding/src/JayfallBackendSelector.ts
@@ -44,6 +44,8 @@
   readonly peerPrefillTime: number
   /** Estimated milliseconds to the first event; for plain requests, to the whole answer. */
   readonly timeToFirstEvent: number
+  /** The part of that time which the prompt and the work that is known to come before it explain. */
+  readonly explainedTimeToFirstEvent: number
 }
 
 /** Strategy for the selection of a server. */
@@ -93,7 +95,7 @@
     const slots = slotsOf(row)
     const waiting = Math.max(0, estimatedLoad + 1 - slots)
     const timeToFirstEvent = (1 + (estimatedLoad + 1 + waiting) / slots) * PLAIN_WORK_MILLISECONDS * slownessOf(row)
-    return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens: 0, prefillTime: 0, peerPrefillTime: 0, timeToFirstEvent, cost: timeToFirstEvent + this.zoneCost(row) }
+    return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens: 0, prefillTime: 0, peerPrefillTime: 0, timeToFirstEvent, explainedTimeToFirstEvent: timeToFirstEvent, cost: timeToFirstEvent + this.zoneCost(row) }
   }
 
   private evaluateEngine (request: SelectionRequest, model: string, affinityServers: readonly string[], row: BackendRow, now: number): Candidate {
@@ -101,11 +103,13 @@
     const uncachedTokens = Math.max(0, request.promptTokens - this.estimateCachedTokens(request, model, affinityServers, row, now))
     const prefillTime = this.prefillTimes.estimate(model, uncachedTokens, now)
     const peerPrefillTime = remainingPeerPrefillTime(row, now)
-    const queueTime = Math.max(row.pendingPrefillTime + peerPrefillTime, estimateWaitingRequests(row, now) * this.prefillTimes.meanPrefillTime, this.directory.expectedFirstEventDelay(row, now))
+    const knownQueueTime = Math.max(row.pendingPrefillTime + peerPrefillTime, estimateWaitingRequests(row, now) * this.prefillTimes.meanPrefillTime)
+    const queueTime = Math.max(knownQueueTime, this.directory.expectedFirstEventDelay(row, now))
     const timeToFirstEvent = (FIRST_EVENT_OVERHEAD_MILLISECONDS + queueTime + prefillTime) * slownessOf(row)
+    const explainedTimeToFirstEvent = (FIRST_EVENT_OVERHEAD_MILLISECONDS + knownQueueTime + prefillTime) * slownessOf(row)
     const batchStepTime = estimatedLoad * BATCH_STEP_MILLISECONDS_PER_REQUEST * request.outputTokens
     const cost = timeToFirstEvent + prefillTime * (PREFILL_COST_FACTOR - 1) + batchStepTime + this.zoneCost(row)
-    return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens, prefillTime, peerPrefillTime, timeToFirstEvent, cost }
+    return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens, prefillTime, peerPrefillTime, timeToFirstEvent, explainedTimeToFirstEvent, cost }
   }
 
   private estimateCachedTokens ({ promptParts }: SelectionRequest, model: string, affinityServers: readonly string[], row: BackendRow, now: number): number {
--- a/packages/forwarding/src/JayfallForwardedCall.ts
+++ b/packages/forwarding/src/JayfallForwardedCall.ts
@@ -29,7 +29,7 @@
       this.logAttempt(step.value, result)
       step = attempts.next(result)
     }
-    this.runner.attributeRemainingFailures()
+    this.runner.finishObservations()
     this.finish(step.value)
     this.logOutcome(step.value)
   }
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -150,8 +150,8 @@
 export const COMPLETION_RESERVE_MILLISECONDS = 1200
 /** Interval at which an instance checks for due rollout steps. */
 export const ROLLOUT_INTERVAL_MILLISECONDS = 500
-/** Probability that an instance attempts a due step in one interval. It keeps the number of instances that compete for the step small. */
-export const ROLLOUT_STEP_PROBABILITY = 0.3
+/** Expected number of instances that attempt a due step in its first interval. With three, at least one attempts it in 95 of 100 intervals. */
+export const EXPECTED_STEP_ATTEMPTS = 3
 /** Delay after a change of the evidence table, so that the reports of many instances are read together. */
 export const EVIDENCE_COALESCE_MILLISECONDS = 1500
 /** The same delay while sessions move. At half of the load, a bad version uses up the allowed exposure within two to three seconds. */
@@ -166,6 +166,11 @@
 export const MINIMUM_BAD_VERSION_FAILURES = 4
 /** Minimum number of failures of the new version, beyond those expected from the old version, for it to count as bad. */
 export const MINIMUM_EXCESS_FAILURES = 3
+/** Minimum number of slow answers of the new version, over all instances, for it to count as bad, and minimum number beyond those expected from the old version. */
+export const MINIMUM_SLOW_ANSWERS = 6
+export const MINIMUM_EXCESS_SLOW_ANSWERS = 4
+/** Rate of slow answers that the new version must exceed to count as bad. Under load, one in ten answers of a good version is as late; of a slow version, a third or more are. */
+export const SLOW_VERSION_RATE = 0.25
 /** Failure rate that the new version must exceed to count as bad. */
 export const BAD_VERSION_FAILURE_RATE = 0.1
 /** Ratio to the old version's failure rate that the new version must exceed to count as bad. */
@@ -182,8 +187,6 @@
 export const SLOW_EVENT_GAP_FACTOR = 3
 /** Minimum number of events of a stream from which its mean event gap is computed. */
 export const EVENT_GAP_SAMPLE_EVENTS = 4
-/** Number of events after which a stream that is not slow counts as timely. It is twice the number needed to compute the gap. */
-export const TIMELY_STREAM_EVENTS = 2 * EVENT_GAP_SAMPLE_EVENTS
 /** Length of one counting window of outcomes. A decision uses the current window and the one before it. */
 export const EVIDENCE_WINDOW_MILLISECONDS = 4000
 /** Age at which another instance's report is no longer counted. */
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -54,12 +54,15 @@
   readonly clock: Clock
   readonly random: RandomSource
   readonly log: Log
+  readonly metrics?: Metrics
+  /** The number of instances of the deployment that are known; 1 by default. */
+  readonly instanceCount?: () => number
   /** No hints are exchanged by default. */
   readonly hints?: PrefillHints
 }
 
 export class ForwardingInstance {
-  readonly metrics = new Metrics()
+  readonly metrics: Metrics
   private readonly directory: BackendDirectory
   private readonly state: ForwardingState
   private readonly versionPolicy: VersionPolicy
@@ -68,6 +71,8 @@
   private readonly server: ForwardingServer
   /** Rollout orders by the keys of their rows. */
   private readonly ordersByRowKey = new Map<string, RolloutOrder>()
+  /** Revisions of the orders that were made while this instance followed them. */
+  private readonly ordersSeenMade = new Set<number>()
   private readonly timers: NodeJS.Timeout[] = []
   /** The store's clock minus the monotonic clock of this instance, in milliseconds. */
   private storeTimeOffset = -Infinity
@@ -79,6 +84,7 @@
     const { clock, log, protocol } = dependencies
     const storeTime = (): number => clock.monotonic() + this.storeTimeOffset
     this.settings = settings
+    this.metrics = dependencies.metrics ?? new Metrics()
     this.directory = new BackendDirectory(settings.zone)
     this.state = new ForwardingState(this.directory, clock, log)
     this.versionPolicy = new VersionPolicy(settings, storeTime)
@@ -90,6 +96,7 @@
     this.rolloutCoordinator = new RolloutCoordinator({
       ...dependencies,
       instance: settings.instance,
+      instanceCount: dependencies.instanceCount ?? (() => 1),
       loadProbe: new HealthProbe(protocol, this.state, log),
       directory: this.directory,
       versionPolicy: this.versionPolicy,
@@ -171,17 +178,24 @@
     if (!this.rolloutCoordinator.isActive || this.isFollowingRollouts) return
     this.isFollowingRollouts = true
     const isStopped = (): boolean => this.isStopping || !this.rolloutCoordinator.isActive
+    const after = this.firstOrderRevision
     const feeds = [
-      this.followStoreTable(ROLLOUTS_TABLE, ({ rows }) => this.applyRolloutRows(rows), isStopped),
-      this.followStoreTable(EVIDENCE_TABLE, ({ rows }) => this.rolloutCoordinator.applyEvidenceRows(rows), isStopped, () => this.rolloutCoordinator.isMovingSessions ? RAMP_EVIDENCE_COALESCE_MILLISECONDS : EVIDENCE_COALESCE_MILLISECONDS)
+      this.followStoreTable(ROLLOUTS_TABLE, ({ rows }) => this.applyRolloutRows(rows), isStopped, undefined, after),
+      this.followStoreTable(EVIDENCE_TABLE, ({ rows }) => this.rolloutCoordinator.applyEvidenceRows(rows), isStopped, () => this.rolloutCoordinator.isMovingSessions ? RAMP_EVIDENCE_COALESCE_MILLISECONDS : EVIDENCE_COALESCE_MILLISECONDS, after)
     ]
     Promise.all(feeds).then(() => { this.isFollowingRollouts = false })
   }
 
-  private async followStoreTable (table: string, onReading: (reading: FeedReading) => void, isStopped = () => this.isStopping, coalescePause?: () => number): Promise<void> {
+  /** The revision after which the rows of all rollouts in progress were written; undefined when an order may be older than the store's history. */
+  private get firstOrderRevision (): number | undefined {
+    const revisions = [...this.ordersByRowKey.values()].map(({ revision }) => revision)
+    return revisions.every(revision => this.ordersSeenMade.has(revision)) ? Math.min(...revisions) : undefined
+  }
+
+  private async followStoreTable (table: string, onReading: (reading: FeedReading) => void, isStopped = () => this.isStopping, coalescePause?: () => number, after?: number): Promise<void> {
     const { store, random, log, clock } = this.dependencies
     let lostAt = clock.monotonic()
-    for await (const event of followTable({ store, table, random, isStopped, coalescePause })) {
+    for await (const event of followTable({ store, table, random, isStopped, coalescePause, after })) {
       if (event.kind === 'lost') {
         lostAt = clock.monotonic()
         log.warn('store_lost', { table, call_ms: Math.round(event.callDuration), message: messageOf(event.cause) })
@@ -194,7 +208,7 @@
     }
   }
 
-  private applyOperatorRows ({ rows, reader, callDuration: took, storeTime }: FeedReading): void {
+  private applyOperatorRows ({ kind, rows, reader, callDuration: took, storeTime }: FeedReading): void {
     for (const { key, value, revision } of rows) {
       if (value === undefined) {
         this.ordersByRowKey.delete(key)
@@ -202,8 +216,10 @@
       }
       const row = this.dependencies.source.readOperatorRow(key, value, revision)
       if (row.kind === 'catalogue') this.state.applyCatalogue(row.catalogue, { revision, reader, readDuration: took, age: this.dependencies.clock.monotonic() + this.storeTimeOffset - storeTime })
-      else if (row.kind === 'rollout') this.ordersByRowKey.set(key, row.order)
-      else if (row.reason !== undefined) this.dependencies.log.warn('operator_row_ignored', { key, revision, reason: row.reason })
+      else if (row.kind === 'rollout') {
+        this.ordersByRowKey.set(key, row.order)
+        if (kind === 'changes') this.ordersSeenMade.add(revision)
+      } else if (row.reason !== undefined) this.dependencies.log.warn('operator_row_ignored', { key, revision, reason: row.reason })
     }
     this.rolloutCoordinator.applyOrders(new Map([...this.ordersByRowKey.values()].map(order => [order.service, order])))
     this.followRolloutTables()
--- a/packages/forwarding/src/JayfallRolloutCoordinator.ts
+++ b/packages/forwarding/src/JayfallRolloutCoordinator.ts
@@ -14,12 +14,13 @@
 import { type BackendDirectory } from './JayfallBackendDirectory'
 import { type DeploymentSource } from './JayfallDeploymentSource'
 import { type RolloutOrder } from './JayfallForwardingCatalogue'
-import { EVIDENCE_INTERVAL_MILLISECONDS, EVIDENCE_LIFETIME_MILLISECONDS, ROLLOUT_STEP_PROBABILITY } from './JayfallForwardingConstants'
+import { EVIDENCE_INTERVAL_MILLISECONDS, EXPECTED_STEP_ATTEMPTS, EVIDENCE_LIFETIME_MILLISECONDS } from './JayfallForwardingConstants'
 import { type RolloutEvidence } from './JayfallRolloutEvidence'
 import { mayComplete, mayMoveSessions, mustComplete, type Rollout, type RolloutOutcome } from './JayfallRolloutSchedule'
 import { EVIDENCE_TABLE, ROLLOUTS_TABLE, readEvidenceRow, readRolloutRow, type EvidenceRow, type RolloutRow } from './JayfallRolloutRows'
-import { isBadVersion, sumOutcomeCounts, type OutcomeCounts } from './JayfallVersionEvidence'
+import { StepContention } from './JayfallStepContention'
 import { type VersionPolicy } from './JayfallVersionPolicy'
+import { isBadVersion, sumVersionCounts, type VersionCounts } from './JayfallVersionVerdict'
 
 /** Queries the load of a backend server. */
 export abstract class LoadProbe {
@@ -37,6 +38,8 @@
   readonly evidence: RolloutEvidence
   readonly clock: Clock
   readonly random: RandomSource
+  /** The number of instances of the deployment that are known. */
+  readonly instanceCount: () => number
   readonly log: Log
   /** The store's clock, in milliseconds, as estimated by this instance. */
   readonly storeTime: () => number
@@ -48,7 +51,7 @@
 }
 
 interface PublishedCounts {
-  readonly failures: number
+  readonly bad: number
   readonly outcomes: number
   readonly publishedAt: number
 }
@@ -62,7 +65,11 @@
   private isRunning = false
   private hasReadRolloutRows = false
 
-  constructor (private readonly dependencies: RolloutCoordinatorDependencies) {}
+  private readonly contention: StepContention
+
+  constructor (private readonly dependencies: RolloutCoordinatorDependencies) {
+    this.contention = new StepContention(dependencies.instanceCount, dependencies.random)
+  }
 
   /** Whether a rollout is in progress, so that its tables must be followed. */
   get isActive (): boolean {
@@ -130,8 +137,7 @@
   private async advanceRollout (order: RolloutOrder): Promise<void> {
     const row = this.rolloutRowOf(order)
     if (row === undefined) {
-      if (this.dependencies.random.chance(ROLLOUT_STEP_PROBABILITY)) await this.transition(order, 'running', 'ordered')
-      return
+      return this.transition(order, 'running', 'ordered')
     }
     if (row.outcome !== 'running') return
     const rollout = toRollout(order, row)
@@ -142,17 +148,19 @@
     }
     const storeTime = this.dependencies.storeTime()
     if (mustComplete(rollout, storeTime)) return this.transition(order, 'complete', 'deadline')
-    if (mayComplete(rollout, storeTime) && this.dependencies.random.chance(ROLLOUT_STEP_PROBABILITY) && await this.isOldVersionIdle(order)) return this.transition(order, 'complete', 'old servers are idle')
+    if (mayComplete(rollout, storeTime) && this.dependencies.random.chance(EXPECTED_STEP_ATTEMPTS / this.dependencies.instanceCount()) && await this.isOldVersionIdle(order)) return this.transition(order, 'complete', 'old servers are idle')
   }
 
   private async transition (order: RolloutOrder, outcome: RolloutOutcome, reason: string): Promise<void> {
-    const { service } = order
+    const { service, revision: orderRevision } = order
+    const step = `${service}/${orderRevision}/${outcome}`
+    if (!this.contention.isChosen(step)) return
     const existing = this.rolloutRowOf(order)
     // The row may have arrived while the conditions for this step were checked.
     if (existing !== undefined && existing.outcome !== 'running') return
     const row: RolloutRow = {
       version: order.version,
-      orderRevision: order.revision,
+      orderRevision,
       startedAt: existing?.startedAt ?? this.dependencies.storeTime(),
       outcome
     }
@@ -161,6 +169,7 @@
       const [revision] = await this.dependencies.store.transact(writes)
       this.dependencies.log.info('rollout_step', { service, version: order.version, outcome, reason })
       this.storeRow(service, row, revision)
+      this.contention.forget(step)
       this.updateVersionPolicy()
     } catch (error) {
       if (!isPlatformError(error, 'conflict', 'outcome_unknown')) throw error
@@ -187,23 +196,24 @@
   private async publishEvidence ({ service, revision }: RolloutOrder): Promise<void> {
     const { evidence, clock, instance } = this.dependencies
     const now = clock.monotonic()
-    const { newFailureCount, newOutcomeCount } = evidence.forService(service)
-    const lastPublished = this.publishedCounts.get(service) ?? { failures: 0, outcomes: 0, publishedAt: now }
-    const isDue = newFailureCount > lastPublished.failures || (newOutcomeCount > lastPublished.outcomes && now - lastPublished.publishedAt >= EVIDENCE_INTERVAL_MILLISECONDS)
+    const { outcomes: counts, speeds } = evidence.forService(service).recentCounts(now)
+    const { newBadCount, newOutcomeCount } = evidence.forService(service)
+    const lastPublished = this.publishedCounts.get(service) ?? { bad: 0, outcomes: 0, publishedAt: now }
+    const isDue = newBadCount > lastPublished.bad || (newOutcomeCount > lastPublished.outcomes && now - lastPublished.publishedAt >= EVIDENCE_INTERVAL_MILLISECONDS)
     if (!isDue) {
       this.publishedCounts.set(service, lastPublished)
       return
     }
-    const row: EvidenceRow = { instance, orderRevision: revision, at: this.dependencies.storeTime(), counts: evidence.forService(service).recentCounts(now) }
+    const row: EvidenceRow = { instance, orderRevision: revision, at: this.dependencies.storeTime(), counts, speeds }
     await this.dependencies.store.transact([{ table: EVIDENCE_TABLE, key: `${service}/${instance}`, value: row }])
-    this.publishedCounts.set(service, { failures: newFailureCount, outcomes: newOutcomeCount, publishedAt: now })
+    this.publishedCounts.set(service, { bad: newBadCount, outcomes: newOutcomeCount, publishedAt: now })
   }
 
-  private sumRecentEvidence ({ service, revision }: RolloutOrder): OutcomeCounts {
+  private sumRecentEvidence ({ service, revision }: RolloutOrder): VersionCounts {
     const { evidence, clock, storeTime } = this.dependencies
     const isCurrent = (row: EvidenceRow): boolean => row.orderRevision === revision && storeTime() - row.at < EVIDENCE_LIFETIME_MILLISECONDS
-    const peerCounts = [...this.peerEvidence].filter(([key, row]) => key.startsWith(`${service}/`) && isCurrent(row)).map(([, row]) => row.counts)
-    return sumOutcomeCounts([evidence.forService(service).recentCounts(clock.monotonic()), ...peerCounts])
+    const peerCounts = [...this.peerEvidence].filter(([key, row]) => key.startsWith(`${service}/`) && isCurrent(row)).map(([, { counts, speeds }]) => ({ outcomes: counts, speeds }))
+    return sumVersionCounts([evidence.forService(service).recentCounts(clock.monotonic()), ...peerCounts])
   }
 
   /** Whether no server of an old version has work left. */
--- a/packages/forwarding/src/JayfallRolloutEvidence.ts
+++ b/packages/forwarding/src/JayfallRolloutEvidence.ts
@@ -1,19 +1,11 @@
-/** Collects the outcomes that this instance observes for the rollouts of all services. */
+/** Collects what this instance observes of the versions of all services. */
 
 import { type Clock } from '#jayfall/shared'
 
-import { VersionEvidence, type AnswerTiming } from './JayfallVersionEvidence'
+import { VersionEvidence } from './JayfallVersionEvidence'
+import { VersionObservation, type ObservedAttempt } from './JayfallVersionObservation'
 import { type VersionPolicy } from './JayfallVersionPolicy'
 
-export interface VersionOutcome {
-  readonly service: string
-  readonly version: string
-  readonly route: string
-  readonly model: string | undefined
-  readonly hasFailed: boolean
-  readonly timing: AnswerTiming
-}
-
 export class RolloutEvidence {
   private readonly evidenceByService = new Map<string, VersionEvidence>()
 
@@ -25,16 +17,30 @@
     return known
   }
 
-  /** Whether a running attempt on the new version of a running rollout is already known to be slow. */
-  isSlow ({ service, version, route, model, timing }: Omit<VersionOutcome, 'hasFailed'>): boolean {
-    const rollout = this.versionPolicy.rolloutOf(service)
-    return rollout?.outcome === 'running' && version === rollout.order.version && this.forService(service).isSlow(route, model, timing)
+  /** Begins to observe an attempt. */
+  observe (attempt: ObservedAttempt): VersionObservation {
+    const observation = new VersionObservation(attempt)
+    if (this.isRunning(attempt)) this.forService(attempt.service).observe(observation, this.isNew(attempt))
+    return observation
+  }
+
+  /** Records that an attempt ended for reasons that have nothing to do with its version. */
+  forget (observation: VersionObservation): void {
+    this.forService(observation.attempt.service).forget(observation, this.clock.monotonic())
+  }
+
+  recordOutcome (observation: VersionObservation, hasFailed: boolean): void {
+    const { attempt } = observation
+    const evidence = this.forService(attempt.service)
+    if (this.isRunning(attempt)) evidence.recordOutcome(observation, this.isNew(attempt), hasFailed, this.clock.monotonic())
+    else if (!hasFailed) evidence.recordBaseline(observation)
+  }
+
+  private isRunning ({ service }: ObservedAttempt): boolean {
+    return this.versionPolicy.rolloutOf(service)?.outcome === 'running'
   }
 
-  recordOutcome ({ service, version, route, model, hasFailed, timing }: VersionOutcome): void {
-    const rollout = this.versionPolicy.rolloutOf(service)
-    const evidence = this.forService(service)
-    if (rollout !== undefined && rollout.outcome === 'running') evidence.recordOutcome(route, model, version === rollout.order.version, hasFailed, timing, this.clock.monotonic())
-    else if (!hasFailed) evidence.recordBaseline(route, model, timing)
+  private isNew ({ service, version }: ObservedAttempt): boolean {
+    return version === this.versionPolicy.rolloutOf(service)?.order.version
   }
 }
--- a/packages/forwarding/src/JayfallRolloutRows.ts
+++ b/packages/forwarding/src/JayfallRolloutRows.ts
@@ -15,13 +15,17 @@
 }).readonly()
 
 const outcomeCount = z.number().int().min(0)
+const countsByRoute = z.record(z.string(), z.tuple([outcomeCount, outcomeCount, outcomeCount, outcomeCount]).readonly()).readonly()
 
 const evidenceRow = z.object({
   instance: z.string(),
   orderRevision: z.number(),
   /** Milliseconds of the store's clock when the row was written. */
   at: z.number(),
-  counts: z.record(z.string(), z.tuple([outcomeCount, outcomeCount, outcomeCount, outcomeCount]).readonly()).readonly()
+  /** Answered and failed attempts. Older versions count slow ones among the failed ones. */
+  counts: countsByRoute,
+  /** Timely and slow attempts; absent in rows that older versions wrote. */
+  speeds: countsByRoute.prefault({})
 }).readonly()
 
 export type RolloutRow = z.infer<typeof rolloutRow>
