--- a/packages/feeds/src/JayfallChangesServer.ts
+++ b/packages/feeds/src/JayfallChangesServer.ts
@@ -1,69 +1,89 @@
-/** Answers long polls of other instances from the recent changes of the tables that this instance follows. */
+/** Answers the calls of other instances from the recent changes of the tables that this instance follows. */
 
 import { type Clock } from '#jayfall/shared'
 
-import { MAXIMUM_READ_AGE_MILLISECONDS, MAXIMUM_RELAYED_BYTES } from './JayfallFeedConstants'
+import { MAXIMUM_RELAYED_BYTES, MINIMUM_RELAYED_BYTES, REFRESH_WAIT_MILLISECONDS, RELAY_SECONDS } from './JayfallFeedConstants'
 import { type FeedHistory } from './JayfallFeedHistory'
 import { ChangesSource, type ChangesReply, type ChangesRequest, type TableReply } from './JayfallFeedPeerClient'
-import { type ReaderSelector } from './JayfallReaderSelector'
+import { type FeedSubscribers } from './JayfallFeedSubscribers'
+import { type FeedTimings } from './JayfallFeedTimings'
 import { ChangeEncoder } from './JayfallRelayedChange'
 
-/** Serves changes while this instance is the reader of its zone. */
+const BITS_PER_MEGABYTE = 8
+const BYTES_PER_MEGABYTE = 1e6
+
+export interface ChangesServerParts {
+  readonly histories: ReadonlyMap<string, FeedHistory>
+  readonly subscribers: FeedSubscribers
+  readonly timingsOf: (table: string) => FeedTimings
+  /** Bandwidth of this instance's link in Mbit/s; undefined when it is unknown. */
+  readonly link: number | undefined
+  readonly clock: Clock
+  /** Makes this instance renew its own reading. */
+  readonly refresh: () => void
+}
+
+/** Serves changes to the instances that read from this one. */
 export class ChangesServer extends ChangesSource {
   private isStopping = false
   /** Functions that wake the calls waiting for a change. */
   private readonly wakeCallbacks = new Set<() => void>()
   private readonly encoder = new ChangeEncoder()
 
-  constructor (private readonly histories: ReadonlyMap<string, FeedHistory>, private readonly readerSelector: ReaderSelector, private readonly clock: Clock) {
+  constructor (private readonly parts: ChangesServerParts) {
     super()
   }
 
-  /** Answers immediately when a table has changes or is refused, and otherwise at the end of the wait or when the data of a table becomes too old. */
+  /** Answers when a table has changes or is refused, and otherwise at the end of the wait. Before that, tables whose reading is late are read again. */
   override async answer (request: ChangesRequest): Promise<ChangesReply> {
-    const { clock } = this
-    this.readerSelector.recordPeerCall(clock.monotonic())
-    const end = clock.monotonic() + request.wait
+    const { clock, subscribers, refresh } = this.parts
+    const start = clock.monotonic()
+    const limit = this.relayLimit(subscribers.addresses(start).length)
+    if (request.notify !== undefined) subscribers.add(request.notify, start)
     for (;;) {
       const now = clock.monotonic()
-      const replies = Object.entries(request.tables).map(([table, revision]) => [table, this.answerTable(table, revision, now)] as const)
-      if (now >= end || replies.some(([, reply]) => isReadyToSend(reply))) return Object.fromEntries(replies)
-      await this.waitForChange(Math.min(end, this.freshUntil(request)) - now)
+      const replies = Object.entries(request.tables).map(([table, revision]) => [table, this.answerTable(table, revision, now, limit)] as const)
+      const isLate = replies.some(([, reply]) => isStale(reply)) && !this.isStopping
+      const end = start + Math.max(request.wait, isLate ? REFRESH_WAIT_MILLISECONDS : 0)
+      if (now >= end || (!isLate && replies.some(([, reply]) => isReadyToSend(reply)))) return Object.fromEntries(replies)
+      const woken = this.waitForReading(end - now)
+      if (isLate) refresh()
+      await woken
     }
   }
 
   /** Makes the waiting calls check the histories again. */
-  notifyOfChange (): void {
-    for (const wake of this.wakeCallbacks) wake()
+  notifyOfReading (): void {
+    for (const wake of [...this.wakeCallbacks]) wake()
   }
 
   /** Refuses all requests from now on. */
   stop (): void {
     this.isStopping = true
-    this.notifyOfChange()
+    this.notifyOfReading()
   }
 
-  private answerTable (table: string, revision: number, now: number): TableReply {
-    const history = this.histories.get(table)
-    if (this.isStopping || this.hasLostStore(now)) return { kind: 'refused', reason: 'stale' }
-    const reading = history?.changesAfter(revision, now)
-    if (history === undefined || reading === undefined || !isFresh(history, now)) return { kind: 'refused', reason: 'not_kept' }
-    const changes = this.encoder.encodeWithin(MAXIMUM_RELAYED_BYTES, reading.changes)
+  private answerTable (table: string, revision: number, now: number, limit: number): TableReply {
+    const history = this.parts.histories.get(table)
+    if (this.isStopping) return { kind: 'refused', reason: 'stale' }
+    if (history === undefined) return { kind: 'refused', reason: 'not_kept' }
+    const age = now - history.completeUntil
+    if (age > this.parts.timingsOf(table).maximumPassedAge) return { kind: 'refused', reason: 'stale' }
+    const reading = history.changesAfter(revision, now)
+    if (reading === undefined) return { kind: 'refused', reason: 'not_kept' }
+    const changes = this.encoder.encodeWithin(limit, reading.changes)
     if (changes === undefined) return { kind: 'refused', reason: 'too_large' }
-    return { kind: 'changes', reading: { ...reading, changes }, age: now - history.completeUntil }
-  }
-
-  /** Whether no table was read from the store recently. A single table with an old read is one that this instance no longer follows. */
-  private hasLostStore (now: number): boolean {
-    return !this.readerSelector.isNewReader(now) && ![...this.histories.values()].some(history => isFresh(history, now))
+    return { kind: 'changes', reading: { ...reading, changes }, age }
   }
 
-  /** Monotonic milliseconds until which all tables of the request are fresh; -Infinity when one is not followed. */
-  private freshUntil ({ tables }: ChangesRequest): number {
-    return Math.min(...Object.keys(tables).map(table => (this.histories.get(table)?.completeUntil ?? -Infinity) + MAXIMUM_READ_AGE_MILLISECONDS))
+  /** Maximum size of the changes for one instance, so that this instance's link delivers them to all of its subscribers in time. */
+  private relayLimit (subscribers: number): number {
+    const { link = 0 } = this.parts
+    const bytes = link * BYTES_PER_MEGABYTE / BITS_PER_MEGABYTE * RELAY_SECONDS / Math.max(1, subscribers)
+    return Math.min(MAXIMUM_RELAYED_BYTES, Math.max(MINIMUM_RELAYED_BYTES, bytes))
   }
 
-  private waitForChange (milliseconds: number): Promise<void> {
+  private waitForReading (milliseconds: number): Promise<void> {
     return new Promise(resolve => {
       const wake = (): void => {
         clearTimeout(timer)
@@ -76,9 +96,8 @@
   }
 }
 
-/** Whether the last read of the table from the store is recent enough for other instances. */
-function isFresh ({ completeUntil }: FeedHistory, now: number): boolean {
-  return now - completeUntil < MAXIMUM_READ_AGE_MILLISECONDS
+function isStale (reply: TableReply): boolean {
+  return reply.kind === 'refused' && reply.reason === 'stale'
 }
 
 function isReadyToSend (reply: TableReply): boolean {
--- a/packages/feeds/src/JayfallFeedHistory.ts
+++ b/packages/feeds/src/JayfallFeedHistory.ts
@@ -16,7 +16,9 @@
   /** All changes after this revision, up to `latestRevision`, are kept. */
   private completeAfter = Infinity
   private latestRevision = 0
+  private newestChange = 0
   private storeTime = 0
+  /** Monotonic milliseconds. */
   private readAt = -Infinity
 
   /** Monotonic milliseconds up to which all changes of the store are known. */
@@ -24,10 +26,26 @@
     return this.readAt
   }
 
+  /** Revision of the newest change that may be unknown to an instance behind it. */
+  get changedRevision (): number {
+    return this.newestChange
+  }
+
+  /** Revision up to which all changes are known. */
+  get completeRevision (): number {
+    return this.latestRevision
+  }
+
+  /** The store's clock at a time of this instance's monotonic clock, in milliseconds. */
+  storeTimeAt (now: number): number {
+    return this.storeTime + now - this.readAt
+  }
+
   /** Discards all changes after a read of the whole table at `revision`. `storeTime` and `readAt` are in milliseconds of the store's and of this instance's monotonic clock. */
   reset (revision: number, storeTime: number, readAt: number): void {
     this.changes.clear()
     this.completeAfter = revision
+    this.newestChange = revision
     this.setRevision(revision, storeTime, readAt)
   }
 
@@ -43,7 +61,7 @@
   changesAfter (revision: number, now: number): TableChanges | undefined {
     if (revision < this.completeAfter) return undefined
     const changes = [...this.changes.values()].filter(change => change.revision > revision)
-    return { changes, revision: Math.max(revision, this.latestRevision), storeTime: this.storeTime + now - this.readAt, isRelayed: true }
+    return { changes, revision: Math.max(revision, this.latestRevision), storeTime: this.storeTimeAt(now), isRelayed: true }
   }
 
   private retain (change: TableChange): void {
@@ -51,6 +69,7 @@
     if (retained !== undefined && retained.revision >= change.revision) return
     this.changes.delete(change.key)
     this.changes.set(change.key, change)
+    this.newestChange = Math.max(this.newestChange, change.revision)
     if (this.changes.size <= MAXIMUM_HISTORY_ROWS) return
     const [oldest] = this.changes.values()
     this.changes.delete(oldest.key)
--- a/packages/feeds/src/JayfallFeedPeerClient.ts
+++ b/packages/feeds/src/JayfallFeedPeerClient.ts
@@ -14,7 +14,9 @@
   /** The revision of each table up to which the caller knows the changes. */
   tables: z.record(z.string(), revision).refine(tables => Object.keys(tables).length <= MAXIMUM_TABLES_PER_CALL),
   /** Time to wait for changes, in milliseconds. */
-  wait: z.number().min(0).max(PEER_POLL_WAIT_MILLISECONDS)
+  wait: z.number().min(0).max(PEER_POLL_WAIT_MILLISECONDS),
+  /** IP address and port to which the reader sends notices of its readings. */
+  notify: z.string().optional()
 }).readonly()
 
 export type ChangesRequest = z.infer<typeof changesRequest>
--- a/packages/feeds/src/JayfallInstanceRegistry.ts
+++ b/packages/feeds/src/JayfallInstanceRegistry.ts
@@ -1,18 +1,20 @@
 /**
- * Registers this instance in the store and lists the registered instances.
+ * Registers this instance in the store and follows the list of the registered instances.
  *
- * Each instance writes its row at its start and at regular intervals, removes it when it stops, and lists
- * all rows at intervals that grow with their number. Rows that have not been written for longer than their
- * lifetime belong to instances that ended abruptly; every instance that lists such a row removes it.
+ * Each instance writes its row when the list lacks it, and then at long intervals. The row stays when the instance
+ * stops, because it usually starts again at the same address. Rows that were not written again for longer than their
+ * lifetime belong to instances that ended for good; the instance whose row is the first one in the list removes them.
+ * Ages are measured since this process saw a row, because the times of day of instances may differ or jump.
  */
 
-import { messageOf, type Clock, type RandomSource } from '#jayfall/shared'
-import { isPlatformError, listRows, type TableRow, type TableStore } from '#jayfall/store'
+import { delay, messageOf, type Clock, type RandomSource } from '#jayfall/shared'
+import { isPlatformError, type TableChange, type TableStore, type WatchableTableStore } from '#jayfall/store'
 import { type Log } from '#jayfall/telemetry'
 import * as z from 'zod'
 
-import { FIRST_LISTING_DELAY_MILLISECONDS, INSTANCES_TABLE, LISTING_INTERVAL_MILLISECONDS, LISTING_INTERVAL_PER_INSTANCE_MILLISECONDS, REGISTRY_RETRY_PAUSE_MILLISECONDS, REGISTRATION_INTERVAL_MILLISECONDS, REGISTRATION_LIFETIME_MILLISECONDS } from './JayfallFeedConstants'
+import { FIRST_LISTING_DELAY_MILLISECONDS, INSTANCES_TABLE, LISTING_DELAY_MILLISECONDS, REGISTRATION_CHECK_INTERVAL_MILLISECONDS, REGISTRATION_INTERVAL_MILLISECONDS, REGISTRATION_LIFETIME_MILLISECONDS } from './JayfallFeedConstants'
 import { type FeedInstance } from './JayfallReaderSelector'
+import { followTable, type FeedReading } from './JayfallTableFeed'
 
 const instanceRow = z.object({
   id: z.string(),
@@ -20,98 +22,147 @@
   address: z.string(),
   /** Bandwidth of the link in Mbit/s; absent in rows that older versions wrote. */
   link: z.number().positive().optional(),
-  /** Time of the write, in wall-clock milliseconds. */
+  /** Time of the write, in wall-clock milliseconds; read by older versions only. */
   at: z.number()
 }).readonly()
 
 type InstanceRow = z.infer<typeof instanceRow>
 
+interface ListedRow {
+  readonly row: InstanceRow
+  readonly revision: number
+  /** Monotonic milliseconds at which this process saw the row in this revision first. */
+  readonly seenAt: number
+}
+
 export interface InstanceRegistryParts {
-  readonly self: FeedInstance
+  /** The store that rows are written to. */
   readonly store: TableStore
+  /** The store whose changes are followed. */
+  readonly followed: WatchableTableStore
+  readonly isFirstStart: boolean
   readonly clock: Clock
   readonly random: RandomSource
   readonly log: Log
-  /** Called with all registered instances after each listing. */
+  /** Called with all registered instances when the list was read or has changed. */
   readonly onListing: (instances: readonly FeedInstance[]) => void
 }
 
-/** Keeps this instance's row up to date and lists all instances at intervals. */
+/** Keeps this instance's row up to date and follows those of the other instances. */
 export class InstanceRegistry {
-  private timer: NodeJS.Timeout | undefined
+  /** Resolves when the list was read for the first time. */
+  readonly listed: Promise<void>
+  private resolveListed!: () => void
+  private hasList = false
   private isStopping = false
+  private self!: FeedInstance
+  private readonly rows = new Map<string, ListedRow>()
+  private timer: NodeJS.Timeout | undefined
   /** Time of the last write of this instance's row, in monotonic milliseconds. */
   private writtenAt = -Infinity
-  /** Number of instances in the last listing. */
-  private instanceCount = 0
 
-  constructor (private readonly parts: InstanceRegistryParts) {}
+  constructor (private readonly parts: InstanceRegistryParts) {
+    this.listed = new Promise(resolve => { this.resolveListed = resolve })
+  }
+
+  get hasListed (): boolean {
+    return this.hasList
+  }
 
-  async start (): Promise<void> {
-    await this.runAndSchedule(FIRST_LISTING_DELAY_MILLISECONDS, () => this.writeOwnRow())
+  /** Registers this instance and resolves when the list is followed. */
+  async start (self: FeedInstance): Promise<void> {
+    this.self = self
+    const { isFirstStart, random } = this.parts
+    if (isFirstStart) await this.writeOwnRow()
+    await delay(isFirstStart ? FIRST_LISTING_DELAY_MILLISECONDS : random.uniform() * LISTING_DELAY_MILLISECONDS)
+    this.follow().catch(error => this.logFailure('instances_not_listed', error))
+    this.timer = setInterval(() => this.checkRows(), REGISTRATION_CHECK_INTERVAL_MILLISECONDS)
+    this.timer.unref()
   }
 
-  /** Removes this instance's row, so that other instances stop calling it. */
-  async stop (): Promise<void> {
+  stop (): void {
     this.isStopping = true
-    clearTimeout(this.timer)
-    try {
-      await this.parts.store.transact([{ table: INSTANCES_TABLE, key: this.ownKey, value: null }])
-    } catch (error) {
-      this.logFailure('instance_row_not_removed', error)
-    }
+    clearInterval(this.timer)
   }
 
   private get ownKey (): string {
-    return `${this.parts.self.zone}/${this.parts.self.id}`
+    return `${this.self.zone}/${this.self.id}`
   }
 
-  /** Runs a step and schedules the next listing after about `pause` milliseconds. */
-  private async runAndSchedule (pause: number, step: () => Promise<void>): Promise<void> {
-    let next = pause
-    try {
-      await step()
-    } catch (error) {
-      this.logFailure('instances_not_listed', error)
-      next = REGISTRY_RETRY_PAUSE_MILLISECONDS
+  private async follow (): Promise<void> {
+    const { followed, random } = this.parts
+    for await (const event of followTable({ store: followed, table: INSTANCES_TABLE, random, isStopped: () => this.isStopping })) {
+      if (event.kind === 'lost') continue
+      const isFirst = !this.hasList
+      this.applyReading(event)
+      if (isFirst) await this.checkOwnRow()
     }
-    if (this.isStopping) return
-    this.timer = setTimeout(() => this.runAndSchedule(Math.max(LISTING_INTERVAL_MILLISECONDS, this.instanceCount * LISTING_INTERVAL_PER_INSTANCE_MILLISECONDS), () => this.refresh()), next * (0.75 + this.parts.random.uniform() / 2))
-    this.timer.unref()
   }
 
-  private async refresh (): Promise<void> {
-    if (this.parts.clock.monotonic() - this.writtenAt >= REGISTRATION_INTERVAL_MILLISECONDS) await this.writeOwnRow()
-    await this.listInstances()
+  private applyReading ({ kind, rows }: FeedReading): void {
+    if (kind === 'snapshot') {
+      const keys = new Set(rows.map(({ key }) => key))
+      for (const key of this.rows.keys()) if (!keys.has(key)) this.rows.delete(key)
+    }
+    for (const change of rows) this.applyChange(change)
+    this.hasList = true
+    if (kind === 'snapshot' || rows.length > 0) this.parts.onListing([...this.rows.values()].map(({ row: { id, zone, address, link } }) => ({ id, zone, address, link })))
+    this.resolveListed()
   }
 
-  private async writeOwnRow (): Promise<void> {
-    const { self, store, clock } = this.parts
-    const row: InstanceRow = { ...self, at: clock.wall() }
-    await store.transact([{ table: INSTANCES_TABLE, key: this.ownKey, value: row }])
-    this.writtenAt = clock.monotonic()
+  private applyChange ({ key, value, revision }: TableChange): void {
+    const { data } = instanceRow.safeParse(value)
+    if (data === undefined) this.rows.delete(key)
+    else if (this.rows.get(key)?.revision !== revision) this.rows.set(key, { row: data, revision, seenAt: this.parts.clock.monotonic() })
   }
 
-  private async listInstances (): Promise<void> {
-    const { store, clock, onListing } = this.parts
-    const instances: FeedInstance[] = []
-    for await (const row of listRows<unknown>(store, INSTANCES_TABLE, '')) {
-      const parsed = instanceRow.safeParse(row.value)
-      if (!parsed.success || clock.wall() - parsed.data.at > REGISTRATION_LIFETIME_MILLISECONDS) await this.removeRow(row)
-      else instances.push({ id: parsed.data.id, zone: parsed.data.zone, address: parsed.data.address, link: parsed.data.link })
+  /** Renews this instance's row and removes old ones, where it is due; called at an interval. */
+  async checkRows (): Promise<void> {
+    await this.checkOwnRow()
+    const [firstKey] = [...this.rows.keys()].sort()
+    if (firstKey !== this.ownKey) return
+    try {
+      await this.removeOldRows()
+    } catch (error) {
+      this.logFailure('instance_row_not_removed', error)
     }
-    this.instanceCount = instances.length
-    onListing(instances)
   }
 
-  private async removeRow ({ key, revision }: TableRow): Promise<void> {
-    const { store, log } = this.parts
+  /** Writes this instance's row when the list lacks it, or has another one, or when it is due. */
+  private async checkOwnRow (): Promise<void> {
+    const { zone, address, link } = this.self
+    const row = this.rows.get(this.ownKey)?.row
+    const isListed = row !== undefined && row.zone === zone && row.address === address && row.link === link
+    if (!isListed || this.parts.clock.monotonic() - this.writtenAt >= REGISTRATION_INTERVAL_MILLISECONDS) await this.writeOwnRow(isListed)
+  }
+
+  /** @param isListed whether the row is in the list already; a process that has just started need not write it again. */
+  private async writeOwnRow (isListed = false): Promise<void> {
+    const { store, clock } = this.parts
+    const isRestart = isListed && this.writtenAt === -Infinity
+    this.writtenAt = clock.monotonic()
+    if (isRestart) return
+    const row: InstanceRow = { ...this.self, at: clock.wall() }
     try {
-      await store.transact([{ table: INSTANCES_TABLE, key, value: null, ifRevision: revision }])
-      log.info('instance_row_removed', { key, revision })
+      await store.transact([{ table: INSTANCES_TABLE, key: this.ownKey, value: row }])
     } catch (error) {
-      // Either another instance has removed the row, or its owner has written it again.
-      if (!isPlatformError(error, 'conflict')) throw error
+      // The next check writes it again.
+      this.writtenAt = -Infinity
+      this.logFailure('instances_not_listed', error)
+    }
+  }
+
+  private async removeOldRows (): Promise<void> {
+    const { store, clock, log } = this.parts
+    for (const [key, { seenAt, revision }] of this.rows) {
+      if (key === this.ownKey || clock.monotonic() - seenAt <= REGISTRATION_LIFETIME_MILLISECONDS) continue
+      try {
+        await store.transact([{ table: INSTANCES_TABLE, key, value: null, ifRevision: revision }])
+        log.info('instance_row_removed', { key, revision })
+      } catch (error) {
+        // Either another instance has removed the row, or its owner has written it again.
+        if (!isPlatformError(error, 'conflict')) throw error
+      }
     }
   }
 
--- a/packages/feeds/src/JayfallReaderSelector.ts
+++ b/packages/feeds/src/JayfallReaderSelector.ts
@@ -1,14 +1,16 @@
 /**
- * Selects the instance of an availability zone that reads the store's changes for the others.
+ * Selects the instance that reads the store's changes for this one.
  *
- * All instances compute the same ranking of the zone's instances, with wide links first, so they agree on the
- * reader without messages. An instance to which a reader does not answer excludes that reader for some time.
- * Two readers at the same time are harmless: changes are only read twice from the store.
+ * In each availability zone one instance reads for the others, and one of these readers, the root, reads the store
+ * for the readers of all zones. All instances compute the same ranking, with wide links first, so they agree without
+ * messages. An instance to which a reader does not answer excludes that reader for some time and takes the next one.
+ * An instance only reads from one that is ranked before it, so that there are no cycles. Several readers at the same
+ * time are harmless: changes are only read more often from the store.
  */
 
-import { rendezvousRank } from '#jayfall/shared'
+import { rendezvousWeight } from '#jayfall/shared'
 
-import { STORE_POLL_WAIT_MILLISECONDS, MAXIMUM_READ_AGE_MILLISECONDS, MAXIMUM_EXCLUSION_MILLISECONDS, MINIMUM_SHARING_INSTANCES, PEER_READ_SUSPENSION_MILLISECONDS, READER_ROLE_MILLISECONDS, FIRST_EXCLUSION_MILLISECONDS, WIDE_LINK_FRACTION } from './JayfallFeedConstants'
+import { MAXIMUM_EXCLUSION_MILLISECONDS, PEER_READ_SUSPENSION_MILLISECONDS, FIRST_EXCLUSION_MILLISECONDS, WIDE_LINK_FRACTION } from './JayfallFeedConstants'
 
 /** An instance that can read for other instances of its zone. */
 export interface FeedInstance {
@@ -28,46 +30,46 @@
   readonly duration: number
 }
 
+/** What this instance does for others. A root reads the store itself. */
+export type FeedRole = 'root' | 'zone_reader' | 'follower'
+
 const RANK_KEY = 'feed-reader'
 
-/** One instance's view of the readers of its zone. Times are monotonic milliseconds. */
+/** One instance's view of the readers. Times are monotonic milliseconds. */
 export class ReaderSelector {
-  /** The instances of the zone, with the preferred reader first. */
-  private ranked: readonly FeedInstance[] = []
+  /** The other instances of the zone that are ranked before this one, the preferred reader first. */
+  private zoneReaders: readonly FeedInstance[] = []
+  /** The preferred readers of the zones that are ranked before this instance, the preferred root first. */
+  private roots: readonly FeedInstance[] = []
   /** Excluded readers by identifier. */
   private readonly exclusions = new Map<string, Exclusion>()
-  /** Whether this instance is the preferred reader. */
-  private isPreferred = false
-  private lastPeerCallAt = -Infinity
-  /** Time since which other instances have been reading from this one. */
-  private readerSince = -Infinity
+  private isPreferredInZone = false
+  private hasOthers = false
   private lastOwnFailureAt = -Infinity
+  /** Weights of the ranking by identifier. */
+  private readonly weights = new Map<string, number>()
 
-  /** @param link bandwidth of this instance's link in Mbit/s. */
-  constructor (private readonly id: string, private readonly zone: string, private readonly link = 0) {}
+  /**
+   * @param link bandwidth of this instance's link in Mbit/s.
+   * @param hasSubscribers whether other instances read from this one.
+   */
+  constructor (private readonly id: string, private readonly zone: string, private readonly link = 0, private readonly hasSubscribers: (now: number) => boolean = () => false) {}
 
   /**
-   * Replaces the known instances and ranks those of the zone.
+   * Replaces the known instances and ranks them.
    * @param instances all known instances, with or without this one.
    */
   updateInstances (instances: readonly FeedInstance[]): void {
-    const others = new Map(instances.filter(({ id, zone }) => id !== this.id && zone === this.zone).map(instance => [instance.id, instance]))
-    const all = [...others.values(), { id: this.id, zone: this.zone, address: '', link: this.link }]
-    const widest = Math.max(...all.map(linkBandwidth))
-    const isWide = (instance: FeedInstance): boolean => linkBandwidth(instance) >= widest * WIDE_LINK_FRACTION
-    this.ranked = [...rankByHash(all.filter(isWide)), ...rankByHash(all.filter(instance => !isWide(instance)))]
-    this.isPreferred = this.isSharing && this.ranked[0].id === this.id
-    for (const id of this.exclusions.keys()) if (!others.has(id)) this.exclusions.delete(id)
-  }
-
-  private get isSharing (): boolean {
-    return this.ranked.length >= MINIMUM_SHARING_INSTANCES
-  }
-
-  /** Records that another instance reads from this one. */
-  recordPeerCall (now: number): void {
-    if (now - this.lastPeerCallAt >= READER_ROLE_MILLISECONDS) this.readerSince = now
-    this.lastPeerCallAt = now
+    const own: FeedInstance = { id: this.id, zone: this.zone, address: '', link: this.link }
+    const all = [...instances.filter(({ id }) => id !== this.id), own]
+    const inZone = this.rankReaders(all.filter(({ zone }) => zone === this.zone))
+    this.zoneReaders = rankedBefore(inZone, this.id)
+    this.isPreferredInZone = inZone[0].id === this.id
+    const preferred = [...new Set(all.map(({ zone }) => zone))].map(zone => this.rankReaders(all.filter(instance => instance.zone === zone))[0])
+    this.roots = rankedBefore(this.rankReaders(preferred), this.id)
+    this.hasOthers = all.length > 1
+    const ids = new Set(all.map(({ id }) => id))
+    for (const id of this.exclusions.keys()) if (!ids.has(id)) this.exclusions.delete(id)
   }
 
   /** Records that a reader did not answer or has lost the store, and excludes it. */
@@ -87,30 +89,46 @@
     this.lastOwnFailureAt = now
   }
 
-  /** Whether other instances read from this one, or prefer it as reader. */
-  isReader (now: number): boolean {
-    return this.isPreferred || now - this.lastPeerCallAt < READER_ROLE_MILLISECONDS
+  roleAt (now: number): FeedRole {
+    if (!this.isPreferredInZone && !this.hasSubscribers(now)) return 'follower'
+    return this.findUsable(this.roots, now) === undefined ? 'root' : 'zone_reader'
   }
 
-  /** Whether a long poll that this instance began before it became a reader may still be running. */
-  isNewReader (now: number): boolean {
-    return now - this.readerSince < STORE_POLL_WAIT_MILLISECONDS + MAXIMUM_READ_AGE_MILLISECONDS
+  /** Whether this instance reads for others, or will when they notice that it is preferred. */
+  readsForOthers (now: number): boolean {
+    return this.hasOthers && this.roleAt(now) !== 'follower'
   }
 
   /** The instance to read from, or undefined when this instance reads from the store itself. */
   selectReader (now: number): FeedInstance | undefined {
-    if (!this.isSharing || this.isReader(now) || now - this.lastOwnFailureAt < PEER_READ_SUSPENSION_MILLISECONDS) return undefined
-    const reader = this.ranked.find(({ id }) => now >= (this.exclusions.get(id)?.until ?? -Infinity))
-    return reader === undefined || reader.id === this.id ? undefined : reader
+    if (now - this.lastOwnFailureAt < PEER_READ_SUSPENSION_MILLISECONDS) return undefined
+    return this.findUsable(this.roleAt(now) === 'follower' ? this.zoneReaders : this.roots, now)
+  }
+
+  private findUsable (readers: readonly FeedInstance[], now: number): FeedInstance | undefined {
+    return readers.find(({ id }) => now >= (this.exclusions.get(id)?.until ?? -Infinity))
+  }
+
+  /** Ranks instances in the same order at all instances, those with wide links first. */
+  private rankReaders (instances: readonly FeedInstance[]): readonly FeedInstance[] {
+    const widest = Math.max(...instances.map(linkBandwidth))
+    const isNarrow = (instance: FeedInstance): boolean => linkBandwidth(instance) < widest * WIDE_LINK_FRACTION
+    return [...instances].sort((left, right) => Number(isNarrow(left)) - Number(isNarrow(right)) || this.weightOf(right) - this.weightOf(left) || (left.id < right.id ? -1 : 1))
+  }
+
+  private weightOf ({ id }: FeedInstance): number {
+    const weight = this.weights.get(id) ?? rendezvousWeight(RANK_KEY, id)
+    this.weights.set(id, weight)
+    return weight
   }
 }
 
-function linkBandwidth ({ link = 0 }: FeedInstance): number {
-  return link
+/** The instances that are ranked before one of them, or all when it is not among them. */
+function rankedBefore (ranked: readonly FeedInstance[], id: string): readonly FeedInstance[] {
+  const index = ranked.findIndex(instance => instance.id === id)
+  return index === -1 ? ranked : ranked.slice(0, index)
 }
 
-/** Ranks instances by rendezvous hashing, so that all instances obtain the same order. */
-function rankByHash (instances: readonly FeedInstance[]): readonly FeedInstance[] {
-  const byId = new Map(instances.map(instance => [instance.id, instance]))
-  return rendezvousRank(RANK_KEY, byId.keys()).map(id => byId.get(id)).filter(instance => instance !== undefined)
+function linkBandwidth ({ link = 0 }: FeedInstance): number {
+  return link
 }
--- a/packages/feeds/src/JayfallRelayedChange.ts
+++ b/packages/feeds/src/JayfallRelayedChange.ts
@@ -9,7 +9,7 @@
 
 import { type TableChange } from '#jayfall/store'
 
-import { MAXIMUM_COMPRESSIBLE_VALUE_BYTES, MINIMUM_COMPRESSIBLE_VALUE_BYTES } from './JayfallFeedConstants'
+import { MAXIMUM_COMPRESSION_RATIO, MINIMUM_COMPRESSIBLE_VALUE_BYTES } from './JayfallFeedConstants'
 
 /** A change whose value may be compressed. `packed` is the value as JSON, compressed by gzip, in base64. */
 export interface RelayedChange extends TableChange {
@@ -28,13 +28,16 @@
 
   /** Encodes changes; returns undefined when their encoded values have more than `limit` bytes. */
   encodeWithin (limit: number, changes: readonly TableChange[]): readonly RelayedChange[] | undefined {
-    const encoded = changes.map(change => this.encode(change))
+    const encoded = changes.map(change => this.encode(change, limit))
     return encoded.reduce((sum, { bytes }) => sum + bytes, 0) > limit ? undefined : encoded.map(({ change }) => change)
   }
 
-  private encode (change: TableChange): EncodedChange {
-    const encoded = this.encodedChanges.get(change) ?? encodeChange(change)
-    this.encodedChanges.set(change, encoded)
+  private encode (change: TableChange, limit: number): EncodedChange {
+    const known = this.encodedChanges.get(change)
+    if (known !== undefined) return known
+    const encoded = encodeChange(change, limit)
+    // Under a higher limit, a value that was too large may be worth compressing.
+    if (encoded.bytes <= limit) this.encodedChanges.set(change, encoded)
     return encoded
   }
 }
@@ -44,12 +47,11 @@
   return packed === undefined ? change : { ...change, value: JSON.parse(gunzipSync(Buffer.from(packed, 'base64')).toString()) }
 }
 
-function encodeChange (change: TableChange): EncodedChange {
+function encodeChange (change: TableChange, limit: number): EncodedChange {
   const { key, revision, value } = change
   const text = JSON.stringify(value) ?? ''
   const bytes = Buffer.byteLength(text)
-  // A value above the maximum exceeds the limit of a reply even when it is compressed.
-  if (bytes < MINIMUM_COMPRESSIBLE_VALUE_BYTES || bytes > MAXIMUM_COMPRESSIBLE_VALUE_BYTES) return { change, bytes }
+  if (bytes < MINIMUM_COMPRESSIBLE_VALUE_BYTES || bytes > limit * MAXIMUM_COMPRESSION_RATIO) return { change, bytes }
   const packed = gzipSync(text).toString('base64')
   return { change: { key, revision, value: undefined, packed }, bytes: packed.length }
 }
--- a/packages/feeds/src/JayfallSharedTableStore.ts
+++ b/packages/feeds/src/JayfallSharedTableStore.ts
@@ -1,20 +1,24 @@
 /**
- * A table store whose changes one instance of each zone reads for the others.
+ * A table store whose changes few instances read for all.
  *
- * The reader uses long polls with short waits and reports the age of its data. The other instances
- * therefore detect within about a second that it is frozen, has ended or is cut off from the store, and
- * read from the store themselves until another reader answers. All other operations go directly to the store.
+ * One instance of each zone follows the tables for its zone, and one of these follows the store for all zones. Each
+ * sends notices of what it has read to the instances that read from it, so that these detect by the age of the last
+ * notice that it is frozen, has ended or is cut off from the store. They then read from the store themselves until
+ * another reader answers. All other operations go directly to the store.
  */
 
-import { PeerServer } from '#jayfall/peers'
-import { type Clock, type RandomSource } from '#jayfall/shared'
+import { PeerServer, type PeerDatagrams } from '#jayfall/peers'
+import { delay, type Clock, type RandomSource } from '#jayfall/shared'
 import { isPlatformError, WatchableTableStore, type TableChanges, type TableRow, type TableWrite } from '#jayfall/store'
 import { type Log } from '#jayfall/telemetry'
 
 import { ChangesServer } from './JayfallChangesServer'
-import { READER_PAUSE_MILLISECONDS, READER_POLL_WAIT_MILLISECONDS } from './JayfallFeedConstants'
+import { INSTANCES_TABLE, NOTICE_DELAY_MILLISECONDS, READER_PAUSE_MILLISECONDS, SUBSCRIPTION_INTERVAL_MILLISECONDS } from './JayfallFeedConstants'
 import { FeedHistory } from './JayfallFeedHistory'
+import { ReaderNotices, readFeedMessage, type FeedMessage, type TableNotice } from './JayfallFeedNotice'
 import { createFeedRouter, FeedPeerClient } from './JayfallFeedPeerClient'
+import { FeedSubscribers } from './JayfallFeedSubscribers'
+import { deriveFeedTimings, RELAXED_FEED_LIMITS, type FeedLimits, type FeedTimings } from './JayfallFeedTimings'
 import { InstanceRegistry } from './JayfallInstanceRegistry'
 import { PeerChangesReader } from './JayfallPeerChangesReader'
 import { ReaderSelector, type FeedInstance } from './JayfallReaderSelector'
@@ -28,51 +32,72 @@
   readonly port: number
   /** Bandwidth of this instance's link in Mbit/s; undefined when it is unknown. */
   readonly link?: number
+  readonly limits: FeedLimits
+  /** Whether the whole deployment starts for the first time, so that no instance is registered yet. */
+  readonly isFirstStart: boolean
+  /** Carries the notices. Its address is that of the calls, with the same port. */
+  readonly datagrams: PeerDatagrams
   readonly clock: Clock
   readonly random: RandomSource
   readonly log: Log
-  /** Called with all other registered instances after each listing. */
+  /** Called with all other registered instances when they have changed. */
   readonly onInstances?: (others: readonly FeedInstance[]) => void
 }
 
-/** Reads changes from the zone's reader, or from the store when there is no reader. */
+/** Reads changes from the instance that reads for this one, or from the store when there is none. */
 export class SharedTableStore extends WatchableTableStore {
+  private readonly timings: FeedTimings
+  private readonly relaxedTimings = deriveFeedTimings(RELAXED_FEED_LIMITS)
   private readonly readerSelector: ReaderSelector
   private readonly histories = new Map<string, FeedHistory>()
+  private readonly subscribers = new FeedSubscribers()
+  private readonly notices = new ReaderNotices()
   private readonly client: FeedPeerClient
   private readonly peerReader: PeerChangesReader
   private readonly changesServer: ChangesServer
+  private readonly registry: InstanceRegistry
   private peerServer: PeerServer | undefined
-  private registry: InstanceRegistry | undefined
+  private noticeTimer: NodeJS.Timeout | undefined
+  private subscriptionTimer: NodeJS.Timeout | undefined
   /** Identifier of the reader that answered the last read of changes; undefined when the store did. */
   private lastReader: string | undefined
+  /** The reader that sends notices to this instance. */
+  private subscribedReader: FeedInstance | undefined
 
   constructor (private readonly parts: SharedTableStoreParts) {
     super()
-    const { instance, zone, host, link, clock, log } = parts
-    this.readerSelector = new ReaderSelector(instance, zone, link)
+    const { instance, zone, host, link, limits, datagrams, clock, log } = parts
+    this.timings = deriveFeedTimings(limits)
+    const timingsOf = (table: string): FeedTimings => this.timingsOf(table)
+    this.readerSelector = new ReaderSelector(instance, zone, link, now => this.subscribers.addresses(now).length > 0)
     this.client = new FeedPeerClient(host)
-    this.peerReader = new PeerChangesReader(this.client, this.readerSelector, clock, log)
-    this.changesServer = new ChangesServer(this.histories, this.readerSelector, clock)
+    this.peerReader = new PeerChangesReader({ client: this.client, readerSelector: this.readerSelector, notices: this.notices, timingsOf, noticeAddress: () => this.peerAddress, clock, log })
+    this.changesServer = new ChangesServer({ histories: this.histories, subscribers: this.subscribers, timingsOf, link, clock, refresh: () => this.notices.wake() })
+    this.registry = new InstanceRegistry({ ...parts, followed: this, onListing: instances => this.updateInstances(instances) })
+    datagrams.subscribe(message => this.handleMessage(message))
   }
 
   /** Starts to answer other instances, registers this instance and starts to list the others. */
   async start (): Promise<void> {
     const { instance, zone, host, port, link } = this.parts
     this.peerServer = await PeerServer.start(`${host}:${port}`, createFeedRouter(this.changesServer))
-    const self = { id: instance, zone, address: `${host}:${this.peerServer.port}`, link }
-    this.registry = new InstanceRegistry({ ...this.parts, self, onListing: instances => this.updateInstances(instances) })
-    await this.registry.start()
+    this.subscriptionTimer = setInterval(() => this.renewSubscription(), SUBSCRIPTION_INTERVAL_MILLISECONDS)
+    await this.registry.start({ id: instance, zone, address: `${host}:${this.peerServer.port}`, link })
   }
 
-  /** Refuses further calls of other instances, so that they read elsewhere, and removes the registration. */
-  async stop (): Promise<void> {
+  /** Refuses further calls of other instances, so that they read elsewhere. */
+  stop (): void {
+    this.registry.stop()
     this.changesServer.stop()
-    await this.registry?.stop()
+    const { datagrams, clock, instance } = this.parts
+    datagrams.send(this.subscribers.addresses(clock.monotonic()), { feed: 'leaving', reader: instance } satisfies FeedMessage)
+    this.stopTimers()
   }
 
   /** Closes all connections without a notice to other instances, as a killed process does. */
   async closeAbruptly (): Promise<void> {
+    this.registry.stop()
+    this.stopTimers()
     this.client.close()
     await this.peerServer?.stop()
   }
@@ -90,7 +115,7 @@
   }
 
   override get maximumReadPause (): number {
-    return this.readerSelector.isReader(this.parts.clock.monotonic()) ? READER_PAUSE_MILLISECONDS : Infinity
+    return this.readerSelector.readsForOthers(this.parts.clock.monotonic()) ? READER_PAUSE_MILLISECONDS : Infinity
   }
 
   override async snapshot<Value> (table: string): Promise<TableChanges<Value>> {
@@ -99,37 +124,110 @@
     return reading
   }
 
+  /** @param wait 0 for none. Any other wait is replaced by one that follows from the limits of the deployment and from what this instance does for others. */
   override async changes<Value> (table: string, revision: number, wait: number): Promise<TableChanges<Value>> {
     const { clock } = this.parts
-    const relayed = this.readerSelector.selectReader(clock.monotonic()) === undefined ? undefined : await this.peerReader.read(table, revision)
+    // A poll that begins before the other instances are known would be a call that their readers make anyway.
+    if (!this.registry.hasListed) await Promise.race([this.registry.listed, delay(this.timings.readerWait)])
+    const history = this.historyOf(table)
+    const relayed = await this.peerReader.read(table, revision, history.completeUntil)
     this.logReaderChange(relayed?.reader)
-    const reading = relayed?.reading ?? await this.readFromStore(table, revision, wait)
-    this.historyOf(table).append(revision, reading, relayed?.readAt ?? clock.monotonic())
-    if (reading.changes.length > 0) this.changesServer.notifyOfChange()
+    const reading = relayed?.reading ?? await this.readFromStore(table, revision, wait, history)
+    history.append(revision, reading, relayed?.readAt ?? clock.monotonic())
+    this.changesServer.notifyOfReading()
+    this.scheduleNotice()
     return { ...reading as TableChanges<Value>, reader: relayed?.reader }
   }
 
   private updateInstances (instances: readonly FeedInstance[]): void {
     this.readerSelector.updateInstances(instances)
+    this.notices.wake()
     this.parts.onInstances?.(instances.filter(({ id }) => id !== this.parts.instance))
   }
 
-  private async readFromStore (table: string, revision: number, wait: number): Promise<TableChanges> {
+  private async readFromStore (table: string, revision: number, wait: number, history: FeedHistory): Promise<TableChanges> {
     const { store, clock } = this.parts
     try {
-      return await store.changes(table, revision, this.readerSelector.isReader(clock.monotonic()) ? Math.min(wait, READER_POLL_WAIT_MILLISECONDS) : wait)
+      return await store.changes(table, revision, wait === 0 ? 0 : this.waitAt(clock.monotonic(), table, history))
     } catch (error) {
       if (!isPlatformError(error, 'history_lost')) this.readerSelector.recordOwnFailure(clock.monotonic())
       throw error
     }
   }
 
+  /** The wait of a poll of the store. A reading that is late is renewed at once. */
+  private waitAt (now: number, table: string, { completeUntil }: FeedHistory): number {
+    const { ownWait, readerWait, followerPatience } = this.timingsOf(table)
+    const age = now - completeUntil
+    if (this.readerSelector.readsForOthers(now)) return Math.max(0, readerWait - age)
+    return age > followerPatience ? 0 : ownWait
+  }
+
+  private timingsOf (table: string): FeedTimings {
+    return table === INSTANCES_TABLE ? this.relaxedTimings : this.timings
+  }
+
   private historyOf (table: string): FeedHistory {
     const history = this.histories.get(table) ?? new FeedHistory()
     this.histories.set(table, history)
     return history
   }
 
+  /** IP address and port at which other instances reach this one; undefined before the start. */
+  private get peerAddress (): string | undefined {
+    return this.peerServer === undefined ? undefined : `${this.parts.host}:${this.parts.datagrams.port}`
+  }
+
+  private handleMessage (message: unknown): boolean {
+    const parsed = readFeedMessage(message)
+    if (parsed === undefined) return false
+    const now = this.parts.clock.monotonic()
+    switch (parsed.feed) {
+      case 'notice':
+        this.notices.recordNotice(parsed, now)
+        break
+      case 'leaving':
+        this.readerSelector.recordReaderFailure(parsed.reader, now)
+        this.notices.forget(parsed.reader)
+        break
+      case 'subscribe':
+        this.subscribers.add(parsed.address, now)
+        break
+      case 'unsubscribe':
+        this.subscribers.remove(parsed.address)
+    }
+    return true
+  }
+
+  /** Tells the instances that read from this one what it has read. */
+  private scheduleNotice (): void {
+    const { clock, datagrams, instance } = this.parts
+    if (this.noticeTimer !== undefined || this.subscribers.addresses(clock.monotonic()).length === 0) return
+    this.noticeTimer = setTimeout(() => {
+      this.noticeTimer = undefined
+      const now = clock.monotonic()
+      const entries = [...this.histories].filter(([table, { completeUntil }]) => now - completeUntil <= this.timingsOf(table).maximumPassedAge)
+      if (entries.length === 0) return
+      const tables = Object.fromEntries(entries.map(([table, { changedRevision, completeRevision, completeUntil }]) => [table, { changed: changedRevision, complete: completeRevision, age: now - completeUntil } satisfies TableNotice]))
+      datagrams.send(this.subscribers.addresses(now), { feed: 'notice', reader: instance, storeTime: entries[0][1].storeTimeAt(now), tables } satisfies FeedMessage)
+    }, NOTICE_DELAY_MILLISECONDS)
+  }
+
+  private renewSubscription (): void {
+    const { clock, datagrams } = this.parts
+    const { peerAddress: address, subscribedReader: previous } = this
+    if (address === undefined) return
+    const reader = this.readerSelector.selectReader(clock.monotonic())
+    this.subscribedReader = reader
+    if (previous !== undefined && previous.id !== reader?.id && this.notices.hasNotified(previous.id)) datagrams.send([previous.address], { feed: 'unsubscribe', address } satisfies FeedMessage)
+    if (reader !== undefined && this.notices.hasNotified(reader.id)) datagrams.send([reader.address], { feed: 'subscribe', address } satisfies FeedMessage)
+  }
+
+  private stopTimers (): void {
+    clearTimeout(this.noticeTimer)
+    clearInterval(this.subscriptionTimer)
+  }
+
   private logReaderChange (reader: string | undefined): void {
     if (reader === this.lastReader) return
     this.parts.log.info('feed_reader_changed', { reader: reader ?? 'store', previous: this.lastReader ?? 'store' })
--- a/packages/feeds/src/__tests__/integration/JayfallSharedTableStore.test.ts
+++ b/packages/feeds/src/__tests__/integration/JayfallSharedTableStore.test.ts
@@ -1,22 +1,27 @@
-/** Tests of instances of one zone that share their reads of the store over real sockets; the store is in memory. */
+/** Tests of instances that share their reads of the store over real sockets; the store is in memory. */
 
 import * as assert from 'node:assert/strict'
 import * as net from 'node:net'
 import { afterEach, describe, it } from 'node:test'
 
-import { SystemClock, createRandomSource, delay } from '#jayfall/shared'
+import { PeerDatagrams } from '#jayfall/peers'
+import { ManualClock, SystemClock, createRandomSource, delay } from '#jayfall/shared'
 import { PlatformError, WatchableTableStore, type TableChange, type TableChanges, type TableRow, type TableWrite } from '#jayfall/store'
 import { type Log } from '#jayfall/telemetry'
 
+import { REGISTRATION_LIFETIME_MILLISECONDS } from '../../JayfallFeedConstants'
 import { InstanceRegistry } from '../../JayfallInstanceRegistry'
 import { SharedTableStore } from '../../JayfallSharedTableStore'
 import { followTable } from '../../JayfallTableFeed'
 
-const INSTANCE_COUNT = 6
+const INSTANCE_COUNT = 9
+const ZONES = ['valdivia', 'osorno', 'chiloe']
+const PEERS_PORT = 18182
+const LIMITS = { change: 2000, contact: 3000 }
 const POLL_INTERVAL_MILLISECONDS = 5
 /** The platform allows 2 s from the acknowledgement of a change until it is in force. */
 const PROPAGATION_LIMIT_MILLISECONDS = 2000
-/** Time within which a zone has a single reader; instances list each other about 3 s after their start. */
+/** Time within which a single instance reads from the store. */
 const SETTLING_LIMIT_MILLISECONDS = 10_000
 
 /** The changes in the store that all instances use. */
@@ -33,6 +38,8 @@
 class MemoryStore extends WatchableTableStore {
   calls = 0
   isCutOff = false
+  /** Milliseconds by which each answer is delayed. */
+  latency = 0
 
   constructor (private readonly rows: SharedRows) {
     super()
@@ -63,7 +70,10 @@
         throw new PlatformError('outcome_unknown', 'no answer')
       }
       const reading = this.changesAfter<Value>(table, revision)
-      if (reading.changes.length > 0 || performance.now() >= end) return reading
+      if (reading.changes.length > 0 || performance.now() >= end) {
+        await delay(this.latency)
+        return reading
+      }
       await delay(POLL_INTERVAL_MILLISECONDS)
     }
   }
@@ -76,8 +86,10 @@
 
 interface Member {
   readonly id: string
+  readonly zone: string
   readonly own: MemoryStore
   readonly shared: SharedTableStore
+  readonly datagrams: PeerDatagrams
   /** The latest value of the followed row at this instance. */
   known: unknown
   isStopped: boolean
@@ -91,18 +103,29 @@
 
   afterEach(async () => {
     for (const member of members) member.isStopped = true
-    await Promise.all(members.map(({ shared }) => shared.closeAbruptly()))
+    await Promise.all(members.map(kill))
     members = []
   })
 
-  async function startMember (id: string): Promise<Member> {
+  async function startMember (index: number): Promise<void> {
     const own = new MemoryStore(rows.current)
-    const shared = new SharedTableStore({ store: own, instance: id, zone: 'valdivia', host: '127.0.0.1', port: 0, clock: new SystemClock(), random: createRandomSource(members.length + 1), log: silentLog })
-    const member: Member = { id, own, shared, known: undefined, isStopped: false }
+    const [id, zone, host, clock] = [`entry-${index}`, ZONES[index % ZONES.length], `127.0.1.${index + 1}`, new SystemClock()]
+    const datagrams = new PeerDatagrams({ host, port: PEERS_PORT, clock, log: silentLog })
+    const shared = new SharedTableStore({ store: own, instance: id, zone, host, port: PEERS_PORT, limits: LIMITS, isFirstStart: true, datagrams, clock, random: createRandomSource(index + 1), log: silentLog })
+    const member: Member = { id, zone, own, shared, datagrams, known: undefined, isStopped: false }
     members.push(member)
+    await datagrams.listen()
     follow(member)
     await shared.start()
-    return member
+  }
+
+  /** Ends a member without a notice to the others. */
+  async function kill (member: Member): Promise<void> {
+    if (!members.includes(member)) return
+    members = members.filter(other => other !== member)
+    member.isStopped = true
+    member.datagrams.close()
+    await member.shared.closeAbruptly()
   }
 
   async function follow (member: Member): Promise<void> {
@@ -112,10 +135,10 @@
   }
 
   /** Starts all instances, waits until only one of them reads from the store and returns that one. */
-  async function startSharing (): Promise<Member> {
+  async function startSharing (instanceCount = INSTANCE_COUNT): Promise<Member> {
     rows.current = new SharedRows()
     rows.current.put('op', 'config', 1)
-    for (let index = 0; index < INSTANCE_COUNT; index++) await startMember(`entry-${index}`)
+    await Promise.all(Array.from({ length: instanceCount }, (_, index) => startMember(index)))
     const end = performance.now() + SETTLING_LIMIT_MILLISECONDS
     while (performance.now() < end) {
       const before = members.map(({ own }) => own.calls)
@@ -127,7 +150,7 @@
   }
 
   /** Waits until all members in `expected` know a value and returns the elapsed time in milliseconds. */
-  async function timeUntilKnown (value: unknown, expected: readonly Member[]): Promise<number> {
+  async function timeUntilKnown (value: unknown, expected = members): Promise<number> {
     const startedAt = performance.now()
     while (expected.some(({ known }) => known !== value)) {
       if (performance.now() - startedAt > 2 * PROPAGATION_LIMIT_MILLISECONDS) throw new Error(`not known everywhere: ${expected.map(({ known }) => known).join(', ')}`)
@@ -139,14 +162,14 @@
   it('reads the store through one instance, which passes changes on immediately (guards against reads that grow with the number of instances)', async () => {
     await startSharing()
     rows.current.put('op', 'config', 2)
-    assert.ok(await timeUntilKnown(2, members) < 500)
+    assert.ok(await timeUntilKnown(2) < 500)
   })
 
   it('delivers large rows to all instances in time and keeps one reader (guards against instances that wait for rows which the reader does not send)', async () => {
     const reader = await startSharing()
     const value = 'x'.repeat(400_000)
     rows.current.put('op', 'config', value)
-    assert.ok(await timeUntilKnown(value, members) < 500)
+    assert.ok(await timeUntilKnown(value) < 500)
     const before = members.map(({ own }) => own.calls)
     await delay(1500)
     assert.deepEqual(members.filter(({ own }, index) => own.calls > before[index]), [reader])
@@ -161,35 +184,108 @@
   })
 
   it('delivers changes in time when the reader is killed', async () => {
-    const reader = await startSharing()
-    reader.isStopped = true
-    await reader.shared.closeAbruptly()
+    await kill(await startSharing())
     rows.current.put('op', 'config', 2)
-    assert.ok(await timeUntilKnown(2, members.filter(member => member !== reader)) < PROPAGATION_LIMIT_MILLISECONDS)
+    assert.ok(await timeUntilKnown(2) < PROPAGATION_LIMIT_MILLISECONDS)
+  })
+
+  // The root reads for all zones, so each zone depends on two instances.
+  it('delivers changes in time when the reader of a zone is killed or frozen (guards against a zone that keeps an old configuration)', async () => {
+    const root = await startSharing()
+    for (const zone of ZONES.filter(other => other !== root.zone)) {
+      const [reader] = members.filter(member => member.zone === zone).filter(({ shared }) => shared.maximumReadPause !== Infinity)
+      await kill(reader)
+      rows.current.put('op', 'config', `after ${zone}`)
+      assert.ok(await timeUntilKnown(`after ${zone}`) < PROPAGATION_LIMIT_MILLISECONDS, zone)
+    }
   })
 
   it('delivers changes in time when the reader accepts calls and does not answer (guards against a frozen reader)', async () => {
     const reader = await startSharing()
-    const [row] = await reader.own.list<{ readonly address: string }>('instances', `valdivia/${reader.id}`)
-    reader.isStopped = true
-    await reader.shared.closeAbruptly()
-    // The server accepts connections and never answers.
-    const frozen = net.createServer(() => {}).listen(Number(row.value.address.split(':')[1]), '127.0.0.1')
-    frozen.unref()
+    const [row] = await reader.own.list<{ readonly address: string }>('instances', `${reader.zone}/${reader.id}`)
+    await kill(reader)
+    const [host, port] = row.value.address.split(':')
+    const connections: net.Socket[] = []
+    const frozen = net.createServer(connection => { connections.push(connection) }).listen(Number(port), host)
     rows.current.put('op', 'config', 2)
-    assert.ok(await timeUntilKnown(2, members.filter(member => member !== reader)) < PROPAGATION_LIMIT_MILLISECONDS)
+    assert.ok(await timeUntilKnown(2) < PROPAGATION_LIMIT_MILLISECONDS)
+    for (const connection of connections) connection.destroy()
+    frozen.close()
   })
 
-  it('removes rows of instances that ended long ago (guards against a list that grows without bound)', async () => {
-    rows.current = new SharedRows()
-    rows.current.put('instances', 'valdivia/old', { id: 'old', zone: 'valdivia', address: '127.0.0.1:1', at: Date.now() - 3_600_000 })
-    const store = new MemoryStore(rows.current)
-    const listings: number[] = []
-    const register = new InstanceRegistry({ self: { id: 'new', zone: 'valdivia', address: '127.0.0.1:2' }, store, clock: new SystemClock(), random: createRandomSource(1), log: silentLog, onListing: found => listings.push(found.length) })
-    await register.start()
-    for (let waited = 0; listings.length === 0 && waited < SETTLING_LIMIT_MILLISECONDS; waited += 100) await delay(100)
-    await register.stop()
-    assert.deepEqual(listings, [1])
-    assert.equal((await store.list('instances', 'valdivia/')).length, 0)
+  it('delivers changes in time when the store answers the reader slowly', async () => {
+    const reader = await startSharing()
+    reader.own.latency = 400
+    rows.current.put('op', 'config', 2)
+    assert.ok(await timeUntilKnown(2) < PROPAGATION_LIMIT_MILLISECONDS)
+  })
+
+  it('delivers changes at once when the reader stops as planned', async () => {
+    const reader = await startSharing()
+    reader.shared.stop()
+    await delay(100)
+    rows.current.put('op', 'config', 2)
+    assert.ok(await timeUntilKnown(2, members.filter(member => member !== reader)) < 1000)
+    await kill(reader)
+  })
+
+  // A reader that was killed while rollouts were under way left its zone with an old state of them.
+  it('delivers changes of a second table when the reader changes meanwhile', async () => {
+    const reader = await startSharing()
+    const known = new Map<string, unknown>()
+    const followRollouts = async (member: Member): Promise<void> => {
+      for await (const event of followTable({ store: member.shared, table: 'rollouts', random: createRandomSource(1), isStopped: () => member.isStopped })) {
+        if (event.kind !== 'lost') for (const { value } of event.rows) known.set(member.id, value)
+      }
+    }
+    for (const member of members) followRollouts(member)
+    await delay(1000)
+    rows.current.put('rollouts', 'guide', 'running')
+    await kill(reader)
+    await delay(300)
+    rows.current.put('rollouts', 'guide', 'complete')
+    await delay(PROPAGATION_LIMIT_MILLISECONDS)
+    assert.deepEqual(members.filter(({ id }) => known.get(id) !== 'complete'), [])
+  })
+
+  // Each instance polled the store or its reader several times in a second.
+  it('makes as few calls for many instances as for few while nothing changes (guards against calls that grow with instances)', async () => {
+    for (const count of [3, 15]) {
+      await startSharing(count)
+      const before = members.reduce((sum, { own }) => sum + own.calls, 0)
+      await delay(4000)
+      const calls = members.reduce((sum, { own }) => sum + own.calls, 0) - before
+      // Two tables are followed, each with a poll of 0.8 s.
+      assert.ok(calls <= 12, `${count} instances: ${calls} calls`)
+      await Promise.all(members.map(kill))
+    }
+  })
+
+  describe('InstanceRegistry', () => {
+    /** Registers an instance beside a row that nobody renews, and returns how many rows are listed after a time. */
+    async function listAfter (advance: (clock: ManualClock) => void): Promise<number> {
+      rows.current = new SharedRows()
+      rows.current.put('instances', 'valdivia/old', { id: 'old', zone: 'valdivia', address: '127.0.0.1:1', at: 0 })
+      const store = new MemoryStore(rows.current)
+      const clock = new ManualClock()
+      const registry = new InstanceRegistry({ store, followed: store, isFirstStart: false, clock, random: createRandomSource(1), log: silentLog, onListing: () => {} })
+      await registry.start({ id: 'new', zone: 'a-zone', address: '127.0.0.1:2' })
+      await registry.listed
+      // The instance then writes its own row and reads it again.
+      await delay(600)
+      advance(clock)
+      await registry.checkRows()
+      registry.stop()
+      return (await store.list('instances', '')).length
+    }
+
+    it('removes rows of instances that ended long ago (guards against a list that grows without bound)', async () => {
+      assert.equal(await listAfter(clock => clock.advance(REGISTRATION_LIFETIME_MILLISECONDS + 1)), 1)
+    })
+
+    // An instance whose time of day jumped forward by 40 minutes took all other rows for old.
+    it('removes no rows when the time of day jumps (guards against instances that vanish from the list)', async () => {
+      assert.equal(await listAfter(clock => { clock.wall = () => 2 * REGISTRATION_LIFETIME_MILLISECONDS }), 2)
+    })
   })
 })
--- a/packages/feeds/src/__tests__/unit/JayfallFeeds.test.ts
+++ b/packages/feeds/src/__tests__/unit/JayfallFeeds.test.ts
@@ -3,30 +3,40 @@
 import * as assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 
+import fastCheck from 'fast-check'
+
 import { ManualClock } from '#jayfall/shared'
 import { type TableChange } from '#jayfall/store'
 
 import { ChangesServer } from '../../JayfallChangesServer'
-import { MAXIMUM_HISTORY_ROWS, MAXIMUM_READ_AGE_MILLISECONDS, MINIMUM_SHARING_INSTANCES, READER_ROLE_MILLISECONDS, FIRST_EXCLUSION_MILLISECONDS } from '../../JayfallFeedConstants'
+import { FIRST_EXCLUSION_MILLISECONDS, MAXIMUM_HISTORY_ROWS, PEER_TIMEOUT_MILLISECONDS, REFRESH_WAIT_MILLISECONDS } from '../../JayfallFeedConstants'
 import { FeedHistory } from '../../JayfallFeedHistory'
+import { FeedSubscribers } from '../../JayfallFeedSubscribers'
+import { DEFAULT_FEED_LIMITS, deriveFeedTimings } from '../../JayfallFeedTimings'
 import { ReaderSelector, type FeedInstance } from '../../JayfallReaderSelector'
 
 function createChange (key: string, revision: number): TableChange {
   return { key, revision, value: revision }
 }
 
-function createInstances (count: number): readonly FeedInstance[] {
-  return Array.from({ length: count }, (_, index) => ({ id: `entry-${index}`, zone: 'valdivia', address: `127.0.0.1:${index + 1}` }))
+const TIMINGS = deriveFeedTimings(DEFAULT_FEED_LIMITS)
+const ZONES = ['valdivia', 'osorno', 'chiloe']
+
+function createInstances (count: number, zoneCount = 1): readonly FeedInstance[] {
+  return Array.from({ length: count }, (_, index) => ({ id: `entry-${index}`, zone: ZONES[index % zoneCount], address: `127.0.0.1:${index + 1}` }))
+}
+
+function createSelectors (instances: readonly FeedInstance[], hasSubscribers = (_id: string): boolean => false): ReadonlyMap<string, ReaderSelector> {
+  return new Map(instances.map(({ id, zone, link }) => {
+    const selector = new ReaderSelector(id, zone, link, () => hasSubscribers(id))
+    selector.updateInstances(instances)
+    return [id, selector]
+  }))
 }
 
 /** The selector of an instance of the zone that is not the preferred reader. */
 function createFollower (zone: readonly FeedInstance[]): ReaderSelector {
-  const views = zone.map(({ id }) => {
-    const selector = new ReaderSelector(id, 'valdivia')
-    selector.updateInstances(zone)
-    return selector
-  })
-  const follower = views.find(selector => selector.selectReader(0) !== undefined)
+  const follower = [...createSelectors(zone).values()].find(selector => selector.roleAt(0) === 'follower')
   assert.ok(follower !== undefined)
   return follower
 }
@@ -70,25 +80,16 @@
 
   describe('ReaderSelector', () => {
     it('selects the same reader at all instances of a zone', () => {
-      const zone = createInstances(20)
-      const readers = zone.map(({ id }) => {
-        const selector = new ReaderSelector(id, 'valdivia')
-        selector.updateInstances(zone)
-        return selector.selectReader(0)?.id ?? id
-      })
+      const readers = [...createSelectors(createInstances(20))].map(([id, selector]) => selector.selectReader(0)?.id ?? id)
       assert.equal(new Set(readers).size, 1)
     })
 
     // Failure: in all four zones of a deployment, the reader was an instance with a link of 10 Mbit/s, although two others had 200 Mbit/s.
     it('prefers instances with a wide link, also after one of them failed (guards against a reader whose link is the bottleneck)', () => {
       const zone = createInstances(18).map((instance, index) => ({ ...instance, link: index < 2 ? 200 : 10 }))
-      const readers = zone.map(({ id, link }) => {
-        const selector = new ReaderSelector(id, 'valdivia', link)
-        selector.updateInstances(zone)
-        return selector
-      })
-      assert.deepEqual(new Set(readers.slice(2).map(selector => selector.selectReader(0)?.id)).size, 1)
-      for (const selector of readers.slice(2)) {
+      const narrow = [...createSelectors(zone).values()].slice(2)
+      assert.deepEqual(new Set(narrow.map(selector => selector.selectReader(0)?.id)).size, 1)
+      for (const selector of narrow) {
         const first = selector.selectReader(0)?.id
         assert.ok(first === 'entry-0' || first === 'entry-1')
         selector.recordReaderFailure(first, 0)
@@ -97,11 +98,20 @@
       }
     })
 
-    it('selects no reader in a zone with few instances', () => {
+    it('selects no reader for a single instance', () => {
       const selector = new ReaderSelector('entry-0', 'valdivia')
-      selector.updateInstances(createInstances(MINIMUM_SHARING_INSTANCES - 1))
+      selector.updateInstances(createInstances(1))
       assert.equal(selector.selectReader(0), undefined)
-      assert.equal(selector.isReader(0), false)
+      assert.equal(selector.readsForOthers(0), false)
+    })
+
+    // Each zone read the store for itself, also zones of one to three instances, and all of their instances.
+    it('lets one instance read the store for all zones, however small they are (guards against calls that grow with zones and instances)', () => {
+      for (const count of [2, 3, 7, 40]) {
+        const roles = [...createSelectors(createInstances(count, 3)).values()].map(selector => selector.roleAt(0))
+        assert.equal(roles.filter(role => role === 'root').length, 1)
+        assert.equal(roles.filter(role => role === 'zone_reader').length, Math.min(count, ZONES.length) - 1)
+      }
     })
 
     it('excludes a reader that did not answer and selects it again later (guards against a frozen reader)', () => {
@@ -126,50 +136,75 @@
       assert.equal(follower.selectReader(100_000 + FIRST_EXCLUSION_MILLISECONDS)?.id, first.id)
     })
 
-    it('reads from the store while other instances read from it, and after its own read of the store failed (guards against cycles of readers)', () => {
-      const selector = createFollower(createInstances(6))
-      selector.recordPeerCall(1000)
-      assert.equal(selector.selectReader(1001), undefined)
-      assert.ok(selector.selectReader(1000 + READER_ROLE_MILLISECONDS) !== undefined)
-      selector.recordOwnFailure(1000 + READER_ROLE_MILLISECONDS)
-      assert.equal(selector.selectReader(1001 + READER_ROLE_MILLISECONDS), undefined)
+    it('reads from the store after its own read of the store failed', () => {
+      const follower = createFollower(createInstances(6))
+      follower.recordOwnFailure(1000)
+      assert.equal(follower.selectReader(1001), undefined)
+    })
+
+    // Instances exclude different readers, and any of them may have become a reader of others.
+    it('never reads in a circle, whatever each instance has excluded (guards against readers that wait for each other)', () => {
+      fastCheck.assert(fastCheck.property(fastCheck.integer({ min: 2, max: 12 }), fastCheck.array(fastCheck.tuple(fastCheck.nat(11), fastCheck.nat(11)), { maxLength: 30 }), fastCheck.uniqueArray(fastCheck.nat(11)), (count, exclusions, subscribed) => {
+        const selectors = createSelectors(createInstances(count, 3), id => subscribed.includes(Number(id.slice('entry-'.length))))
+        for (const [by, excluded] of exclusions) selectors.get(`entry-${by}`)?.recordReaderFailure(`entry-${excluded}`, 0)
+        return [...selectors.keys()].every(id => {
+          const visited = new Set<string>()
+          for (let current: string | undefined = id; current !== undefined; current = selectors.get(current)?.selectReader(1)?.id) {
+            if (visited.has(current)) return false
+            visited.add(current)
+          }
+          return true
+        })
+      }))
+    })
+  })
+
+  describe('deriveFeedTimings', () => {
+    // A call to a reader takes up to its time-out, and the store answers within a tenth of a second.
+    it('leaves time to notice a late reader and to read the store before a change is overdue, whatever the limits are', () => {
+      for (const change of [1500, 2000, 3000, 4000, 9000]) {
+        const { readerWait, zoneReaderPatience, followerPatience } = deriveFeedTimings({ change, contact: change + 1000 })
+        assert.ok(readerWait < zoneReaderPatience && zoneReaderPatience < followerPatience && followerPatience + PEER_TIMEOUT_MILLISECONDS + 100 < change, `${change}`)
+      }
     })
   })
 
   describe('ChangesServer', () => {
     const request = { tables: { op: 10 }, wait: 0 }
 
-    function createServer (clock: ManualClock): ChangesServer {
+    function createServer (clock: ManualClock, refresh: (history: FeedHistory) => void = () => {}): ChangesServer {
       const history = new FeedHistory()
       history.reset(10, 0, clock.monotonic())
-      const selector = new ReaderSelector('entry-0', 'valdivia')
-      selector.recordPeerCall(clock.monotonic())
-      return new ChangesServer(new Map([['op', history]]), selector, clock)
+      const server: ChangesServer = new ChangesServer({
+        histories: new Map([['op', history]]),
+        subscribers: new FeedSubscribers(),
+        timingsOf: () => TIMINGS,
+        link: undefined,
+        clock,
+        refresh: () => {
+          refresh(history)
+          clock.advance(REFRESH_WAIT_MILLISECONDS)
+          server.notifyOfReading()
+        }
+      })
+      return server
     }
 
     it('refuses calls after it lost the store instead of passing on old data (guards against a reader that is cut off)', async () => {
       const clock = new ManualClock(1000)
       const server = createServer(clock)
       assert.equal((await server.answer(request)).op.kind, 'changes')
-      for (let step = 0; step < 5; step++) {
-        clock.advance(MAXIMUM_READ_AGE_MILLISECONDS)
-        await server.answer(request)
-      }
+      clock.advance(TIMINGS.maximumPassedAge + 1)
       assert.deepEqual((await server.answer(request)).op, { kind: 'refused', reason: 'stale' })
     })
 
-    // Failure: the zone's preferred reader reported itself as stale when its first call came during a long poll of its own, and the caller used another reader for 5 s.
-    it('does not report a lost store during a long poll that it began before the first call (guards against a second reader at each start)', async () => {
+    // An instance that becomes a reader has readings as old as those of the reader that failed, and each of its callers read from the store.
+    it('reads again for a caller when its own reading is late (guards against a herd at the store when a reader has failed)', async () => {
       const clock = new ManualClock(1000)
-      const history = new FeedHistory()
-      history.reset(10, 0, clock.monotonic())
-      const preferred = createInstances(MINIMUM_SHARING_INSTANCES).map(({ id }) => new ReaderSelector(id, 'valdivia')).find(selector => {
-        selector.updateInstances(createInstances(MINIMUM_SHARING_INSTANCES))
-        return selector.isReader(clock.monotonic())
-      })
-      assert.ok(preferred !== undefined)
-      clock.advance(MAXIMUM_READ_AGE_MILLISECONDS)
-      assert.deepEqual((await new ChangesServer(new Map([['op', history]]), preferred, clock).answer(request)).op, { kind: 'refused', reason: 'not_kept' })
+      const server = createServer(clock, history => history.append(10, { changes: [], revision: 12, storeTime: 0 }, clock.monotonic()))
+      clock.advance(TIMINGS.maximumPassedAge + 1)
+      const { op } = await server.answer(request)
+      assert.ok(op.kind === 'changes' && op.reading.revision === 12 && op.age <= REFRESH_WAIT_MILLISECONDS)
     })
 
     it('refuses a table that it does not follow and still serves the others', async () => {
--- a/packages/feeds/src/__tests__/unit/JayfallLargeChanges.test.ts
+++ b/packages/feeds/src/__tests__/unit/JayfallLargeChanges.test.ts
@@ -7,7 +7,8 @@
 
 import { ChangesServer } from '../../JayfallChangesServer'
 import { FeedHistory } from '../../JayfallFeedHistory'
-import { ReaderSelector } from '../../JayfallReaderSelector'
+import { FeedSubscribers } from '../../JayfallFeedSubscribers'
+import { DEFAULT_FEED_LIMITS, deriveFeedTimings } from '../../JayfallFeedTimings'
 import { decodeChange } from '../../JayfallRelayedChange'
 
 /** A configuration with 1,800 routes. */
@@ -15,11 +16,11 @@
 /** Maximum size of a reply to one instance; a link of 7 Mbit/s delivers this size to 20 instances within a fifth of a second. */
 const MAXIMUM_ANSWER_BYTES = 9000
 
-function createServer (value: unknown): ChangesServer {
+function createServer (value: unknown, link?: number): ChangesServer {
   const history = new FeedHistory()
   history.reset(10, 0, 0)
   history.append(10, { changes: [{ key: 'config', revision: 11, value }], revision: 11, storeTime: 0 }, 0)
-  return new ChangesServer(new Map([['op', history]]), new ReaderSelector('entry-0', 'valdivia'), new ManualClock(0))
+  return new ChangesServer({ histories: new Map([['op', history]]), subscribers: new FeedSubscribers(), timingsOf: () => deriveFeedTimings(DEFAULT_FEED_LIMITS), link, clock: new ManualClock(0), refresh: () => {} })
 }
 
 describe('ChangesServer', () => {
@@ -42,6 +43,13 @@
     assert.deepEqual(op.reading.changes.map(decodeChange), [{ key: 'config', revision: 11, value }])
   })
 
+  // Every instance read each version of a long configuration from the store, because no reader passed it on.
+  it('sends a large row over a wide link (guards against reads of the store that grow with the number of instances)', async () => {
+    const { op } = await createServer(LARGE_VALUE, 140).answer({ tables: { op: 10 }, wait: 100 })
+    assert.ok(op.kind === 'changes')
+    assert.deepEqual(op.reading.changes.map(decodeChange), [{ key: 'config', revision: 11, value: LARGE_VALUE }])
+  })
+
   it('sends small rows', async () => {
     const { op } = await createServer({ routes: [] }).answer({ tables: { op: 10 }, wait: 100 })
     assert.equal(op.kind === 'changes' ? op.reading.changes.length : undefined, 1)
--- a/packages/peers/src/JayfallPeerDatagrams.ts
+++ b/packages/peers/src/JayfallPeerDatagrams.ts
@@ -2,7 +2,7 @@
  * Sends short messages as UDP datagrams to many instances; messages may be lost.
  *
  * Datagrams need no connection, so an instance that is frozen or has ended causes no cost at the sender.
- * A token bucket limits the rate of datagrams. Datagrams above the limit are dropped and counted.
+ * A token bucket limits the rate of messages that are not needed. Datagrams above the limit are dropped and counted.
  */
 
 import * as dgram from 'node:dgram'
@@ -31,11 +31,16 @@
   /** Datagrams that the operating system failed to send since the last log line. */
   private failed = 0
   private loggedAt = -Infinity
+  private isClosed = false
+  private boundPort = 0
 
-  constructor (private readonly parts: PeerDatagramsParts, onMessage: (message: unknown) => void) {
+  private readonly handlers: ((message: unknown) => boolean)[] = []
+
+  constructor (private readonly parts: PeerDatagramsParts) {
     this.socket.on('message', bytes => {
       try {
-        onMessage(JSON.parse(bytes.toString('utf8')))
+        const message: unknown = JSON.parse(bytes.toString('utf8'))
+        if (!this.handlers.some(handle => handle(message))) this.parts.log.warn('datagram_not_read', { bytes: bytes.length, message: 'of no known kind' })
       } catch (error) {
         this.parts.log.warn('datagram_not_read', { bytes: bytes.length, message: String(error) })
       }
@@ -46,12 +51,20 @@
 
   /** The local port; available when `listen` has resolved. */
   get port (): number {
-    return this.socket.address().port
+    return this.boundPort
   }
 
   /** Binds the socket to the host and port. */
   listen (): Promise<void> {
-    return new Promise(resolve => this.socket.bind(this.parts.port, this.parts.host, resolve))
+    return new Promise(resolve => this.socket.bind(this.parts.port, this.parts.host, () => {
+      this.boundPort = this.socket.address().port
+      resolve()
+    }))
+  }
+
+  /** Adds a handler of received messages. Handlers are called in order until one returns that the message is of its kind. */
+  subscribe (handle: (message: unknown) => boolean): void {
+    this.handlers.push(handle)
   }
 
   /**
@@ -59,21 +72,28 @@
    * @param addresses IP addresses and ports.
    */
   send (addresses: readonly string[], message: unknown): void {
+    if (this.isClosed) return
+    const bytes = Buffer.from(JSON.stringify(message))
+    for (const address of addresses) {
+      const [host, port] = address.split(':')
+      this.socket.send(bytes, Number(port), host, error => { if (error !== null) this.failed++ })
+    }
+  }
+
+  /** Sends a message to as many of the instances as the limit allows; those at the front of the list come first. */
+  sendWithinLimit (addresses: readonly string[], message: unknown): void {
     const now = this.parts.clock.monotonic()
     this.allowance = Math.min(MAXIMUM_DATAGRAM_BURST, this.allowance + (now - this.refilledAt) / 1000 * MAXIMUM_DATAGRAMS_PER_SECOND)
     this.refilledAt = now
     const sent = addresses.slice(0, Math.floor(this.allowance))
     this.allowance -= sent.length
     this.dropped += addresses.length - sent.length
-    const bytes = Buffer.from(JSON.stringify(message))
-    for (const address of sent) {
-      const [host, port] = address.split(':')
-      this.socket.send(bytes, Number(port), host, error => { if (error !== null) this.failed++ })
-    }
+    this.send(sent, message)
     this.logLosses(now)
   }
 
   close (): void {
+    this.isClosed = true
     this.socket.close()
   }
 
