--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -107,13 +107,13 @@
   let previous: AttemptResult | undefined
   for (let number = 1; ; number++) {
     const now = clock.monotonic()
-    if (deadline - now < MINIMUM_ATTEMPT_MILLISECONDS) return decideWithoutAnswer(mayHaveRun, 'too_late')
+    if (deadline - now < MINIMUM_ATTEMPT_MILLISECONDS) return decideWithoutAnswer(context, mayHaveRun, 'too_late')
     const chosen = chooseServer(context, model, triedServers)
     // Only an attempt that follows one that may have reached a server counts as a retry.
     const isRetry = previous !== undefined && previous.kind !== 'unsent'
     if (chosen === undefined || (isRetry && !retryBudget.trySpendRetry(service, now))) {
       if (previous?.kind === 'failed') return { kind: 'deliver' }
-      return decideWithoutAnswer(mayHaveRun, triedServers.size === 0 ? 'no_server' : 'servers_full')
+      return decideWithoutAnswer(context, mayHaveRun, triedServers.size === 0 ? 'no_server' : 'servers_full')
     }
     const result: AttemptResult = yield createPlan(context, chosen, model, number, sentAttempts, triedServers)
     previous = result
@@ -138,7 +138,7 @@
     const isKnownNotRun = result.kind === 'unsent' || result.kind === 'not_run'
     if ((isKnownNotRun || route.isRepeatable) && sentAttempts < route.maximumAttempts) continue
     if (result.kind === 'failed') return { kind: 'deliver' }
-    return decideWithoutAnswer(mayHaveRun, 'servers_full')
+    return decideWithoutAnswer(context, mayHaveRun, 'servers_full')
   }
 }
 
@@ -192,7 +192,7 @@
   return route.isRepeatable && sentAttempts + 1 < route.maximumAttempts && retryBudget.hasRetryLeft(service, clock.monotonic()) && chooseServer(context, model, triedServers) !== undefined
 }
 
-function decideWithoutAnswer (mayHaveRun: boolean, code: RefusalCode): FinalDecision {
-  if (!mayHaveRun) return { kind: 'refuse', code, retryAfter: DEFAULT_RETRY_AFTER_MILLISECONDS }
+function decideWithoutAnswer ({ selector, service, clock }: PlanContext, mayHaveRun: boolean, code: RefusalCode): FinalDecision {
+  if (!mayHaveRun) return { kind: 'refuse', code, retryAfter: Math.max(DEFAULT_RETRY_AFTER_MILLISECONDS, selector.timeUntilReach(service, clock.monotonic()) ?? 0) }
   return { kind: 'fail', code: code === 'too_late' ? 'timeout' : 'answer_lost' }
 }
--- a/packages/forwarding/src/JayfallBackendDirectory.ts
+++ b/packages/forwarding/src/JayfallBackendDirectory.ts
@@ -10,7 +10,7 @@
 import { type BackendServer } from './JayfallForwardingCatalogue'
 import {
   INITIAL_AVOIDANCE_MILLISECONDS, MAXIMUM_AVOIDANCE_MILLISECONDS, ZONE_OUTAGE_AVOIDANCE_MILLISECONDS, ZONE_OUTAGE_SERVERS, ZONE_OUTAGE_WINDOW_MILLISECONDS, SERVER_DELAY_HALF_LIFE_MILLISECONDS, SERVER_DELAY_WEIGHT, FAILURES_BEFORE_AVOIDANCE, FAILURE_RATE_HALF_LIFE_MILLISECONDS,
-  FAILURE_RATE_WEIGHT, LOAD_REPORT_HALF_LIFE_MILLISECONDS, MAXIMUM_PEER_PREFILL_MILLISECONDS, SERVICE_DELAY_HALF_LIFE_MILLISECONDS, SERVICE_DELAY_WEIGHT, WAITING_REPORT_HALF_LIFE_MILLISECONDS
+  FAILURE_RATE_WEIGHT, LOAD_REPORT_HALF_LIFE_MILLISECONDS, MAXIMUM_PEER_PREFILL_MILLISECONDS, SERVICE_DELAY_HALF_LIFE_MILLISECONDS, SERVICE_DELAY_WEIGHT, UNOPENED_CONNECTIONS_OUT_OF_REACH, WAITING_REPORT_HALF_LIFE_MILLISECONDS
 } from './JayfallForwardingConstants'
 import { type ServerLoad } from './JayfallForwardingProtocol'
 
@@ -38,6 +38,8 @@
   /** Moving average of the milliseconds by which first events came later than the prefill time, as of `firstEventDelayAt`. */
   readonly firstEventDelay: number
   readonly firstEventDelayAt: number
+  /** Connections in a row that could not be opened. */
+  readonly unopenedConnections: number
   /** Monotonic milliseconds until which the server gets no new work. */
   readonly avoidedUntil: number
   readonly avoidanceDuration: number
@@ -151,7 +153,7 @@
 
   /** Records that no connection could be opened. A single failure is enough to avoid the server, because nothing else can be tried there. */
   recordUnreachable (id: string, now: number): void {
-    this.table.update(id, row => startAvoidance({ ...row, consecutiveFailures: row.consecutiveFailures + 1 }, now))
+    this.table.update(id, row => startAvoidance({ ...row, consecutiveFailures: row.consecutiveFailures + 1, unopenedConnections: row.unopenedConnections + 1 }, now))
     const zone = this.table.get(id)?.server.zone
     if (zone === undefined) return
     const recent = [...this.unreachableServers.get(zone) ?? []].filter(([other, at]) => other !== id && now - at < ZONE_OUTAGE_WINDOW_MILLISECONDS)
@@ -182,8 +184,10 @@
 
   /** Records that a connection was opened. */
   recordReachable (id: string): void {
-    const zone = this.table.get(id)?.server.zone
-    if (zone === undefined) return
+    const row = this.table.get(id)
+    if (row === undefined) return
+    if (row.unopenedConnections > 0) this.table.set(id, { ...row, unopenedConnections: 0 })
+    const { zone } = row.server
     this.unreachableServers.delete(zone)
     this.unreachableZones.delete(zone)
   }
@@ -217,7 +221,12 @@
 }
 
 function createRow (server: BackendServer, now: number): BackendRow {
-  return { server, affinityHash: hashName(server.id), isLapsed: false, openRequests: 0, loadReport: undefined, loadReportedAt: now, openRequestsAtReport: 0, consecutiveFailures: 0, failureRate: 0, failureRateAt: now, pendingPrefillTime: 0, peerPrefillUntil: -Infinity, firstEventDelay: 0, firstEventDelayAt: now, avoidedUntil: -Infinity, avoidanceDuration: 0 }
+  return { server, affinityHash: hashName(server.id), isLapsed: false, openRequests: 0, loadReport: undefined, loadReportedAt: now, openRequestsAtReport: 0, consecutiveFailures: 0, failureRate: 0, failureRateAt: now, pendingPrefillTime: 0, peerPrefillUntil: -Infinity, firstEventDelay: 0, firstEventDelayAt: now, unopenedConnections: 0, avoidedUntil: -Infinity, avoidanceDuration: 0 }
+}
+
+/** Whether connections to the server fail at present, so that a request would only wait for another failure. */
+export function isOutOfReach ({ unopenedConnections, avoidedUntil }: BackendRow, now: number): boolean {
+  return unopenedConnections >= UNOPENED_CONNECTIONS_OUT_OF_REACH && now < avoidedUntil
 }
 
 /** Milliseconds until the server has processed the announced prompts of other instances. */
--- a/packages/forwarding/src/JayfallBackendSelector.ts
+++ b/packages/forwarding/src/JayfallBackendSelector.ts
@@ -9,7 +9,7 @@
 
 import { combineHashes, hashName } from '#jayfall/shared'
 
-import { currentFailureRate, estimateLoad, estimateWaitingRequests, remainingPeerPrefillTime, slotsOf, type BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
+import { currentFailureRate, estimateLoad, estimateWaitingRequests, isOutOfReach, remainingPeerPrefillTime, slotsOf, type BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
 import {
   FIRST_EVENT_OVERHEAD_MILLISECONDS, MAXIMUM_FAILURE_RATE, OTHER_ZONE_COST_MILLISECONDS, PLAIN_WORK_MILLISECONDS, PREFILL_COST_FACTOR, SECOND_AFFINITY_SERVER_SHARE, BATCH_STEP_MILLISECONDS_PER_REQUEST
 } from './JayfallForwardingConstants'
@@ -52,6 +52,8 @@
 export abstract class BackendSelector {
   /** Returns undefined when no server may be used. */
   abstract select (request: SelectionRequest, now: number): BackendSelection | undefined
+  /** Milliseconds until a server that is out of reach is tried again; undefined when no server of the service is out of reach. */
+  abstract timeUntilReach (service: string, now: number): number | undefined
 }
 
 interface Candidate extends BackendSelection {
@@ -72,7 +74,7 @@
   }
 
   override select (request: SelectionRequest, now: number): BackendSelection | undefined {
-    const usable = [...this.findUsableRows(request)]
+    const usable = [...this.findUsableRows(request, now)]
     const healthy = usable.filter(row => isHealthy(row, now) && !this.directory.isZoneUnreachable(row.server.zone, now))
     const candidates = healthy.length > 0 ? healthy : usable
     const affinityServers = this.findAffinityServers(request, candidates)
@@ -84,9 +86,14 @@
     return cheapest
   }
 
-  private * findUsableRows ({ service, triedServers, allowsVersion }: SelectionRequest): Generator<BackendRow> {
+  override timeUntilReach (service: string, now: number): number | undefined {
+    const times = [...this.directory.rowsOfService(service)].filter(row => isOutOfReach(row, now)).map(({ avoidedUntil }) => avoidedUntil - now)
+    return times.length === 0 ? undefined : Math.min(...times)
+  }
+
+  private * findUsableRows ({ service, triedServers, allowsVersion }: SelectionRequest, now: number): Generator<BackendRow> {
     for (const row of this.directory.rowsOfService(service)) {
-      if (!row.server.isDraining && !triedServers.has(row.server.id) && allowsVersion(row.server.version)) yield row
+      if (!row.server.isDraining && !triedServers.has(row.server.id) && allowsVersion(row.server.version) && !isOutOfReach(row, now)) yield row
     }
   }
 
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -31,6 +31,8 @@
 export const INITIAL_AVOIDANCE_MILLISECONDS = 500
 /** Longest period for which a failing server is avoided. */
 export const MAXIMUM_AVOIDANCE_MILLISECONDS = 4000
+/** Connections in a row that could not be opened, after which nothing is sent to a server while it is avoided, even when there is no other. */
+export const UNOPENED_CONNECTIONS_OUT_OF_REACH = 2
 /** Period within which unreachable servers of one availability zone are counted to detect that the whole zone is unreachable. */
 export const ZONE_OUTAGE_WINDOW_MILLISECONDS = 1500
 /** Unreachable servers, with none of the zone reached since, at which the whole zone is treated as unreachable. */
--- a/packages/forwarding/src/__tests__/unit/JayfallBackendSelector.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallBackendSelector.test.ts
@@ -135,4 +135,26 @@
       assert.equal(selectServer(fixture, PLAIN_REQUEST), 'only')
     })
   })
+
+  describe('with servers that are out of reach', () => {
+    // In a zone that was cut off (inc-522a), the only server of a service was in another zone, and 52 requests waited for 120 ms each until their connections were given up.
+    it('selects none of them until they may be tried again (guards against requests that wait although they cannot be served)', () => {
+      const fixture = new DecisionFixture([fakeServer('a')])
+      fixture.directory.recordUnreachable('a', fixture.clock.monotonic())
+      assert.equal(selectServer(fixture, PLAIN_REQUEST), 'a')
+      fixture.directory.recordUnreachable('a', fixture.clock.monotonic())
+      assert.equal(selectServer(fixture, PLAIN_REQUEST), undefined)
+      const pause = fixture.selector.timeUntilReach(SERVICE, fixture.clock.monotonic())
+      assert.ok(pause !== undefined && pause > 0)
+      fixture.clock.advance(pause)
+      assert.equal(selectServer(fixture, PLAIN_REQUEST), 'a')
+    })
+
+    it('selects a server again as soon as it was reached', () => {
+      const fixture = new DecisionFixture([fakeServer('a')])
+      for (let count = 0; count < 2; count++) fixture.directory.recordUnreachable('a', fixture.clock.monotonic())
+      fixture.directory.recordReachable('a')
+      assert.equal(selectServer(fixture, PLAIN_REQUEST), 'a')
+    })
+  })
 })
