--- a/packages/command/src/__tests__/unit/JayfallRequestTimeline.test.ts
+++ b/packages/command/src/__tests__/unit/JayfallRequestTimeline.test.ts
@@ -19,6 +19,13 @@
 const RECORDS = LINES.map(readLogLine).filter((record): record is LogRecord => record !== undefined)
 
 describe('createTimeline', () => {
+  // Without the prompt parts and the events, a request that ends servers looked like servers that end under load.
+  it('shows events and prompt parts of a broken attempt (guards against crashes whose cause cannot be told)', () => {
+    const line = '{"level":"info","time":"T1","instance":"entry-1","event":"attempt_ended","request":"r3","attempt":1,"server":"s1","result":"broken","cause":"reset","events":0,"prompt_parts":"a1,b2"}'
+    const records = [readLogLine(line)].filter((record): record is LogRecord => record !== undefined)
+    assert.match(createTimeline('r3', records)?.steps[0].text ?? '', /broken, reset.*, 0 events, prompt parts a1,b2/)
+  })
+
   it('lists the attempts, the cause and the state changes of its own instance only', () => {
     const timeline = createTimeline('r1', RECORDS)
     assert.equal(timeline?.steps.length, 2)
--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -54,7 +54,7 @@
   /** The server answered that the request failed, and this answer is ready to be sent. */
   | { readonly kind: 'failed', readonly status: number }
   /** No byte was sent. */
-  | { readonly kind: 'unsent' }
+  | { readonly kind: 'unsent', readonly cause: string }
   /** The server states that it did not run the request. */
   | { readonly kind: 'not_run', readonly status: number }
   /** The answer is incomplete, or is not the server's; the request may have run. */
--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -35,6 +35,8 @@
   bufferedAnswer: BufferedAnswer | undefined
   /** Milliseconds from the attempt's start to its first event or whole answer. */
   timeToAnswer: number | undefined
+  /** Events of the attempt's stream, with those that the caller had already. */
+  receivedEvents = 0
   /** The confidence that the attempt's answer had to reach. */
   minimumConfidence = 0
   private isPrefillRecorded = false
@@ -59,6 +61,7 @@
     const startedAt = clock.monotonic()
     this.bufferedAnswer = undefined
     this.timeToAnswer = undefined
+    this.receivedEvents = 0
     directory.recordSent(server.id, attempt.selection.prefillTime)
     this.context.prefillTimes.recordSent(attempt.selection.prefillTime)
     if (attempt.selection.prefillTime >= MINIMUM_PUBLISHED_PREFILL_MILLISECONDS) this.context.hints.publish({ server: server.id, reading: attempt.selection.prefillTime })
@@ -97,7 +100,7 @@
       invariant(exchange !== undefined, 'an answer has an exchange')
       return await this.readAnswer(attempt, exchange, wait.value, startedAt)
     } catch (error) {
-      if (error instanceof ExchangeError && error.failure === 'unsent') return { kind: 'unsent' }
+      if (error instanceof ExchangeError && error.failure === 'unsent') return { kind: 'unsent', cause: error.message }
       return { kind: 'broken', cause: messageOf(error) }
     } finally {
       exchange?.destroy()
@@ -156,6 +159,7 @@
       isReplaceable: attempt.isReplaceable,
       onBytes: () => this.zoneOutageDetector?.recordActivity(),
       onEvent: () => {
+        this.receivedEvents++
         this.timeToAnswer ??= clock.monotonic() - startedAt
         this.recordPrefillEnd(attempt, this.timeToAnswer)
         this.observations.get(attempt)?.recordEvent(clock.monotonic())
--- a/packages/forwarding/src/JayfallForwardedCall.ts
+++ b/packages/forwarding/src/JayfallForwardedCall.ts
@@ -73,6 +73,8 @@
       confidence: 'confidence' in result ? result.confidence : undefined,
       minimum_confidence: Math.round(this.runner.minimumConfidence),
       resumed_after: resumeAfter,
+      events: result.kind === 'broken' ? this.runner.receivedEvents : undefined,
+      prompt_parts: result.kind === 'broken' ? this.plan.fields.promptParts.map(({ id }) => id).join(',') : undefined,
       load: Math.round(selection.estimatedLoad * 10) / 10,
       reported_running: selection.row.loadReport?.running,
       reported_waiting: selection.row.loadReport?.waiting,
--- a/packages/forwarding/src/__tests__/unit/JayfallAttemptPlan.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallAttemptPlan.test.ts
@@ -34,7 +34,7 @@
     })
 
     it('tries another server when the request certainly did not run', () => {
-      for (const result of [{ kind: 'unsent' }, { kind: 'not_run', status: 503 }] as const) {
+      for (const result of [{ kind: 'unsent', cause: 'refused' }, { kind: 'not_run', status: 503 }] as const) {
         const { plans, decision } = runPlan(new DecisionFixture(TWO_SERVERS), route, [result, { kind: 'answered' }])
         assert.deepEqual(new Set(plans.map(({ server }) => server.id)).size, 2)
         assert.deepEqual(decision, { kind: 'deliver' })
