Keep prompts that crash servers away from them

Cause: a failed attempt said something about its server and nothing about its request. A request was sent to the next server whatever had happened to the former one, and no instance told the others.

Change: an instance checks whether a server has ended after an attempt broke before its answer began. The sets of prompt parts that several crashes have in common are suspected, prompts that hold a whole set are refused at once, and open attempts with them are ended. Suspicions spread as rumors between instances; answers and trials end wrong ones.

--- a/packages/command/src/JayfallRequestTimeline.ts
+++ b/packages/command/src/JayfallRequestTimeline.ts
@@ -21,7 +21,7 @@
 /** Events that change the state an instance works with, each with the kind of object that it concerns. */
 const STATE_CHANGE_EVENTS: ReadonlyMap<string, string> = new Map([
   ['catalogue_in_force', 'catalogue version'], ['server_known', 'server'], ['server_lapsed', 'server'], ['server_gone', 'server'],
-  ['store_lost', 'table'], ['store_regained', 'table'], ['rollout_ordered', 'service'], ['rollout_known', 'service'], ['rollout_step', 'service'],
+  ['store_lost', 'table'], ['store_regained', 'table'], ['rollout_ordered', 'service'], ['prompt_suspected', 'prompt parts'], ['prompt_part_cleared', 'prompt part'], ['rollout_known', 'service'], ['rollout_step', 'service'],
   ['started', 'instance'], ['stopping', 'instance'], ['settings_reloaded', 'settings']
 ])
 
@@ -83,6 +83,8 @@
       return `The caller's time or the route's limit ended: ${results}.`
     case 'no_server':
       return 'No server of the service was known that the request could run on.'
+    case 'suspect_prompt':
+      return `Prompts with the same parts have crashed servers: ${results === '' ? 'it was sent to none' : results}.`
     case 'servers_full':
       return `No server took the request: ${results}.`
     default:
--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -16,6 +16,7 @@
 } from './JayfallForwardingConstants'
 import { type CallerFields } from './JayfallForwardingProtocol'
 import { confidenceThreshold } from './JayfallConfidenceThreshold'
+import { type PromptAdmission, type PromptSuspicions } from './JayfallPromptSuspicions'
 import { type RetryBudget } from './JayfallRetryBudget'
 import { type VersionPolicy, type VersionRule } from './JayfallVersionPolicy'
 
@@ -76,8 +77,8 @@
   | { readonly kind: 'none' }
 
 /** A refusal guarantees that the request has not run. */
-export type RefusalCode = 'no_server' | 'servers_full' | 'too_late'
-export type FailureCode = 'answer_lost' | 'timeout'
+export type RefusalCode = 'no_server' | 'servers_full' | 'too_late' | 'suspect_prompt'
+export type FailureCode = 'answer_lost' | 'timeout' | 'suspect_prompt'
 
 export interface PlanContext {
   readonly route: ForwardingRoute
@@ -94,20 +95,26 @@
   readonly selector: BackendSelector
   readonly retryBudget: RetryBudget
   readonly versionPolicy: VersionPolicy
+  readonly promptSuspicions: PromptSuspicions
   /** The last event that the caller has received; undefined before the first. */
   readonly lastDeliveredEventId: () => string | undefined
 }
 
 export function * planAttempts (context: PlanContext): Generator<AttemptPlan, FinalDecision, AttemptResult> {
-  const { route, clock, deadline, retryBudget, service } = context
+  const { route, clock, deadline, retryBudget, service, promptSuspicions, fields } = context
   const triedServers = new Set<string>()
   let sentAttempts = 0
   let mayHaveRun = false
+  let isTrial = false
   let model = route.models[0] ?? context.fields.model
   let previous: AttemptResult | undefined
   for (let number = 1; ; number++) {
     const now = clock.monotonic()
     if (deadline - now < MINIMUM_ATTEMPT_MILLISECONDS) return decideWithoutAnswer(context, mayHaveRun, 'too_late')
+    // A trial that reached no server goes on; one that did is not repeated.
+    const admission: PromptAdmission | undefined = isTrial && sentAttempts === 0 ? undefined : promptSuspicions.admit(fields.promptParts)
+    if (admission?.kind === 'refused') return mayHaveRun ? { kind: 'fail', code: 'suspect_prompt' } : { kind: 'refuse', code: 'suspect_prompt', retryAfter: Math.max(DEFAULT_RETRY_AFTER_MILLISECONDS, admission.retryAfter) }
+    isTrial ||= admission?.kind === 'trial'
     const chosen = chooseServer(context, model, triedServers)
     // Only an attempt that follows one that may have reached a server counts as a retry.
     const isRetry = previous !== undefined && previous.kind !== 'unsent'
--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -79,10 +79,16 @@
       bodyLength: this.request.body.length
     })
     this.zoneOutageDetector = this.plan.route.isRepeatable ? new ZoneOutageDetector(directory, clock, server.zone) : undefined
-    this.stopSignals = this.zoneOutageDetector === undefined ? [this.answer.callerDisconnected] : [this.answer.callerDisconnected, this.zoneOutageDetector.signal]
+    const suspicion = new AbortController()
+    const closePrompt = this.context.promptSuspicions.open(this.plan.fields.promptParts, () => {
+      if (this.receivedEvents === 0) suspicion.abort()
+    })
+    this.stopSignals = [this.answer.callerDisconnected, suspicion.signal, ...(this.zoneOutageDetector === undefined ? [] : [this.zoneOutageDetector.signal])]
     this.observations.set(attempt, this.observe(attempt, startedAt))
     const result = await this.exchange(attempt, rawHeaders, startedAt)
+    closePrompt()
     this.zoneOutageDetector?.close()
+    if (result.kind === 'broken' && !suspicion.signal.aborted) await this.checkForCrash(attempt)
     this.recordPrefillEnd(attempt, undefined)
     directory.recordEnd(server.id)
     this.recordResult(attempt, result)
@@ -159,7 +165,7 @@
       isReplaceable: attempt.isReplaceable,
       onBytes: () => this.zoneOutageDetector?.recordActivity(),
       onEvent: () => {
-        this.receivedEvents++
+        if (this.receivedEvents++ === 0) this.context.promptSuspicions.recordBegun(this.plan.fields.promptParts)
         this.timeToAnswer ??= clock.monotonic() - startedAt
         this.recordPrefillEnd(attempt, this.timeToAnswer)
         this.observations.get(attempt)?.recordEvent(clock.monotonic())
@@ -174,6 +180,16 @@
     return { kind: 'answered' }
   }
 
+  /** Records a crash of the server if it has ended before the answer to the prompt began, as the prompt may be the cause. */
+  private async checkForCrash ({ server }: AttemptPlan): Promise<void> {
+    const { promptSuspicions, endedServerCheck, directory, clock } = this.context
+    const { promptParts } = this.plan.fields
+    if (this.receivedEvents > 0 || this.answer.lastEventId !== undefined || promptParts.length < 2 || this.zoneOutageDetector?.signal.aborted === true) return
+    if (!await endedServerCheck.hasEnded(server.address)) return
+    directory.recordUnreachable(server.id, clock.monotonic())
+    promptSuspicions.recordCrash(promptParts, server.id)
+  }
+
   /** Waits for a part of the answer until the attempt's deadline, or until the answer makes no progress and another server can be tried. */
   private async waitForAnswer<Value> (promise: Promise<Value>, attempt: AttemptPlan, progress = () => 0): Promise<WaitResult<Value>> {
     // The promise may be rejected after the wait has ended.
@@ -191,7 +207,8 @@
   }
 
   private resultOfStop (): AttemptResult {
-    return this.answer.callerDisconnected.aborted ? { kind: 'caller_left' } : { kind: 'broken', cause: 'the zone of the server is out of reach' }
+    if (this.answer.callerDisconnected.aborted) return { kind: 'caller_left' }
+    return { kind: 'broken', cause: this.zoneOutageDetector?.signal.aborted === true ? 'the zone of the server is out of reach' : 'prompts like this one crash servers' }
   }
 
   private isExpired ({ deadline }: AttemptPlan): boolean {
--- a/packages/forwarding/src/JayfallForwardedCall.ts
+++ b/packages/forwarding/src/JayfallForwardedCall.ts
@@ -5,7 +5,7 @@
 import { type CallerAnswer } from './JayfallCallerAnswer'
 import { type ForwardingContext } from './JayfallForwardingContext'
 
-const FAILURE_STATUSES = { answer_lost: 502, timeout: 504 } as const
+const FAILURE_STATUSES = { answer_lost: 502, suspect_prompt: 502, timeout: 504 } as const
 
 export class ForwardedCall {
   private readonly runner: AttemptRunner
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -205,3 +205,41 @@
 export const MINIMUM_STOP_MILLISECONDS = 2600
 /** Time before the platform's SIGKILL at which the process ends by itself. */
 export const STOP_RESERVE_MILLISECONDS = 400
+
+/** Probability up to which several crashes in a row at a sound request count as a coincidence that does not happen. */
+export const COINCIDENCE_PROBABILITY = 0.002
+/** Assumed fraction of attempts that meet a crash of their server before any was seen, and its weight in attempts. */
+export const CRASH_RATE_PRIOR = 0.03
+export const CRASH_RATE_PRIOR_ATTEMPTS = 20
+/** Half-life of the weight of an attempt in the rate of crashes. */
+export const CRASH_RATE_HALF_LIFE_MILLISECONDS = 10_000
+/** Bounds of the number of crashes after which the parts of a prompt are suspected. */
+export const MINIMUM_REQUIRED_CRASHES = 2
+export const MAXIMUM_REQUIRED_CRASHES = 10
+/** Age at which the report of a crash is no longer counted. */
+export const CRASH_REPORT_LIFETIME_MILLISECONDS = 600_000
+/** Reports that are kept. Each new one is compared with all of them. */
+export const MAXIMUM_CRASH_REPORTS = 96
+/** Time within which the requests at a server that crashes notice it. A server needs seconds to come back and crash again. */
+export const SAME_CRASH_MILLISECONDS = 1000
+/** Time for which a part counts as proven after an answer to a prompt with it began. */
+export const PART_PROOF_LIFETIME_MILLISECONDS = 60_000
+/** Time that is left to proven parts, which many prompts share, to be cleared by the next answer. */
+export const SHARED_PARTS_SETTLING_MILLISECONDS = 3000
+/** Crashes from which a suspicion applies although all its parts are proven. */
+export const MINIMUM_CRASHES_OF_PROVEN_PARTS = 3
+/** Time from the second crash until a prompt is let through as a trial. It doubles with each further crash. */
+export const FIRST_TRIAL_MILLISECONDS = 8000
+export const MAXIMUM_TRIAL_DOUBLINGS = 9
+/** Time after which a trial without a result may be repeated. */
+export const TRIAL_TIMEOUT_MILLISECONDS = 30_000
+/** Time by which a trial starts later at an instance for each one that is ranked before it, and the last rank that makes trials. */
+export const TRIAL_RANK_DELAY_MILLISECONDS = 2000
+export const MAXIMUM_TRIAL_RANK = 7
+/** Time after a due trial at which a suspicion is dropped, because no prompt came that it applies to. */
+export const FORGOTTEN_SUSPICION_MILLISECONDS = 1_800_000
+export const MAXIMUM_SUSPICIONS = 64
+/** Interval at which an instance that refuses prompts tells others of the suspicion again. */
+export const REMINDER_INTERVAL_MILLISECONDS = 5000
+/** Difference below which two times of a trial are the same news. */
+export const SAME_NEWS_MILLISECONDS = 1000
--- a/packages/forwarding/src/JayfallForwardingContext.ts
+++ b/packages/forwarding/src/JayfallForwardingContext.ts
@@ -5,10 +5,12 @@
 
 import { type BackendSelector } from './JayfallBackendSelector'
 import { type BackendDirectory } from './JayfallBackendDirectory'
+import { type EndedServerCheck } from './JayfallEndedServerCheck'
 import { type ForwardingProtocol } from './JayfallForwardingProtocol'
 import { type PromptCacheTracker } from './JayfallPromptCacheTracker'
 import { type PrefillHints } from './JayfallPrefillHints'
 import { type PrefillTimes } from './JayfallPrefillTimes'
+import { type PromptSuspicions } from './JayfallPromptSuspicions'
 import { type RetryBudget } from './JayfallRetryBudget'
 import { type RolloutEvidence } from './JayfallRolloutEvidence'
 import { type VersionPolicy } from './JayfallVersionPolicy'
@@ -22,6 +24,8 @@
   readonly promptCache: PromptCacheTracker
   readonly prefillTimes: PrefillTimes
   readonly hints: PrefillHints
+  readonly promptSuspicions: PromptSuspicions
+  readonly endedServerCheck: EndedServerCheck
   readonly selector: BackendSelector
   readonly retryBudget: RetryBudget
   readonly versionPolicy: VersionPolicy
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -5,6 +5,7 @@
  */
 
 import { followTable, type FeedReading } from '#jayfall/feeds'
+import { NoRumors, type RumorChannel } from '#jayfall/peers'
 import { type Clock, delay, messageOf, type RandomSource, type ReadonlyTable } from '#jayfall/shared'
 import { type TableChange, type WatchableTableStore } from '#jayfall/store'
 import { type Log, Metrics } from '#jayfall/telemetry'
@@ -17,10 +18,12 @@
 import { type ForwardingProtocol } from './JayfallForwardingProtocol'
 import { ForwardingServer } from './JayfallForwardingServer'
 import { ForwardingState } from './JayfallForwardingState'
+import { ConnectionCheck } from './JayfallEndedServerCheck'
 import { HealthProbe } from './JayfallHealthProbe'
 import { PromptCacheTracker } from './JayfallPromptCacheTracker'
 import { NoPrefillHints, type PrefillHints } from './JayfallPrefillHints'
 import { PrefillTimes } from './JayfallPrefillTimes'
+import { PromptSuspicions } from './JayfallPromptSuspicions'
 import { RetryBudget } from './JayfallRetryBudget'
 import { RolloutCoordinator } from './JayfallRolloutCoordinator'
 import { RolloutEvidence } from './JayfallRolloutEvidence'
@@ -59,6 +62,8 @@
   readonly instanceCount?: () => number
   /** No hints are exchanged by default. */
   readonly hints?: PrefillHints
+  /** No news is exchanged by default. */
+  readonly rumors?: RumorChannel
 }
 
 export class ForwardingInstance {
@@ -92,6 +97,7 @@
     const promptCache = new PromptCacheTracker()
     const prefillTimes = new PrefillTimes()
     const hints = dependencies.hints ?? new NoPrefillHints()
+    const promptSuspicions = new PromptSuspicions({ clock, log, metrics: this.metrics, rumors: dependencies.rumors ?? new NoRumors() })
     const evidence = new RolloutEvidence(this.versionPolicy, clock)
     this.rolloutCoordinator = new RolloutCoordinator({
       ...dependencies,
@@ -104,7 +110,7 @@
       storeTime
     })
     this.server = new ForwardingServer({
-      clock, log, protocol, evidence, promptCache, prefillTimes, hints, metrics: this.metrics, directory: this.directory, selector: new EstimatedTimeSelector(this.directory, promptCache, prefillTimes, settings.zone), retryBudget: this.retryBudget, versionPolicy: this.versionPolicy
+      clock, log, protocol, evidence, promptCache, prefillTimes, hints, promptSuspicions, endedServerCheck: new ConnectionCheck(), metrics: this.metrics, directory: this.directory, selector: new EstimatedTimeSelector(this.directory, promptCache, prefillTimes, settings.zone), retryBudget: this.retryBudget, versionPolicy: this.versionPolicy
     }, this.state)
     hints.subscribe(({ server, reading }) => this.directory.recordPeerPrefill(server, reading, clock.monotonic()))
   }
--- /dev/null
+++ b/packages/forwarding/src/JayfallPromptSuspicions.ts
@@ -0,0 +1,263 @@
+/**
+ * Keeps prompts that crash servers away from them, and tells the other instances.
+ *
+ * A suspicion names a set of prompt parts; prompts that hold all of them are refused. Every instance decides from what
+ * it saw itself, and a few of them, the collectors, from the reports of all. What one of them finds spreads as a rumor,
+ * and so does the end of a suspicion.
+ *
+ * A suspicion may be wrong. It ends for a part as soon as any instance sees an answer to a prompt with the part begin.
+ * Since refused prompts have no answers, one prompt is let through as a trial after a time that doubles with each crash.
+ */
+
+import { type RumorChannel, RumorTopic } from '#jayfall/peers'
+import { type Clock } from '#jayfall/shared'
+import { type Log, type Metrics } from '#jayfall/telemetry'
+import { LRUCache } from 'lru-cache'
+import * as z from 'zod'
+
+import { CrashEvidence, isSubset, keyOf, type CrashFinding } from './JayfallCrashEvidence'
+import {
+  FORGOTTEN_SUSPICION_MILLISECONDS, FIRST_TRIAL_MILLISECONDS, MAXIMUM_SUSPICIONS, MAXIMUM_TRIAL_DOUBLINGS, MAXIMUM_TRACKED_PROMPT_PARTS, MAXIMUM_TRIAL_RANK, MINIMUM_CRASHES_OF_PROVEN_PARTS, REMINDER_INTERVAL_MILLISECONDS, SAME_NEWS_MILLISECONDS, TRIAL_RANK_DELAY_MILLISECONDS,
+  TRIAL_TIMEOUT_MILLISECONDS
+} from './JayfallForwardingConstants'
+import { type PromptPart } from './JayfallForwardingProtocol'
+
+/** Whether a prompt may be sent to a server. A trial may be sent once. */
+export type PromptAdmission =
+  | { readonly kind: 'admitted' }
+  | { readonly kind: 'trial' }
+  /** @property retryAfter milliseconds until the suspicion is examined again. */
+  | { readonly kind: 'refused', readonly retryAfter: number }
+
+interface Suspicion extends CrashFinding {
+  /** Monotonic milliseconds from which one prompt is let through. */
+  readonly trialAt: number
+  /** Monotonic milliseconds at which the suspicion was last told to others. */
+  readonly toldAt: number
+}
+
+interface OpenAttempt {
+  readonly parts: readonly string[]
+  readonly onSuspected: () => void
+}
+
+export interface PromptSuspicionsParts {
+  readonly clock: Clock
+  readonly log: Log
+  readonly metrics: Metrics
+  readonly rumors: RumorChannel
+}
+
+const ADMITTED: PromptAdmission = { kind: 'admitted' }
+/** Key under which reports of crashes are collected. */
+const COLLECTION_KEY = 'prompt-crashes'
+
+const partsBody = z.object({ parts: z.array(z.string()).min(1) })
+const suspicionBody = partsBody.extend({ crashes: z.number().int().positive(), trialIn: z.number() }).readonly()
+/** `proven`: parts that the instance has seen answers with. */
+const crashBody = partsBody.extend({ server: z.string(), proven: z.array(z.string()) }).readonly()
+const clearanceBody = z.object({ part: z.string() }).readonly()
+
+export class PromptSuspicions {
+  private readonly evidence = new CrashEvidence()
+  /** Suspicions by the key of their parts. */
+  private readonly suspicions = new Map<string, Suspicion>()
+  private readonly openAttempts = new Set<OpenAttempt>()
+  /** Parts that were cleared of a suspicion, with the time. */
+  private readonly clearances = new LRUCache<string, number>({ max: MAXIMUM_TRACKED_PROMPT_PARTS })
+  private readonly suspicionTopic = new Topic('prompt-suspected', (body, at) => this.hearSuspicion(body, at), () => this.describeSuspicions())
+  private readonly clearanceTopic = new Topic('prompt-cleared', (body, at) => this.hearClearance(body, at))
+  private readonly crashTopic = new Topic('prompt-crash', (body, at) => this.hearCrash(body, at))
+
+  constructor (private readonly parts: PromptSuspicionsParts) {
+    for (const topic of [this.suspicionTopic, this.clearanceTopic, this.crashTopic]) parts.rumors.subscribe(topic)
+  }
+
+  /** Decides whether a prompt may be sent to a server. */
+  admit (promptParts: readonly PromptPart[]): PromptAdmission {
+    if (this.suspicions.size === 0) return ADMITTED
+    const now = this.parts.clock.monotonic()
+    const parts = sharedPartsOf(promptParts)
+    const matching = [...this.suspicions.values()].filter(suspicion => this.applies(suspicion, parts, now))
+    if (matching.length === 0) return ADMITTED
+    const [suspicion] = matching
+    if (matching.length === 1 && this.mayTry(suspicion, now)) {
+      this.parts.log.info('prompt_tried', { parts: suspicion.parts.join(','), crashes: suspicion.crashes })
+      this.tellSuspicion({ ...suspicion, trialAt: now + TRIAL_TIMEOUT_MILLISECONDS }, now)
+      return { kind: 'trial' }
+    }
+    if (now - suspicion.toldAt >= REMINDER_INTERVAL_MILLISECONDS) this.tellSuspicion(suspicion, now)
+    return { kind: 'refused', retryAfter: Math.max(0, ...matching.map(({ trialAt }) => trialAt - now)) }
+  }
+
+  /**
+   * Records that a prompt is sent to a server.
+   * @param onSuspected called when the prompt is suspected while it is open.
+   * @returns a function that records its end.
+   */
+  open (promptParts: readonly PromptPart[], onSuspected: () => void): () => void {
+    const parts = sharedPartsOf(promptParts)
+    if (parts.length === 0) return () => {}
+    const now = this.parts.clock.monotonic()
+    this.evidence.recordAttempt(now)
+    const attempt = { parts, onSuspected }
+    this.openAttempts.add(attempt)
+    return () => this.openAttempts.delete(attempt)
+  }
+
+  /** Records that the answer to a prompt has begun. */
+  recordBegun (promptParts: readonly PromptPart[]): void {
+    const now = this.parts.clock.monotonic()
+    for (const part of sharedPartsOf(promptParts)) {
+      this.evidence.recordBegun(part, now)
+      if (this.clear(part, now)) this.tellClearance(part, now)
+    }
+  }
+
+  /** Records that a server crashed while a prompt waited there for the begin of its answer. */
+  recordCrash (promptParts: readonly PromptPart[], server: string): void {
+    const parts = sharedPartsOf(promptParts)
+    if (parts.length === 0) return
+    const { clock, rumors, metrics } = this.parts
+    const now = clock.monotonic()
+    metrics.count('jayfall_forwarding_prompt_crashes_total', {})
+    this.addReport(parts, server, now, true)
+    rumors.report(this.crashTopic, COLLECTION_KEY, { parts, server, proven: parts.filter(part => this.evidence.isProven(part, now)) }, now)
+  }
+
+  private addReport (parts: readonly string[], server: string, at: number, isOwn: boolean): void {
+    const now = this.parts.clock.monotonic()
+    for (const finding of this.evidence.add({ parts, server, at, isOwn }, now)) this.suspect(finding, now + firstTrialDelay(finding.crashes), 'found')
+  }
+
+  /** @returns whether the suspicion was new, or has changed. */
+  private suspect (finding: CrashFinding, trialAt: number, origin: 'found' | 'told'): boolean {
+    const now = this.parts.clock.monotonic()
+    const key = keyOf(finding.parts)
+    const known = this.suspicions.get(key)
+    if (known !== undefined && known.crashes >= finding.crashes && known.trialAt + SAME_NEWS_MILLISECONDS >= trialAt) return false
+    const others = [...this.suspicions.values()].filter(other => keyOf(other.parts) !== key)
+    if (others.some(other => other.parts.length < finding.parts.length && isSubset(other.parts, finding.parts))) return false
+    for (const other of others) {
+      if (isSubset(finding.parts, other.parts)) this.suspicions.delete(keyOf(other.parts))
+    }
+    this.removeForgotten(now)
+    const suspicion = { ...finding, crashes: Math.max(finding.crashes, known?.crashes ?? 0), firstCrashAt: Math.min(finding.firstCrashAt, known?.firstCrashAt ?? Infinity), trialAt: Math.max(trialAt, known?.trialAt ?? -Infinity), toldAt: now }
+    this.suspicions.set(key, suspicion)
+    this.parts.log.warn('prompt_suspected', { parts: suspicion.parts.join(','), crashes: suspicion.crashes, origin, trial_in_ms: Math.round(suspicion.trialAt - now) })
+    if (origin === 'found') this.tellSuspicion(suspicion, now)
+    for (const attempt of [...this.openAttempts]) {
+      if (known === undefined && this.applies(suspicion, attempt.parts, now)) attempt.onSuspected()
+    }
+    return true
+  }
+
+  /**
+   * Whether a prompt with these parts is refused. Parts that this instance has seen answers with are not held against
+   * the prompt, unless nothing else is left of the suspicion.
+   */
+  private applies ({ parts, crashes }: Suspicion, promptParts: readonly string[], now: number): boolean {
+    const unproven = parts.filter(part => !this.evidence.isProven(part, now))
+    return unproven.length > 0 ? isSubset(unproven, promptParts) : crashes >= MINIMUM_CRASHES_OF_PROVEN_PARTS && isSubset(parts, promptParts)
+  }
+
+  /** The first instance in the ranking for the suspicion tries first; the next ones follow when it does not. */
+  private mayTry ({ parts, trialAt }: Suspicion, now: number): boolean {
+    if (now < trialAt) return false
+    const rank = this.parts.rumors.rankFor(keyOf(parts))
+    return rank <= MAXIMUM_TRIAL_RANK && now >= trialAt + rank * TRIAL_RANK_DELAY_MILLISECONDS
+  }
+
+  /** Ends all suspicions against a part that are older than an answer with it. @returns whether there was one. */
+  private clear (part: string, at: number): boolean {
+    let hasCleared = false
+    for (const [key, suspicion] of [...this.suspicions]) {
+      if (!suspicion.parts.includes(part) || suspicion.firstCrashAt >= at) continue
+      hasCleared = true
+      this.suspicions.delete(key)
+      const parts = suspicion.parts.filter(other => other !== part)
+      this.parts.log.warn('prompt_part_cleared', { part, remaining: parts.join(','), crashes: suspicion.crashes })
+      if (parts.length > 0) this.suspicions.set(keyOf(parts), { ...suspicion, parts })
+    }
+    return hasCleared
+  }
+
+  private removeForgotten (now: number): void {
+    for (const [key, { trialAt }] of this.suspicions) {
+      if (now - trialAt > FORGOTTEN_SUSPICION_MILLISECONDS || this.suspicions.size >= MAXIMUM_SUSPICIONS) this.suspicions.delete(key)
+    }
+  }
+
+  private tellSuspicion (suspicion: Suspicion, now: number): void {
+    this.suspicions.set(keyOf(suspicion.parts), { ...suspicion, toldAt: now })
+    this.parts.rumors.tell(this.suspicionTopic, toBody(suspicion, now), suspicion.firstCrashAt)
+  }
+
+  private tellClearance (part: string, at: number): void {
+    this.clearances.set(part, at)
+    this.parts.rumors.tell(this.clearanceTopic, { part }, at)
+  }
+
+  private * describeSuspicions (): Generator<{ readonly body: unknown, readonly happenedAt: number }> {
+    const now = this.parts.clock.monotonic()
+    for (const suspicion of this.suspicions.values()) yield { body: toBody(suspicion, now), happenedAt: suspicion.firstCrashAt }
+  }
+
+  private hearSuspicion (body: unknown, firstCrashAt: number): boolean {
+    const { data } = suspicionBody.safeParse(body)
+    if (data === undefined) return false
+    const begun = data.parts.filter(part => this.evidence.hasBegunSince(part, firstCrashAt))
+    // The instance that told the suspicion does not know of these answers.
+    for (const part of begun) {
+      if ((this.clearances.get(part) ?? -Infinity) <= firstCrashAt) this.tellClearance(part, this.parts.clock.monotonic())
+    }
+    const parts = data.parts.filter(part => !begun.includes(part))
+    return parts.length > 0 && this.suspect({ parts, crashes: data.crashes, firstCrashAt }, this.parts.clock.monotonic() + data.trialIn, 'told') && begun.length === 0
+  }
+
+  private hearClearance (body: unknown, at: number): boolean {
+    const { data } = clearanceBody.safeParse(body)
+    if (data === undefined) return false
+    this.evidence.recordBegun(data.part, at)
+    const hasCleared = this.clear(data.part, at)
+    const isNew = hasCleared || at > (this.clearances.get(data.part) ?? -Infinity) + FORGOTTEN_SUSPICION_MILLISECONDS
+    if (isNew) this.clearances.set(data.part, at)
+    return isNew
+  }
+
+  /** Reports go to collectors only, so they are not passed on. */
+  private hearCrash (body: unknown, at: number): boolean {
+    const { data } = crashBody.safeParse(body)
+    if (data === undefined) return false
+    for (const part of data.proven) this.evidence.recordProven(part, at)
+    this.addReport(data.parts, data.server, at, false)
+    return false
+  }
+}
+
+class Topic extends RumorTopic {
+  constructor (override readonly name: string, private readonly onNews: (body: unknown, happenedAt: number) => boolean, private readonly describe: () => Generator<{ readonly body: unknown, readonly happenedAt: number }> = function * () {}) {
+    super()
+  }
+
+  override hear (body: unknown, happenedAt: number): boolean {
+    return this.onNews(body, happenedAt)
+  }
+
+  override * current (): Generator<{ readonly body: unknown, readonly happenedAt: number }> {
+    yield * this.describe()
+  }
+}
+
+function toBody ({ parts, crashes, trialAt }: Suspicion, now: number): z.infer<typeof suspicionBody> {
+  return { parts: [...parts], crashes, trialIn: Math.round(trialAt - now) }
+}
+
+function firstTrialDelay (crashes: number): number {
+  return FIRST_TRIAL_MILLISECONDS * 2 ** Math.min(MAXIMUM_TRIAL_DOUBLINGS, crashes - 2)
+}
+
+/** The parts of a prompt that other prompts may hold too; the last one belongs to the request or its session. */
+function sharedPartsOf (promptParts: readonly PromptPart[]): readonly string[] {
+  return [...new Set(promptParts.slice(0, -1).map(({ id }) => id))]
+}
--- a/packages/forwarding/src/__tests__/unit/JayfallAttemptPlan.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallAttemptPlan.test.ts
@@ -21,6 +21,31 @@
 }
 
 describe('planAttempts', () => {
+  describe('with suspected prompts', () => {
+    const parts = ['system', 'deadly', 'own'].map(id => ({ id, tokens: 10 }))
+    const fields = fakeFields({ promptParts: parts })
+
+    it('refuses at once and names the time of the next trial, when nothing was sent', () => {
+      const fixture = new DecisionFixture(TWO_SERVERS)
+      for (const server of ['a', 'b']) fixture.promptSuspicions.recordCrash(parts, server)
+      const { value } = planAttempts(fixture.context(fakeRoute(), fields)).next()
+      assert.ok(value !== undefined && 'kind' in value && value.kind === 'refuse' && value.code === 'suspect_prompt' && value.retryAfter > 1000)
+    })
+
+    // A request whose answer was lost with a crashed server may have run, and a refusal would say the opposite.
+    it('fails when servers have crashed under the request itself (guards against refusals that are not true)', () => {
+      const fixture = new DecisionFixture([...TWO_SERVERS, fakeServer('i-3')])
+      const attempts = planAttempts(fixture.context(fakeRoute(), fields))
+      let step = attempts.next()
+      for (let attempt = 0; step.done !== true; attempt++) {
+        fixture.promptSuspicions.recordCrash(parts, step.value.server.id)
+        step = attempts.next({ kind: 'broken', cause: 'reset' })
+        if (attempt === 1) assert.equal(step.done, true, 'two servers crashed')
+      }
+      assert.deepEqual(step.value, { kind: 'fail', code: 'suspect_prompt' })
+    })
+  })
+
   describe('with a route that is not repeatable', () => {
     const route = fakeRoute({ isRepeatable: false })
 
--- a/packages/forwarding/src/__tests__/unit/JayfallDecisionFixture.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallDecisionFixture.ts
@@ -1,6 +1,8 @@
 /** Fixtures for tests of decisions that use no network. */
 
+import { NoRumors, type RumorChannel } from '#jayfall/peers'
 import { ManualClock } from '#jayfall/shared'
+import { Metrics, type Log } from '#jayfall/telemetry'
 
 import { BackendDirectory } from '../../JayfallBackendDirectory'
 import { EstimatedTimeSelector } from '../../JayfallBackendSelector'
@@ -8,6 +10,7 @@
 import { type CallerFields } from '../../JayfallForwardingProtocol'
 import { PromptCacheTracker } from '../../JayfallPromptCacheTracker'
 import { PrefillTimes } from '../../JayfallPrefillTimes'
+import { PromptSuspicions } from '../../JayfallPromptSuspicions'
 import { RetryBudget } from '../../JayfallRetryBudget'
 import { VersionPolicy } from '../../JayfallVersionPolicy'
 import { type PlanContext } from '../../JayfallAttemptPlan'
@@ -41,6 +44,13 @@
   return { requestId: 'r', patience: 5000, key: undefined, lastEventId: undefined, session: undefined, model: undefined, promptTokens: 0, maximumOutputTokens: 0, promptParts: [], ...overrides }
 }
 
+const ignoreLine = (): void => {}
+export const SILENT_LOG: Log = { debug: ignoreLine, info: ignoreLine, warn: ignoreLine, error: ignoreLine }
+
+export function createSuspicions (clock: ManualClock, rumors: RumorChannel = new NoRumors()): PromptSuspicions {
+  return new PromptSuspicions({ clock, log: SILENT_LOG, metrics: new Metrics(), rumors })
+}
+
 /** The components that decide on one request, with a clock that the test sets. */
 export class DecisionFixture {
   readonly clock = new ManualClock(1000)
@@ -50,6 +60,7 @@
   readonly selector = new EstimatedTimeSelector(this.directory, this.promptCache, this.prefillTimes, 'valdivia')
   readonly retryBudget = new RetryBudget(0.9)
   readonly versionPolicy = new VersionPolicy({ sessionGap: 5000, exposureShare: 0.15 }, () => this.clock.monotonic())
+  readonly promptSuspicions = createSuspicions(this.clock)
   lastDeliveredEventId: string | undefined
 
   constructor (servers: readonly BackendServer[]) {
@@ -70,6 +81,7 @@
       selector: this.selector,
       retryBudget: this.retryBudget,
       versionPolicy: this.versionPolicy,
+      promptSuspicions: this.promptSuspicions,
       lastDeliveredEventId: () => this.lastDeliveredEventId
     }
   }
--- /dev/null
+++ b/packages/forwarding/src/__tests__/unit/JayfallPromptSuspicions.test.ts
@@ -0,0 +1,170 @@
+/** Tests of the suspicions against prompts that crash servers: at one instance, and at up to 890 under load. */
+
+import * as assert from 'node:assert/strict'
+import { before, describe, it } from 'node:test'
+
+import { ManualClock, RandomSource } from '#jayfall/shared'
+
+import { type PromptSuspicions } from '../../JayfallPromptSuspicions'
+import { CrashLoad, promptOf } from './JayfallCrashLoad'
+import { createSuspicions } from './JayfallDecisionFixture'
+import { RumorNetwork, Simulation } from './JayfallRumorNetwork'
+
+const CONTACT_MILLISECONDS = 3000
+const LOSS = 0.05
+const LOAD_SECONDS = 12
+const ASKED_INSTANCES = 3
+
+const DEADLY = promptOf('system', 'book', 'deadly', 'own')
+
+describe('PromptSuspicions', () => {
+  describe('at one instance', () => {
+    function start (): { readonly clock: ManualClock, readonly suspicions: PromptSuspicions } {
+      const clock = new ManualClock(100_000)
+      return { clock, suspicions: createSuspicions(clock) }
+    }
+
+    it('admits prompts as long as no server crashed', () => {
+      assert.deepEqual(start().suspicions.admit(DEADLY), { kind: 'admitted' })
+    })
+
+    it('refuses prompts like one that two servers crashed under', () => {
+      const { suspicions } = start()
+      suspicions.recordCrash(DEADLY, 's1')
+      assert.equal(suspicions.admit(DEADLY).kind, 'admitted')
+      suspicions.recordCrash(DEADLY, 's2')
+      assert.equal(suspicions.admit(promptOf('system', 'book', 'deadly', 'other')).kind, 'refused')
+    })
+
+    // Parts that every deadly prompt has in common with sound ones were in as many crashes as the deadly part.
+    it('admits prompts that share only some of the parts (guards against sound requests that are refused)', () => {
+      const { suspicions } = start()
+      for (const server of ['s1', 's2', 's3']) suspicions.recordCrash(DEADLY, server)
+      assert.equal(suspicions.admit(promptOf('system', 'book', 'own')).kind, 'admitted')
+      assert.equal(suspicions.admit(promptOf('system', 'deadly', 'own')).kind, 'admitted')
+    })
+
+    it('narrows a suspicion to what has never had an answer', () => {
+      const { clock, suspicions } = start()
+      for (const server of ['s1', 's2']) suspicions.recordCrash(DEADLY, server)
+      clock.advance(10)
+      suspicions.recordBegun(promptOf('system', 'book', 'own'))
+      assert.equal(suspicions.admit(promptOf('letter', 'deadly', 'own')).kind, 'refused')
+    })
+
+    it('counts several requests at one crashed server as one crash (guards against suspicions after a single crash)', () => {
+      const { suspicions } = start()
+      for (let request = 0; request < 9; request++) suspicions.recordCrash(promptOf('system', 'book', `own${request}`), 's1')
+      assert.equal(suspicions.admit(promptOf('system', 'book', 'own')).kind, 'admitted')
+    })
+
+    it('never suspects the last part, which belongs to one request', () => {
+      const { suspicions } = start()
+      for (const server of ['s1', 's2', 's3']) suspicions.recordCrash(promptOf('own'), server)
+      assert.equal(suspicions.admit(promptOf('own')).kind, 'admitted')
+    })
+
+    it('keeps two deadly parts apart', () => {
+      const { clock, suspicions } = start()
+      for (const [index, part] of ['deadly', 'mortal', 'deadly', 'mortal'].entries()) {
+        for (let request = 0; request < 10; request++) suspicions.open(promptOf('system', 'other', 'own'), () => {})()
+        suspicions.recordCrash(promptOf('system', `book-${part}`, part, 'own'), `s${index}`)
+        clock.advance(200)
+        suspicions.recordBegun(promptOf('system', 'other', 'own'))
+      }
+      assert.equal(suspicions.admit(promptOf('system', 'book-deadly', 'deadly', 'x')).kind, 'refused')
+      assert.equal(suspicions.admit(promptOf('system', 'book-mortal', 'mortal', 'x')).kind, 'refused')
+      assert.equal(suspicions.admit(promptOf('system', 'book', 'x')).kind, 'admitted')
+    })
+
+    // A bad version crashes under every prompt, and its prompts are not at fault.
+    it('asks for more crashes where all kinds of prompts meet them (guards against suspicions while servers crash by themselves)', () => {
+      const { clock, suspicions } = start()
+      for (let request = 0; request < 40; request++) {
+        suspicions.open(promptOf('system', `book${request}`, 'own'), () => {})()
+        if (request % 2 === 0) suspicions.recordCrash(promptOf('system', `book${request}`, 'own'), `s${request}`)
+        else suspicions.recordBegun(promptOf('system', `book${request}`, 'own'))
+        clock.advance(300)
+      }
+      for (const server of ['a', 'b']) suspicions.recordCrash(promptOf('system', 'rare', 'own'), server)
+      assert.equal(suspicions.admit(promptOf('system', 'rare', 'own')).kind, 'admitted')
+    })
+
+    it('ends open attempts with the suspected parts, and no others', () => {
+      const { suspicions } = start()
+      const ended: string[] = []
+      suspicions.open(DEADLY, () => ended.push('deadly'))
+      suspicions.open(promptOf('system', 'book', 'own'), () => ended.push('sound'))
+      for (const server of ['s1', 's2']) suspicions.recordCrash(DEADLY, server)
+      assert.deepEqual(ended, ['deadly'])
+    })
+
+    // Refused prompts have no answers, so a wrong suspicion could not be noticed.
+    it('lets one prompt through when a trial is due, and ends the suspicion with its answer (guards against wrong suspicions without end)', () => {
+      const { clock, suspicions } = start()
+      for (const server of ['s1', 's2']) suspicions.recordCrash(DEADLY, server)
+      const refused = suspicions.admit(DEADLY)
+      assert.equal(refused.kind, 'refused')
+      clock.advance(refused.kind === 'refused' ? refused.retryAfter : 0)
+      assert.deepEqual([suspicions.admit(DEADLY).kind, suspicions.admit(DEADLY).kind], ['trial', 'refused'])
+      suspicions.recordBegun(DEADLY)
+      assert.equal(suspicions.admit(DEADLY).kind, 'admitted')
+    })
+
+    it('waits twice as long for the next trial after one that crashed a server', () => {
+      const { clock, suspicions } = start()
+      const retryAfter = (): number => {
+        const admission = suspicions.admit(DEADLY)
+        return admission.kind === 'refused' ? admission.retryAfter : 0
+      }
+      for (const server of ['s1', 's2']) suspicions.recordCrash(DEADLY, server)
+      const first = retryAfter()
+      suspicions.recordCrash(DEADLY, 's3')
+      assert.equal(retryAfter(), 2 * first)
+      clock.advance(2 * first - 1)
+      assert.equal(suspicions.admit(DEADLY).kind, 'refused')
+    })
+  })
+
+  for (const instances of [3, 9, 195, 890]) {
+    describe(`at ${instances} instances under load`, () => {
+      const simulation = new Simulation()
+      const network = new RumorNetwork(simulation, instances, new RandomSource(instances), LOSS)
+      const load = new CrashLoad(simulation, network)
+
+      // One request in twenty holds the deadly part, servers come back after 3 s, and other requests at a crashed server are repeated.
+      before(() => {
+        load.begin()
+        simulation.runFor(LOAD_SECONDS * 1000)
+      })
+
+      // Each instance learned for itself, so every instance lost its own servers, and callers' repeats went to the next instance.
+      it('keeps deadly prompts from all servers within the contact time after the fifth crash (guards against the query of death, issue 28)', () => {
+        const knownAt = load.crashTimes.length < 5 ? Infinity : load.crashTimes[4] + CONTACT_MILLISECONDS
+        const late = load.deadlyArrivals.filter(at => at > knownAt).length
+        assert.ok(late <= 3, `${late} deadly prompts reached servers later; ${load.crashTimes.length} crashes`)
+        assert.ok(load.refused > 0, 'deadly prompts were refused')
+      })
+
+      it('goes on serving sound prompts (guards against suspicions of what they share)', () => {
+        const share = load.soundFirstTimes / load.sound
+        assert.ok(share > 0.5, `${share} of ${load.sound} sound requests began at the first attempt`)
+      })
+
+      it('sends no more than an instance may use for control (13 KB a second of messages of 200 bytes)', () => {
+        const perInstance = network.sentMessages / instances / LOAD_SECONDS
+        assert.ok(perInstance * 200 <= 13_000, `${perInstance} messages a second`)
+      })
+
+      it('tells an instance that starts meanwhile what it asks', () => {
+        const [newcomer, ...others] = network.channels
+        load.restart(0)
+        for (const other of others.slice(0, ASKED_INSTANCES)) newcomer.ask(other)
+        simulation.runFor(100)
+        const admitted = [0, 1].map(instance => ['book0', 'book1', 'book2'].map(book => load.suspicionsOf(instance).admit(promptOf('system', book, 'deadly', 'own')).kind === 'admitted'))
+        assert.deepEqual(admitted[0], admitted[1])
+        assert.ok(admitted[0].includes(false))
+      })
+    })
+  }
+})
--- a/packages/peers/src/JayfallPeerConstants.ts
+++ b/packages/peers/src/JayfallPeerConstants.ts
@@ -16,3 +16,18 @@
 export const MAXIMUM_DATAGRAM_BURST = 400
 /** Minimum time between two log lines about datagrams that were not sent, in milliseconds. */
 export const DATAGRAM_LOG_INTERVAL_MILLISECONDS = 5000
+/** Instances that a rumor is passed on to in one round. */
+export const RUMOR_FANOUT = 3
+/** Times of the rounds after an instance has heard of something, in milliseconds. Nine messages leave one instance in eight thousand without the news. */
+export const RUMOR_ROUND_OFFSETS_MILLISECONDS: readonly number[] = [0, 200, 600]
+/** Rumors that an instance passes on at the same time. The oldest ones are given up above it. */
+export const MAXIMUM_ACTIVE_RUMORS = 64
+/** Mean rate limit of rumor messages. At about 200 bytes each, they stay below the 13 KB per second that an instance may use for control traffic at the target size. */
+export const MAXIMUM_RUMOR_MESSAGES_PER_SECOND = 50
+/** Rumor messages that may be sent in one burst: several dozen rumors. */
+export const MAXIMUM_RUMOR_BURST = 300
+/** Availability zones in which reports of all instances are collected, beside the own one. */
+export const COLLECTOR_ZONES = 2
+/** Instances that are asked for the news after a start, and the times at which they are asked, in milliseconds. */
+export const ASKED_PEERS = 3
+export const ASK_OFFSETS_MILLISECONDS: readonly number[] = [0, 300, 1000]
