--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -35,6 +35,8 @@
   bufferedAnswer: BufferedAnswer | undefined
   /** Milliseconds from the attempt's start to its first event or whole answer. */
   timeToAnswer: number | undefined
+  /** The limit on requests per second that the attempt's server named. */
+  rateLimit: number | undefined
   /** Events of the attempt's stream, with those that the caller had already. */
   receivedEvents = 0
   /** The confidence that the attempt's answer had to reach. */
@@ -61,6 +63,7 @@
     const startedAt = clock.monotonic()
     this.bufferedAnswer = undefined
     this.timeToAnswer = undefined
+    this.rateLimit = undefined
     this.receivedEvents = 0
     directory.recordSent(server.id, attempt.selection.prefillTime)
     this.context.prefillTimes.recordSent(attempt.selection.prefillTime)
@@ -119,6 +122,7 @@
     this.zoneOutageDetector?.recordActivity()
     const { status } = head
     const fields = protocol.decodeAnswerHeaders(head.headers)
+    this.rateLimit = fields.rateLimit
     if (fields.load !== undefined && (fields.server === undefined || fields.server === attempt.server.id)) directory.recordLoad(attempt.server.id, fields.load, clock.monotonic())
     if (fields.isNotRun || NOT_RUN_STATUSES.has(status)) return { kind: 'not_run', status }
     if (fields.requestId !== this.request.requestId) return { kind: 'broken', cause: 'the answer belongs to another request' }
--- a/packages/forwarding/src/JayfallForwardedCall.ts
+++ b/packages/forwarding/src/JayfallForwardedCall.ts
@@ -79,6 +79,7 @@
       reported_running: selection.row.loadReport?.running,
       reported_waiting: selection.row.loadReport?.waiting,
       reported_slowness: selection.row.loadReport?.slowness,
+      server_limit: this.runner.rateLimit,
       load_age_ms: Math.round(selection.loadReportAge),
       unread_tokens: selection.uncachedTokens,
       estimated_ms: Math.round(selection.timeToFirstEvent),
--- a/packages/forwarding/src/JayfallForwardingProtocol.ts
+++ b/packages/forwarding/src/JayfallForwardingProtocol.ts
@@ -64,6 +64,8 @@
   /** Whether the server states that it did not run the request. */
   readonly isNotRun: boolean
   readonly load: ServerLoad | undefined
+  /** Requests per second that the server takes from all instances together; undefined when it names no limit. */
+  readonly rateLimit: number | undefined
   /** The model's confidence in its answer, from 0 to 100. */
   readonly confidence: number | undefined
   /** The server that answered; undefined when not given. */
