Keep to the limits that servers name, at all instances together

Cause: the header was passed on to callers and not read; nothing in platform/ decoded it, and the choice of a server knew no limit. The failing test showed the same with one instance, so sharing a limit was not needed for the fault.

Change: ServerLimits deals the requests that a limit allows in each second of the store's clock to the instances by rendezvous hashing, without messages or a counter. Servers without a share left are not selected. What no server may take is refused at once, and callers return in the order in which they were refused. New and ended limits spread as rumors.

--- a/packages/command/src/JayfallRequestTimeline.ts
+++ b/packages/command/src/JayfallRequestTimeline.ts
@@ -21,7 +21,7 @@
 /** Events that change the state an instance works with, each with the kind of object that it concerns. */
 const STATE_CHANGE_EVENTS: ReadonlyMap<string, string> = new Map([
   ['catalogue_in_force', 'catalogue version'], ['server_known', 'server'], ['server_lapsed', 'server'], ['server_gone', 'server'],
-  ['store_lost', 'table'], ['store_regained', 'table'], ['rollout_ordered', 'service'], ['prompt_suspected', 'prompt parts'], ['prompt_part_cleared', 'prompt part'], ['rollout_known', 'service'], ['rollout_step', 'service'],
+  ['store_lost', 'table'], ['store_regained', 'table'], ['rollout_ordered', 'service'], ['prompt_suspected', 'prompt parts'], ['prompt_part_cleared', 'prompt part'], ['server_limited', 'server'], ['server_limit_ended', 'server'], ['rollout_known', 'service'], ['rollout_step', 'service'],
   ['started', 'instance'], ['stopping', 'instance'], ['settings_reloaded', 'settings']
 ])
 
@@ -85,6 +85,8 @@
       return 'No server of the service was known that the request could run on.'
     case 'suspect_prompt':
       return `Prompts with the same parts have crashed servers: ${results === '' ? 'it was sent to none' : results}.`
+    case 'servers_limited':
+      return 'The servers had named limits, and this instance had used its share of them.'
     case 'servers_full':
       return `No server took the request: ${results}.`
     default:
--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -77,7 +77,7 @@
   | { readonly kind: 'none' }
 
 /** A refusal guarantees that the request has not run. */
-export type RefusalCode = 'no_server' | 'servers_full' | 'too_late' | 'suspect_prompt'
+export type RefusalCode = 'no_server' | 'servers_full' | 'too_late' | 'suspect_prompt' | 'servers_limited'
 export type FailureCode = 'answer_lost' | 'timeout' | 'suspect_prompt'
 
 export interface PlanContext {
@@ -200,6 +200,8 @@
 }
 
 function decideWithoutAnswer ({ selector, service, clock }: PlanContext, mayHaveRun: boolean, code: RefusalCode): FinalDecision {
-  if (!mayHaveRun) return { kind: 'refuse', code, retryAfter: Math.max(DEFAULT_RETRY_AFTER_MILLISECONDS, selector.timeUntilReach(service, clock.monotonic()) ?? 0) }
-  return { kind: 'fail', code: code === 'too_late' ? 'timeout' : 'answer_lost' }
+  if (mayHaveRun) return { kind: 'fail', code: code === 'too_late' ? 'timeout' : 'answer_lost' }
+  const limitDelay = code === 'too_late' ? undefined : selector.refuseForLimits(service)
+  if (limitDelay !== undefined) return { kind: 'refuse', code: 'servers_limited', retryAfter: limitDelay }
+  return { kind: 'refuse', code, retryAfter: Math.max(DEFAULT_RETRY_AFTER_MILLISECONDS, selector.timeUntilReach(service, clock.monotonic()) ?? 0) }
 }
--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -66,6 +66,7 @@
     this.rateLimit = undefined
     this.receivedEvents = 0
     directory.recordSent(server.id, attempt.selection.prefillTime)
+    this.context.limits.recordSent(server.id)
     this.context.prefillTimes.recordSent(attempt.selection.prefillTime)
     if (attempt.selection.prefillTime >= MINIMUM_PUBLISHED_PREFILL_MILLISECONDS) this.context.hints.publish({ server: server.id, reading: attempt.selection.prefillTime })
     this.isPrefillRecorded = false
@@ -117,12 +118,14 @@
   }
 
   private async readAnswer (attempt: AttemptPlan, exchange: BackendExchange, head: AnswerHead, startedAt: number): Promise<AttemptResult> {
-    const { protocol, directory, clock } = this.context
+    const { protocol, directory, clock, limits } = this.context
     directory.recordReachable(attempt.server.id)
     this.zoneOutageDetector?.recordActivity()
     const { status } = head
     const fields = protocol.decodeAnswerHeaders(head.headers)
     this.rateLimit = fields.rateLimit
+    // Only what the server itself answered to this request shows that its limit has ended.
+    if (fields.rateLimit !== undefined || (fields.isSigned && fields.requestId === this.request.requestId)) limits.recordAnswer(attempt.server.id, fields.rateLimit, startedAt)
     if (fields.load !== undefined && (fields.server === undefined || fields.server === attempt.server.id)) directory.recordLoad(attempt.server.id, fields.load, clock.monotonic())
     if (fields.isNotRun || NOT_RUN_STATUSES.has(status)) return { kind: 'not_run', status }
     if (fields.requestId !== this.request.requestId) return { kind: 'broken', cause: 'the answer belongs to another request' }
--- a/packages/forwarding/src/JayfallBackendSelector.ts
+++ b/packages/forwarding/src/JayfallBackendSelector.ts
@@ -16,6 +16,7 @@
 import { type PromptPart } from './JayfallForwardingProtocol'
 import { type PromptCacheTracker } from './JayfallPromptCacheTracker'
 import { type PrefillTimes } from './JayfallPrefillTimes'
+import { type ServerLimits } from './JayfallServerLimits'
 
 export interface SelectionRequest {
   readonly service: string
@@ -54,6 +55,8 @@
   abstract select (request: SelectionRequest, now: number): BackendSelection | undefined
   /** Milliseconds until a server that is out of reach is tried again; undefined when no server of the service is out of reach. */
   abstract timeUntilReach (service: string, now: number): number | undefined
+  /** Milliseconds after which a refused caller may return because of limits that servers named; undefined when no server is kept from work by its limit. */
+  abstract refuseForLimits (service: string): number | undefined
 }
 
 interface Candidate extends BackendSelection {
@@ -69,7 +72,7 @@
 
 /** Selects the server with the lowest estimated time to the first event, plus costs for other requests and for leaving the zone. */
 export class EstimatedTimeSelector extends BackendSelector {
-  constructor (private readonly directory: BackendDirectory, private readonly promptCache: PromptCacheTracker, private readonly prefillTimes: PrefillTimes, private readonly ownZone: string) {
+  constructor (private readonly directory: BackendDirectory, private readonly promptCache: PromptCacheTracker, private readonly prefillTimes: PrefillTimes, private readonly ownZone: string, private readonly limits: ServerLimits) {
     super()
   }
 
@@ -91,9 +94,14 @@
     return times.length === 0 ? undefined : Math.min(...times)
   }
 
+  override refuseForLimits (service: string): number | undefined {
+    const limited = [...this.directory.rowsOfService(service)].filter(({ server }) => !server.isDraining && !this.limits.maySend(server.id))
+    return this.limits.refuse(limited.map(({ server }) => server.id))
+  }
+
   private * findUsableRows ({ service, triedServers, allowsVersion }: SelectionRequest, now: number): Generator<BackendRow> {
     for (const row of this.directory.rowsOfService(service)) {
-      if (!row.server.isDraining && !triedServers.has(row.server.id) && allowsVersion(row.server.version) && !isOutOfReach(row, now)) yield row
+      if (!row.server.isDraining && !triedServers.has(row.server.id) && allowsVersion(row.server.version) && !isOutOfReach(row, now) && this.limits.maySend(row.server.id)) yield row
     }
   }
 
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -243,3 +243,12 @@
 export const REMINDER_INTERVAL_MILLISECONDS = 5000
 /** Difference below which two times of a trial are the same news. */
 export const SAME_NEWS_MILLISECONDS = 1000
+
+/** Window of the store's clock in which the requests that a server's limit allows are dealt to the instances. */
+export const LIMIT_WINDOW_MILLISECONDS = 1000
+/** Requests per second that a server gets at least, so that the end of its limit is noticed. */
+export const MINIMUM_SERVER_LIMIT = 0.1
+/** Age at which a limit that was not named again is dropped; its server has probably ended. */
+export const SERVER_LIMIT_LIFETIME_MILLISECONDS = 600_000
+/** Longest time after which a caller is told to return because of limits, as other servers may take its request by then. */
+export const MAXIMUM_LIMIT_RETRY_AFTER_MILLISECONDS = 5000
--- a/packages/forwarding/src/JayfallForwardingContext.ts
+++ b/packages/forwarding/src/JayfallForwardingContext.ts
@@ -13,6 +13,7 @@
 import { type PromptSuspicions } from './JayfallPromptSuspicions'
 import { type RetryBudget } from './JayfallRetryBudget'
 import { type RolloutEvidence } from './JayfallRolloutEvidence'
+import { type ServerLimits } from './JayfallServerLimits'
 import { type VersionPolicy } from './JayfallVersionPolicy'
 
 export interface ForwardingContext {
@@ -24,6 +25,7 @@
   readonly promptCache: PromptCacheTracker
   readonly prefillTimes: PrefillTimes
   readonly hints: PrefillHints
+  readonly limits: ServerLimits
   readonly promptSuspicions: PromptSuspicions
   readonly endedServerCheck: EndedServerCheck
   readonly selector: BackendSelector
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -28,6 +28,7 @@
 import { RolloutCoordinator } from './JayfallRolloutCoordinator'
 import { RolloutEvidence } from './JayfallRolloutEvidence'
 import { EVIDENCE_TABLE, ROLLOUTS_TABLE } from './JayfallRolloutRows'
+import { ServerLimits } from './JayfallServerLimits'
 import { VersionPolicy } from './JayfallVersionPolicy'
 
 /** An address to listen on. */
@@ -58,8 +59,8 @@
   readonly random: RandomSource
   readonly log: Log
   readonly metrics?: Metrics
-  /** The number of instances of the deployment that are known; 1 by default. */
-  readonly instanceCount?: () => number
+  /** Identifiers of all instances of the deployment with this one; undefined as long as they are unknown. This one alone by default. */
+  readonly instances?: () => readonly string[] | undefined
   /** No hints are exchanged by default. */
   readonly hints?: PrefillHints
   /** No news is exchanged by default. */
@@ -97,12 +98,15 @@
     const promptCache = new PromptCacheTracker()
     const prefillTimes = new PrefillTimes()
     const hints = dependencies.hints ?? new NoPrefillHints()
-    const promptSuspicions = new PromptSuspicions({ clock, log, metrics: this.metrics, rumors: dependencies.rumors ?? new NoRumors() })
+    const rumors = dependencies.rumors ?? new NoRumors()
+    const instances = dependencies.instances ?? (() => [settings.instance])
+    const limits = new ServerLimits({ ...dependencies, rumors, storeTime, instance: settings.instance, instances })
+    const promptSuspicions = new PromptSuspicions({ clock, log, metrics: this.metrics, rumors })
     const evidence = new RolloutEvidence(this.versionPolicy, clock)
     this.rolloutCoordinator = new RolloutCoordinator({
       ...dependencies,
       instance: settings.instance,
-      instanceCount: dependencies.instanceCount ?? (() => 1),
+      instanceCount: () => instances()?.length ?? 1,
       loadProbe: new HealthProbe(protocol, this.state, log),
       directory: this.directory,
       versionPolicy: this.versionPolicy,
@@ -110,7 +114,7 @@
       storeTime
     })
     this.server = new ForwardingServer({
-      clock, log, protocol, evidence, promptCache, prefillTimes, hints, promptSuspicions, endedServerCheck: new ConnectionCheck(), metrics: this.metrics, directory: this.directory, selector: new EstimatedTimeSelector(this.directory, promptCache, prefillTimes, settings.zone), retryBudget: this.retryBudget, versionPolicy: this.versionPolicy
+      clock, log, protocol, evidence, promptCache, prefillTimes, hints, limits, promptSuspicions, endedServerCheck: new ConnectionCheck(), metrics: this.metrics, directory: this.directory, selector: new EstimatedTimeSelector(this.directory, promptCache, prefillTimes, settings.zone, limits), retryBudget: this.retryBudget, versionPolicy: this.versionPolicy
     }, this.state)
     hints.subscribe(({ server, reading }) => this.directory.recordPeerPrefill(server, reading, clock.monotonic()))
   }
--- a/packages/forwarding/src/__tests__/unit/JayfallDecisionFixture.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallDecisionFixture.ts
@@ -1,7 +1,7 @@
 /** Fixtures for tests of decisions that use no network. */
 
 import { NoRumors, type RumorChannel } from '#jayfall/peers'
-import { ManualClock } from '#jayfall/shared'
+import { ManualClock, RandomSource } from '#jayfall/shared'
 import { Metrics, type Log } from '#jayfall/telemetry'
 
 import { BackendDirectory } from '../../JayfallBackendDirectory'
@@ -12,6 +12,7 @@
 import { PrefillTimes } from '../../JayfallPrefillTimes'
 import { PromptSuspicions } from '../../JayfallPromptSuspicions'
 import { RetryBudget } from '../../JayfallRetryBudget'
+import { ServerLimits } from '../../JayfallServerLimits'
 import { VersionPolicy } from '../../JayfallVersionPolicy'
 import { type PlanContext } from '../../JayfallAttemptPlan'
 
@@ -57,7 +58,8 @@
   readonly directory = new BackendDirectory('valdivia')
   readonly promptCache = new PromptCacheTracker()
   readonly prefillTimes = new PrefillTimes()
-  readonly selector = new EstimatedTimeSelector(this.directory, this.promptCache, this.prefillTimes, 'valdivia')
+  readonly limits = new ServerLimits({ clock: this.clock, random: new RandomSource(1), log: SILENT_LOG, rumors: new NoRumors(), storeTime: () => this.clock.monotonic(), instance: 'entry', instances: () => ['entry'] })
+  readonly selector = new EstimatedTimeSelector(this.directory, this.promptCache, this.prefillTimes, 'valdivia', this.limits)
   readonly retryBudget = new RetryBudget(0.9)
   readonly versionPolicy = new VersionPolicy({ sessionGap: 5000, exposureShare: 0.15 }, () => this.clock.monotonic())
   readonly promptSuspicions = createSuspicions(this.clock)
