Take streams without a length as complete when they end after an event

What callers saw: nothing, but servers were asked again for the rest of streams that had ended, and processed their prompts once more.

--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -180,8 +180,8 @@
     }).run()
     if (end.kind === 'stopped') return this.resultOfStop()
     if (end.kind !== 'ended') return end
-    // Without a stated end of the body, the end of a stream cannot be distinguished from a server that stopped.
-    if (!end.isWhole || !head.isSelfDelimited) return { kind: 'broken', cause: 'the stream broke off' }
+    // A stream without a stated end of its body ends with its connection, after an event. One that was broken off ends inside an event.
+    if (!end.isWhole || (!head.isSelfDelimited && this.receivedEvents === 0)) return { kind: 'broken', cause: 'the stream broke off' }
     this.answer.beginStream(head)
     this.answer.endStream()
     return { kind: 'answered' }
