Compare prompts of different kinds only after some answers

Right after a start no prompt part has had an answer, so the part that all prompts of a route begin with was suspected after three crashes, and the whole route refused until an answer cleared it or a trial came. Found by reading; the new test fails without the change. An instance now needs ten answers of its own before it draws conclusions from what prompts of different kinds have in common; repeats of one kind of prompt still count from the second crash.

--- a/packages/forwarding/src/JayfallCrashEvidence.ts
+++ b/packages/forwarding/src/JayfallCrashEvidence.ts
@@ -14,7 +14,7 @@
 import { LRUCache } from 'lru-cache'
 
 import {
-  COINCIDENCE_PROBABILITY, CRASH_RATE_HALF_LIFE_MILLISECONDS, CRASH_RATE_PRIOR, CRASH_RATE_PRIOR_ATTEMPTS, CRASH_REPORT_LIFETIME_MILLISECONDS, MAXIMUM_CRASH_REPORTS, MAXIMUM_REQUIRED_CRASHES, MAXIMUM_TRACKED_PROMPT_PARTS, MINIMUM_REQUIRED_CRASHES,
+  COINCIDENCE_PROBABILITY, CRASH_RATE_HALF_LIFE_MILLISECONDS, CRASH_RATE_PRIOR, CRASH_RATE_PRIOR_ATTEMPTS, CRASH_REPORT_LIFETIME_MILLISECONDS, MAXIMUM_CRASH_REPORTS, MAXIMUM_REQUIRED_CRASHES, MAXIMUM_TRACKED_PROMPT_PARTS, MINIMUM_KNOWN_ANSWERS, MINIMUM_REQUIRED_CRASHES,
   PART_PROOF_LIFETIME_MILLISECONDS, SAME_CRASH_MILLISECONDS, SHARED_PARTS_SETTLING_MILLISECONDS
 } from './JayfallForwardingConstants'
 
@@ -55,6 +55,8 @@
   private readonly provenAt = new LRUCache<string, number>({ max: MAXIMUM_TRACKED_PROMPT_PARTS })
   /** Attempts of this instance with prompts, each weighted by its age, as of `attemptsAt`. */
   private attempts = 0
+  /** Answers of this instance that have begun. */
+  private answers = 0
   private attemptsAt = 0
 
   recordAttempt (now: number): void {
@@ -62,6 +64,11 @@
     this.attemptsAt = now
   }
 
+  /** Records that an answer to a prompt of this instance began. */
+  recordAnswer (): void {
+    this.answers++
+  }
+
   /** Records that an answer to a prompt with the part began. */
   recordBegun (part: string, at: number): void {
     this.begunAt.set(part, Math.max(at, this.begunAt.get(part) ?? -Infinity))
@@ -100,6 +107,8 @@
     const matching = this.reports.map(report => ({ report, parts: this.suspectPartsOf(report) })).filter(({ parts }) => isSubset(candidate, parts))
     const incidents = groupByCrash(matching.map(({ report }) => report))
     const isOneKind = isOneKindOfRequest(matching, incidents.length)
+    // An instance that has just started cannot tell what crashed prompts have in common from what all prompts have in common.
+    if (!isOneKind && this.answers < MINIMUM_KNOWN_ANSWERS) return undefined
     const unproven = candidate.filter(part => !this.isProven(part, now))
     const firstCrashAt = Math.min(...incidents.map(({ at }) => at))
     // What many requests have in common is in many crashes. If it is sound, the next answers clear it.
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -213,6 +213,8 @@
 export const CRASH_RATE_PRIOR_ATTEMPTS = 20
 /** Half-life of the weight of an attempt in the rate of crashes. */
 export const CRASH_RATE_HALF_LIFE_MILLISECONDS = 10_000
+/** Answers from which an instance knows enough parts of sound prompts to compare prompts of different kinds. */
+export const MINIMUM_KNOWN_ANSWERS = 10
 /** Bounds of the number of crashes after which the parts of a prompt are suspected. */
 export const MINIMUM_REQUIRED_CRASHES = 2
 export const MAXIMUM_REQUIRED_CRASHES = 10
--- a/packages/forwarding/src/JayfallPromptSuspicions.ts
+++ b/packages/forwarding/src/JayfallPromptSuspicions.ts
@@ -108,6 +108,7 @@
   /** Records that the answer to a prompt has begun. */
   recordBegun (promptParts: readonly PromptPart[]): void {
     const now = this.parts.clock.monotonic()
+    this.evidence.recordAnswer()
     for (const part of sharedPartsOf(promptParts)) {
       this.evidence.recordBegun(part, now)
       if (this.clear(part, now)) this.tellClearance(part, now)
--- a/packages/forwarding/src/__tests__/unit/JayfallPromptSuspicions.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallPromptSuspicions.test.ts
@@ -52,6 +52,25 @@
       assert.equal(suspicions.admit(promptOf('letter', 'deadly', 'own')).kind, 'refused')
     })
 
+    // Right after a start no part has had an answer, so the part that all prompts of a route begin with looked as guilty as the deadly one.
+    it('compares prompts of different kinds only after some answers (guards against a whole route that is refused after a start)', () => {
+      const { suspicions } = start()
+      for (let crash = 0; crash < 5; crash++) suspicions.recordCrash(promptOf('system', `book${crash}`, 'own'), `s${crash}`)
+      assert.equal(suspicions.admit(promptOf('system', 'book9', 'own')).kind, 'admitted')
+    })
+
+    it('suspects what prompts of different kinds have in common, once it knows sound ones', () => {
+      const { clock, suspicions } = start()
+      for (let answer = 0; answer < 30; answer++) {
+        suspicions.open(promptOf('system', `book${answer}`, 'own'), () => {})()
+        suspicions.recordBegun(promptOf('system', `book${answer}`, 'own'))
+      }
+      for (let crash = 0; crash < 3; crash++) suspicions.recordCrash(promptOf('system', `book${crash}`, 'deadly', 'own'), `s${crash}`)
+      clock.advance(1)
+      assert.equal(suspicions.admit(promptOf('system', 'book9', 'deadly', 'own')).kind, 'refused')
+      assert.equal(suspicions.admit(promptOf('system', 'book1', 'own')).kind, 'admitted')
+    })
+
     it('counts several requests at one crashed server as one crash (guards against suspicions after a single crash)', () => {
       const { suspicions } = start()
       for (let request = 0; request < 9; request++) suspicions.recordCrash(promptOf('system', 'book', `own${request}`), 's1')
