Let the engine of the telemetry test fill the caller's buffers faster

The test waits for up to 30 s until a caller that reads nothing is disconnected. Nearly all of that was the time in which an engine with tokens of a few bytes filled the socket buffers of both sides (19.4 s alone, 23.6 s beside load), so a machine 1.5 times slower missed the bound. The stand-in can now send longer tokens, and the test uses tokens of 4 KB. The bound, the timeout of the instance and what is checked stay.

--- a/packages/entry/src/__tests__/integration/JayfallTelemetry.test.ts
+++ b/packages/entry/src/__tests__/integration/JayfallTelemetry.test.ts
@@ -39,7 +39,7 @@
     await new Promise<void>(resolve => collector.listen(port, '127.0.0.1', resolve))
     system = await TestSystem.start({
       servers: [
-        { id: 'engine-1', zone: 'valdivia', service: 'asistente-tallado', type: 'engine', options: ['--token-interval', '1', '--batch-slowdown', '0'] },
+        { id: 'engine-1', zone: 'valdivia', service: 'asistente-tallado', type: 'engine', options: ['--token-interval', '1', '--batch-slowdown', '0', '--token-characters', '4096'] },
         { id: 'plain-1', zone: 'valdivia', service: 'secretaria-talleres', type: 'plain' }
       ],
       entries: [{
--- a/packages/standins/src/JayfallEngineScheduler.ts
+++ b/packages/standins/src/JayfallEngineScheduler.ts
@@ -13,6 +13,8 @@
   readonly slots: number
   /** Milliseconds between tokens of a stream that runs alone. */
   readonly tokenInterval: number
+  /** Characters of each token at least; undefined for short tokens. */
+  readonly tokenCharacters?: number
   /** Share of `tokenInterval` that each further stream of the batch adds. */
   readonly batchSlowdown: number
   /** Milliseconds for one prompt token that is not cached. */
@@ -89,7 +91,7 @@
 
   private decode (stream: EngineStream): void {
     if (stream.state !== 'running') return this.release(stream, 'cancelled')
-    const index = stream.tokens.push(`t${stream.tokens.length} `) - 1
+    const index = stream.tokens.push(`t${stream.tokens.length} `.padEnd(this.limits.tokenCharacters ?? 0, '.')) - 1
     stream.emit('token', index)
     if (stream.tokens.length >= stream.outputTokens) return this.release(stream, 'finished')
     const interval = this.limits.tokenInterval * (1 + this.limits.batchSlowdown * (this.running - 1)) * this.slowdown
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -22,6 +22,7 @@
     host,
     slots: numberOption('slots', 'streams that decode at once', 16),
     tokenInterval: numberOption('token-interval', 'milliseconds between tokens of a stream that runs alone', 5),
+    tokenCharacters: numberOption('token-characters', 'characters of each token at least', 0),
     batchSlowdown: numberOption('batch-slowdown', 'share of the interval that each further stream adds', 0.02),
     promptTokenTime: numberOption('prompt-token-time', 'milliseconds for one prompt token that is not cached', 0.05),
     cacheTokens: numberOption('cache-tokens', 'capacity of the prefix cache in tokens', 20_000),
