Send answers completely before a planned stop ends connections

What a caller sees: an answer that is cut, although its request was accepted and its work was done, when it reads slowly while the instance is stopped.

Cause: two counts of what is open. A request counted as ended when its answer had been handed to the connection, so the process could end before the caller had it. And the HTTP server of Node.js closes idle connections when it is closed, and takes a connection for idle whose answer was ended but not sent.

Change: a request is open until its answer was sent or its connection has ended; the listener is closed without idle connections, and these are closed when no answer waits to be sent.

--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -164,7 +164,10 @@
     while (elapsed() < MINIMUM_STOP_MILLISECONDS) await delay(STATE_INTERVAL_MILLISECONDS)
     // A request that arrives later on a persistent connection could not end before the process does.
     this.server.close()
-    while (this.server.openRequestCount > 0 && elapsed() < this.settings.terminationGracePeriod - STOP_RESERVE_MILLISECONDS) await delay(STATE_INTERVAL_MILLISECONDS)
+    while (this.server.openRequestCount > 0 && elapsed() < this.settings.terminationGracePeriod - STOP_RESERVE_MILLISECONDS) {
+      await delay(STATE_INTERVAL_MILLISECONDS)
+      this.server.closeIdleConnections()
+    }
     for (const timer of this.timers) clearInterval(timer)
     log.info('stopped', { open: this.server.openRequestCount, after_ms: Math.round(elapsed()) })
   }
--- a/packages/forwarding/src/JayfallForwardingServer.ts
+++ b/packages/forwarding/src/JayfallForwardingServer.ts
@@ -1,7 +1,7 @@
 /** The HTTP server that callers connect to. */
 
 import * as http from 'node:http'
-import { type AddressInfo } from 'node:net'
+import * as net from 'node:net'
 
 import { rendezvousShare } from '#jayfall/shared'
 
@@ -24,6 +24,8 @@
   private isClosing = false
   private isClosed = false
   private openRequests = 0
+  /** Answers that were handed to their connections and have not been sent completely. */
+  private unsentAnswers = 0
 
   constructor (private readonly context: ForwardingContext, private readonly state: ForwardingState) {
     this.server = http.createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES, requestTimeout: 0, keepAlive: true }, (request, response) => {
@@ -39,13 +41,13 @@
     })
   }
 
-  /** Number of requests that have no final answer yet. */
+  /** Number of requests whose final answer has not been sent completely yet. */
   get openRequestCount (): number {
     return this.openRequests
   }
 
   get port (): number {
-    return (this.server.address() as AddressInfo).port
+    return (this.server.address() as net.AddressInfo).port
   }
 
   listen (host: string, port: number): Promise<void> {
@@ -63,8 +65,14 @@
   /** Stops accepting connections and closes those that are idle. */
   close (): void {
     this.isClosed = true
-    this.server.close()
-    this.server.closeIdleConnections()
+    // The method of the HTTP server closes idle connections too, and counts those as idle whose answer was ended but not sent.
+    net.Server.prototype.close.call(this.server)
+    this.closeIdleConnections()
+  }
+
+  /** Closes idle connections, unless that would cut an answer; called until the instance has stopped. */
+  closeIdleConnections (): void {
+    if (this.unsentAnswers === 0) this.server.closeIdleConnections()
   }
 
   destroyConnections (): void {
@@ -73,6 +81,7 @@
 
   private async handle (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const arrivedAt = this.context.clock.monotonic()
+    this.countUntilClosed(request, response)
     const answer = new CallerAnswer(request, response, this.context.clock, () => this.isClosing)
     const fields = this.context.protocol.decodeCallerHeaders(request.headers)
     const requestId = fields.requestId
@@ -90,32 +99,48 @@
     const decision = routes.find(request.headers.host ?? '', path, fields.key)
     if (decision.kind === 'unknown_route') return this.refuse(answer, requestId, 404, 'unknown_route', undefined, version)
     if (decision.kind === 'unknown_key') return this.refuse(answer, requestId, 401, 'unknown_key', undefined, version)
+    const body = await readRequestBody(request, limits.bodyBytes)
+    if (body === 'too_large') return this.refuse(answer, requestId, 413, 'body_too_large')
+    if (body === 'broken') return
+    const { route, workspace } = decision
+    const sharedSession = fields.session ?? fields.promptParts.at(-1)?.id
+    const session = sharedSession ?? requestId
+    const service = chooseService(route, session)
+    this.context.retryBudget.recordRequest(service, arrivedAt)
+    const plan: PlanContext = {
+      ...this.context,
+      route,
+      service,
+      session,
+      isSharedSession: sharedSession !== undefined,
+      fields,
+      arrivedAt,
+      deadline: arrivedAt + Math.min(fields.patience ?? Infinity, route.timeout),
+      lastDeliveredEventId: () => answer.lastEventId
+    }
+    const callerRequest = { requestId, method: request.method ?? 'GET', path, rawHeaders: request.rawHeaders, body, workspace }
+    await new ForwardedCall(this.context, plan, callerRequest, answer, version).run()
+  }
+
+  /** Counts the request as open until its answer was sent or its connection has ended. An answer that is only handed to the connection would end with the process. */
+  private countUntilClosed ({ socket }: http.IncomingMessage, response: http.ServerResponse): void {
     this.openRequests++
-    try {
-      const body = await readRequestBody(request, limits.bodyBytes)
-      if (body === 'too_large') return this.refuse(answer, requestId, 413, 'body_too_large')
-      if (body === 'broken') return
-      const { route, workspace } = decision
-      const sharedSession = fields.session ?? fields.promptParts.at(-1)?.id
-      const session = sharedSession ?? requestId
-      const service = chooseService(route, session)
-      this.context.retryBudget.recordRequest(service, arrivedAt)
-      const plan: PlanContext = {
-        ...this.context,
-        route,
-        service,
-        session,
-        isSharedSession: sharedSession !== undefined,
-        fields,
-        arrivedAt,
-        deadline: arrivedAt + Math.min(fields.patience ?? Infinity, route.timeout),
-        lastDeliveredEventId: () => answer.lastEventId
-      }
-      const callerRequest = { requestId, method: request.method ?? 'GET', path, rawHeaders: request.rawHeaders, body, workspace }
-      await new ForwardedCall(this.context, plan, callerRequest, answer, version).run()
-    } finally {
+    let isEnded = false
+    const onEnded = (): void => {
+      isEnded = true
+      this.unsentAnswers++
+    }
+    const onClosed = (): void => {
+      response.off('close', onClosed)
+      response.off('prefinish', onEnded)
+      socket.off('close', onClosed)
       this.openRequests--
+      if (isEnded) this.unsentAnswers--
     }
+    response.once('prefinish', onEnded)
+    response.once('close', onClosed)
+    // The response to a pipelined request has no connection of its own that could close it.
+    socket.once('close', onClosed)
   }
 
   private refuse (answer: CallerAnswer, requestId: string | undefined, status: number, code: string, retryAfter?: number, catalogue?: number): void {
