Let whole answers clear prompt parts too

Only events of streams counted as answers that begin. On a route whose prompts are answered whole, no part was ever proven, a suspicion was never narrowed, and one that was wrong did not end with its trial.

The new test failed before: the third kind of prompt with the deadly part was sent to a server (502 instead of 503). A whole successful answer now counts as one that has begun.

--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -155,6 +155,7 @@
     if (this.answer.hasBegun) return { kind: 'broken', cause: `the stream could not be resumed: status ${head.status}` }
     this.timeToAnswer = this.context.clock.monotonic() - startedAt
     this.bufferedAnswer = { ...head, body }
+    if (head.status < 300 && this.plan.fields.promptParts.length > 0) this.context.promptSuspicions.recordBegun(this.plan.fields.promptParts)
     return head.status >= 500 ? { kind: 'failed', status: head.status } : { kind: 'answered' }
   }
 
