Judge new versions without waiting for the store

What callers saw: a bad version got requests from an instance that the store did not answer. Cause: the instance published its evidence before it judged, in one chain with the step. A refused call ended the chain, and an unanswered one held it for 2.5 s, so the instance went on with the version although its own evidence and that of the others, which it reads through them, was enough. Change: at each interval every instance judges first and keeps new work away; publishing and the step follow, and a hanging call stops neither the next verdict nor other versions' verdicts. Result: the test fails before (stays_old) and passes, also with a call that hangs.

--- a/packages/forwarding/src/JayfallRolloutCoordinator.ts
+++ b/packages/forwarding/src/JayfallRolloutCoordinator.ts
@@ -120,8 +120,9 @@
     }
   }
 
-  /** Makes the steps that are due; called at an interval. */
+  /** Judges the new versions and makes the steps that are due; called at an interval. */
   async run (): Promise<void> {
+    this.suspendBadVersions()
     if (this.isRunning) return
     this.isRunning = true
     try {
@@ -134,6 +135,13 @@
     }
   }
 
+  /** Keeps new work away from versions that the evidence shows to be bad. Needs no store, because the store may not answer this instance for a while. */
+  private suspendBadVersions (): void {
+    for (const order of this.orders.values()) {
+      if (this.rolloutRowOf(order)?.outcome === 'running' && isBadVersion(this.sumRecentEvidence(order))) this.dependencies.versionPolicy.suspend(order.service, order.version)
+    }
+  }
+
   private async advanceRollout (order: RolloutOrder): Promise<void> {
     const row = this.rolloutRowOf(order)
     if (row === undefined) {
@@ -141,11 +149,9 @@
     }
     if (row.outcome !== 'running') return
     const rollout = toRollout(order, row)
+    const counts = this.sumRecentEvidence(order)
+    if (isBadVersion(counts)) return this.transition(order, 'rolled_back', JSON.stringify(counts))
     await this.publishEvidence(order)
-    if (isBadVersion(this.sumRecentEvidence(order))) {
-      this.dependencies.versionPolicy.suspend(order.service, order.version)
-      return this.transition(order, 'rolled_back', JSON.stringify(this.sumRecentEvidence(order)))
-    }
     const storeTime = this.dependencies.storeTime()
     if (mustComplete(rollout, storeTime)) return this.transition(order, 'complete', 'deadline')
     if (mayComplete(rollout, storeTime) && this.dependencies.random.chance(EXPECTED_STEP_ATTEMPTS / this.dependencies.instanceCount()) && await this.isOldVersionIdle(order)) return this.transition(order, 'complete', 'old servers are idle')
--- a/packages/forwarding/src/__tests__/unit/JayfallRolloutCoordinator.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallRolloutCoordinator.test.ts
@@ -17,6 +17,19 @@
       assert.equal(fixture.rule, 'suspended')
     })
 
+    // The store took the evidence and did not answer, and the next verdict waited for the time limit of that call.
+    it('keeps requests away from a bad version while a call of the store hangs', async () => {
+      const fixture = new RolloutFixture(new MemoryTables())
+      await fixture.start()
+      fixture.tables.isSilent = true
+      fixture.observe(1)
+      fixture.coordinator.run()
+      fixture.observe(20)
+      fixture.clock.advance(500)
+      fixture.coordinator.run()
+      assert.equal(fixture.rule, 'suspended')
+    })
+
     it('rolls the version back as soon as the store answers again', async () => {
       const fixture = new RolloutFixture(new MemoryTables())
       await fixture.start()
--- a/packages/forwarding/src/__tests__/unit/JayfallRolloutFixture.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallRolloutFixture.ts
@@ -19,9 +19,12 @@
   readonly rows = new Map<string, TableRow>()
   revision = 10
   isDown = false
+  /** Transactions are never answered. */
+  isSilent = false
 
   override async transact (writes: readonly TableWrite[]): Promise<readonly number[]> {
     if (this.isDown) throw new PlatformError('unavailable', 'the store is down')
+    if (this.isSilent) return new Promise(() => {})
     const conflicts = writes.filter(({ table, key, ifRevision }) => ifRevision !== undefined && (this.rows.get(`${table}/${key}`)?.revision ?? 0) !== ifRevision)
     if (conflicts.length > 0) throw new PlatformError('conflict', 'a condition did not hold')
     this.revision++
