Take the store's time of a reading through another instance from its age

What callers could see: rollouts ahead of their schedule at some instances, evidence of others that counts as too old, and limits whose windows differ between instances. Cause: the time of a notice and of a reply was paired with the time of the reading that they tell of, which is up to a second older, and up to 11 s for the list of instances. Each level added that error, and the instance keeps the highest estimate. Change: the time of the store that goes with a reading is that of the reading.

--- a/packages/feeds/src/JayfallPeerChangesReader.ts
+++ b/packages/feeds/src/JayfallPeerChangesReader.ts
@@ -81,8 +81,7 @@
   private readNotice (reader: FeedInstance, table: string, revision: number, completeUntil: number): RelayedRead | undefined {
     const known = this.parts.notices.get(reader.id, table)
     if (known === undefined || known.changed > revision || known.complete < revision || known.readAt <= completeUntil) return undefined
-    const storeTime = this.parts.clock.monotonic() + known.storeTimeOffset
-    return { reader: reader.id, reading: { changes: [], revision: known.complete, storeTime, isRelayed: true }, readAt: known.readAt }
+    return { reader: reader.id, reading: { changes: [], revision: known.complete, storeTime: known.readAt + known.storeTimeOffset, isRelayed: true }, readAt: known.readAt }
   }
 
   private mustFetch (reader: FeedInstance, table: string, revision: number): boolean {
@@ -128,7 +127,7 @@
     const { revision, storeTime } = reading
     // The next read needs no call until a notice tells of a change.
     this.parts.notices.record({ feed: 'notice', reader: reader.id, storeTime, tables: { [table]: { changed: revision, complete: revision, age } } }, now)
-    return { reader: reader.id, reading, readAt: now - age }
+    return { reader: reader.id, reading: { ...reading, storeTime: storeTime - age }, readAt: now - age }
   }
 
   private excludeReader (reader: FeedInstance, reason: string): void {
--- a/packages/store/src/JayfallTableStore.ts
+++ b/packages/store/src/JayfallTableStore.ts
@@ -55,7 +55,7 @@
   readonly changes: readonly TableChange<Value>[]
   /** The revision from which the next read continues. */
   readonly revision: number
-  /** Time of the store's own monotonic clock, in milliseconds. */
+  /** Time of the store's own monotonic clock when it was read, in milliseconds. In an answer to another instance: the estimated time of the answer. */
   readonly storeTime: number
   /** Whether another instance read the changes from the store. */
   readonly isRelayed?: boolean
