--- a/packages/bench/src/JayfallFakeServer.ts
+++ b/packages/bench/src/JayfallFakeServer.ts
@@ -8,8 +8,7 @@
 
 import { LRUCache } from 'lru-cache'
 import { type LoadReport } from '#jayfall/routing'
-
-import { type EventQueue } from './JayfallEventQueue'
+import { type EventQueue } from '#jayfall/shared'
 
 export interface FakeServerSettings {
   readonly slots: number
--- a/packages/bench/src/JayfallFleetRun.ts
+++ b/packages/bench/src/JayfallFleetRun.ts
@@ -6,9 +6,8 @@
  */
 
 import { type RoutedServer, type Router, type RoutingDecision, TICK_INTERVAL_MILLISECONDS } from '#jayfall/routing'
-import { type Clock, createRandomSource, ManualClock, type RandomSource } from '#jayfall/shared'
+import { type Clock, createRandomSource, EventQueue, ManualClock, type RandomSource } from '#jayfall/shared'
 
-import { EventQueue } from './JayfallEventQueue'
 import { aloneMilliseconds, FakeServer, type FakeServerSettings, type FakeStream } from './JayfallFakeServer'
 import { type FleetRequest, type FleetOutcome, type SlowMoment } from './JayfallFleetWorkload'
 
--- a/packages/bench/src/__tests__/unit/JayfallFakeServer.test.ts
+++ b/packages/bench/src/__tests__/unit/JayfallFakeServer.test.ts
@@ -2,9 +2,8 @@
 import { describe, it } from 'node:test'
 
 import fc from 'fast-check'
-import { ManualClock } from '#jayfall/shared'
+import { EventQueue, ManualClock } from '#jayfall/shared'
 
-import { EventQueue } from '../../JayfallEventQueue'
 import { FakeServer, type FakeServerSettings } from '../../JayfallFakeServer'
 
 const SETTINGS: FakeServerSettings = { slots: 1, tokenInterval: 10, batchSlowdown: 0.5, promptTokenTime: 1, cacheBlocks: 10, blockTokens: 16 }
--- a/packages/feeds/src/JayfallChangesServer.ts
+++ b/packages/feeds/src/JayfallChangesServer.ts
@@ -4,7 +4,7 @@
 
 import { MAXIMUM_RELAYED_BYTES, MINIMUM_RELAYED_BYTES, REFRESH_WAIT_MILLISECONDS, RELAY_SECONDS } from './JayfallFeedConstants'
 import { type FeedHistory } from './JayfallFeedHistory'
-import { ChangesSource, type ChangesReply, type ChangesRequest, type TableReply } from './JayfallFeedPeerClient'
+import { ChangesSource, type ChangesReply, type ChangesRequest, type RequestedPosition, type TableReply } from './JayfallFeedPeerClient'
 import { type FeedSubscribers } from './JayfallFeedSubscribers'
 import { type FeedTimings } from './JayfallFeedTimings'
 import { ChangeEncoder } from './JayfallRelayedChange'
@@ -19,8 +19,8 @@
   /** Bandwidth of this instance's link in Mbit/s; undefined when it is unknown. */
   readonly link: number | undefined
   readonly clock: Clock
-  /** Makes this instance renew its own reading. */
-  readonly refresh: () => void
+  /** Makes this instance renew its own reading. @param era the latest era of the store that the caller has heard of. */
+  readonly refresh: (era: number) => void
 }
 
 /** Serves changes to the instances that read from this one. */
@@ -42,12 +42,12 @@
     if (request.notify !== undefined) subscribers.add(request.notify, start)
     for (;;) {
       const now = clock.monotonic()
-      const replies = Object.entries(request.tables).map(([table, revision]) => [table, this.answerTable(table, revision, now, limit)] as const)
+      const replies = Object.entries(request.tables).map(([table, position]) => [table, this.answerTable(table, position, request.latestEra, now, limit)] as const)
       const isLate = replies.some(([, reply]) => isStale(reply)) && !this.isStopping
       const end = start + Math.max(request.wait, isLate ? REFRESH_WAIT_MILLISECONDS : 0)
       if (now >= end || (!isLate && replies.some(([, reply]) => isReadyToSend(reply)))) return Object.fromEntries(replies)
       const woken = this.waitForReading(end - now)
-      if (isLate) refresh()
+      if (isLate) refresh(request.latestEra)
       await woken
     }
   }
@@ -63,17 +63,21 @@
     this.notifyOfReading()
   }
 
-  private answerTable (table: string, revision: number, now: number, limit: number): TableReply {
+  private answerTable (table: string, { revision, era: requestedEra }: RequestedPosition, latestEra: number, now: number, limit: number): TableReply {
     const history = this.parts.histories.get(table)
     if (this.isStopping) return { kind: 'refused', reason: 'stale' }
     if (history === undefined) return { kind: 'refused', reason: 'not_kept' }
     const age = now - history.completeUntil
     if (age > this.parts.timingsOf(table).maximumPassedAge) return { kind: 'refused', reason: 'stale' }
-    const reading = history.changesAfter(revision, now)
+    const { era: ownEra } = history.completePosition
+    const era = requestedEra ?? ownEra
+    if (Math.max(era, latestEra) > ownEra) return { kind: 'refused', reason: 'stale' }
+    const reading = history.changesAfter({ era, revision }, now)
     if (reading === undefined) return { kind: 'refused', reason: 'not_kept' }
     const changes = this.encoder.encodeWithin(limit, reading.changes)
     if (changes === undefined) return { kind: 'refused', reason: 'too_large' }
-    return { kind: 'changes', reading: { ...reading, changes }, age }
+    const { position, storeTime } = reading
+    return { kind: 'changes', reading: { changes, ...position, storeTime }, age }
   }
 
   /** Maximum size of the changes for one instance, so that this instance's link delivers them to all of its subscribers in time. */
--- a/packages/feeds/src/JayfallFeedConstants.ts
+++ b/packages/feeds/src/JayfallFeedConstants.ts
@@ -47,6 +47,16 @@
 export const MAXIMUM_RELAYED_BYTES = 131_072
 /** Time within which a reader delivers changes to all instances that read from it, in seconds. */
 export const RELAY_SECONDS = 0.2
+/** Time for which an instance waits at its reader for the first reading of a new era of the store, in milliseconds. Shorter than the time-out of a call. */
+export const ERA_WAIT_MILLISECONDS = 350
+/** Number of times that an instance asks readers for a new era before it reads all rows itself. The readers may have to notice first that others do not answer. */
+export const MAXIMUM_ERA_QUESTIONS = 5
+/** Rate at which all instances together read whole tables, if none of them finds a reader, in pages a millisecond. Half of what the platform allows. */
+export const WHOLE_READING_PAGES_PER_MILLISECOND = 1
+/** Maximum time over which these readings are spread, in milliseconds. */
+export const MAXIMUM_WHOLE_READING_DELAY_MILLISECONDS = 20_000
+/** Number of eras of the store before the present one for which a reader remembers up to where it knew them. */
+export const MAXIMUM_KEPT_ERAS = 8
 /** Minimum size of a value that is compressed, in bytes. */
 export const MINIMUM_COMPRESSIBLE_VALUE_BYTES = 1024
 /** Maximum size of a value that is compressed, as a multiple of the limit of a reply. Compression reduces values to a tenth at best, so larger ones exceed the limit anyway. */
--- a/packages/feeds/src/JayfallFeedNotice.ts
+++ b/packages/feeds/src/JayfallFeedNotice.ts
@@ -5,6 +5,7 @@
  * one that gets no notice for too long does so too. So an idle deployment costs a datagram per instance and poll.
  */
 
+import { comparePositions, type TablePosition } from '#jayfall/store'
 import * as z from 'zod'
 
 const tableNotice = z.object({
@@ -12,6 +13,9 @@
   changed: z.number(),
   /** Revision up to which the reader knows all changes. */
   complete: z.number(),
+  /** Eras of the store in which both revisions count; absent in notices of older versions. */
+  changedEra: z.number().prefault(0),
+  era: z.number().prefault(0),
   /** Milliseconds since the reading from the store. */
   age: z.number().nonnegative()
 }).readonly()
@@ -34,13 +38,20 @@
 export type FeedNotice = Extract<FeedMessage, { readonly feed: 'notice' }>
 export type TableNotice = z.infer<typeof tableNotice>
 
+/** Encodes what a reader has read of a table. @param age milliseconds since the reading. */
+export function encodeTableNotice (changed: TablePosition, complete: TablePosition, age: number): TableNotice {
+  return { changed: changed.revision, changedEra: changed.era, complete: complete.revision, era: complete.era, age }
+}
+
 /** Returns undefined when the message is of another kind. */
 export function readFeedMessage (message: unknown): FeedMessage | undefined {
   return feedMessage.safeParse(message).data
 }
 
 /** What a reader has read of one table. Times are monotonic milliseconds of this instance. */
-export interface KnownReading extends Omit<TableNotice, 'age'> {
+export interface KnownReading {
+  readonly changed: TablePosition
+  readonly complete: TablePosition
   readonly readAt: number
   /** The store's clock minus the monotonic clock of this instance. */
   readonly storeTimeOffset: number
@@ -65,11 +76,12 @@
 
   /** Records what a notice or the reply to a call tells. */
   record ({ reader, storeTime, tables }: FeedNotice, now: number): void {
-    for (const [table, { age, ...known }] of Object.entries(tables)) {
+    for (const [table, { age, changed, changedEra, complete, era }] of Object.entries(tables)) {
+      const known = { changed: { era: changedEra, revision: changed }, complete: { era, revision: complete } }
       const key = keyOf(reader, table)
       const previous = this.readings.get(key)
       // Datagrams may overtake each other.
-      if (previous === undefined || known.complete >= previous.complete) this.readings.set(key, { ...known, readAt: now - age, storeTimeOffset: storeTime - now })
+      if (previous === undefined || comparePositions(known.complete, previous.complete) >= 0) this.readings.set(key, { ...known, readAt: now - age, storeTimeOffset: storeTime - now })
     }
     this.wake()
   }
--- a/packages/feeds/src/JayfallInstanceRegistry.ts
+++ b/packages/feeds/src/JayfallInstanceRegistry.ts
@@ -4,11 +4,13 @@
  * Each instance writes its row when the list lacks it, and then at long intervals. The row stays when the instance
  * stops, because it usually starts again at the same address. Rows that were not written again for longer than their
  * lifetime belong to instances that ended for good; the instance whose row is the first one in the list removes them.
+ * A row that is lost because the store came back from a copy stays in the list until the next check: its instance
+ * writes it again.
  * Ages are measured since this process saw a row, because the times of day of instances may differ or jump.
  */
 
 import { delay, messageOf, type Clock, type RandomSource } from '#jayfall/shared'
-import { isPlatformError, type TableChange, type TableStore, type WatchableTableStore } from '#jayfall/store'
+import { comparePositions, isPlatformError, type TableChange, type TablePosition, type TableStore, type WatchableTableStore } from '#jayfall/store'
 import { type Log } from '#jayfall/telemetry'
 import * as z from 'zod'
 
@@ -30,9 +32,11 @@
 
 interface ListedRow {
   readonly row: InstanceRow
-  readonly revision: number
-  /** Monotonic milliseconds at which this process saw the row in this revision first. */
+  readonly position: TablePosition
+  /** Monotonic milliseconds at which this process saw the row in this position first. */
   readonly seenAt: number
+  /** Whether the row was lost when the store came back from a copy, and its instance has not written it again yet. */
+  readonly isLost?: boolean
 }
 
 export interface InstanceRegistryParts {
@@ -95,29 +99,40 @@
       if (event.kind === 'lost') continue
       const isFirst = !this.hasList
       this.applyReading(event)
-      if (isFirst) await this.checkOwnRow()
+      if (isFirst || event.isNewEra) await this.checkOwnRow()
     }
   }
 
-  private applyReading ({ kind, rows }: FeedReading): void {
-    if (kind === 'snapshot') {
-      const keys = new Set(rows.map(({ key }) => key))
-      for (const key of this.rows.keys()) if (!keys.has(key)) this.rows.delete(key)
-    }
-    for (const change of rows) this.applyChange(change)
+  private applyReading ({ kind, rows, isNewEra }: FeedReading): void {
+    const listed = new Set(rows.map(({ key }) => key))
+    const missing = kind === 'snapshot' ? [...this.rows.keys()].filter(key => !listed.has(key)) : []
+    for (const key of missing) this.removeRow(key, isNewEra)
+    for (const change of rows) this.applyChange(change, isNewEra)
     this.hasList = true
-    if (kind === 'snapshot' || rows.length > 0) this.parts.onListing([...this.rows.values()].map(({ row: { id, zone, address, link } }) => ({ id, zone, address, link })))
+    if (kind === 'snapshot' || rows.length > 0) this.announceListing()
     this.resolveListed()
   }
 
-  private applyChange ({ key, value, revision }: TableChange): void {
+  private announceListing (): void {
+    this.parts.onListing([...this.rows.values()].map(({ row: { id, zone, address, link } }) => ({ id, zone, address, link })))
+  }
+
+  private applyChange ({ key, value, position }: TableChange, isNewEra: boolean): void {
     const { data } = instanceRow.safeParse(value)
-    if (data === undefined) this.rows.delete(key)
-    else if (this.rows.get(key)?.revision !== revision) this.rows.set(key, { row: data, revision, seenAt: this.parts.clock.monotonic() })
+    const known = this.rows.get(key)
+    if (data === undefined) this.removeRow(key, isNewEra)
+    else if (known === undefined || known.isLost === true || comparePositions(known.position, position) !== 0) this.rows.set(key, { row: data, position, seenAt: this.parts.clock.monotonic() })
+  }
+
+  private removeRow (key: string, isNewEra: boolean): void {
+    const known = this.rows.get(key)
+    if (isNewEra && known !== undefined) this.rows.set(key, { ...known, seenAt: this.parts.clock.monotonic(), isLost: true })
+    else this.rows.delete(key)
   }
 
   /** Renews this instance's row and removes old ones, where it is due; called at an interval. */
   async checkRows (): Promise<void> {
+    this.dropLostRows()
     await this.checkOwnRow()
     const [firstKey] = [...this.rows.keys()].sort()
     if (firstKey !== this.ownKey) return
@@ -131,11 +146,19 @@
   /** Writes this instance's row when the list lacks it, or has another one, or when it is due. */
   private async checkOwnRow (): Promise<void> {
     const { zone, address, link } = this.self
-    const row = this.rows.get(this.ownKey)?.row
-    const isListed = row !== undefined && row.zone === zone && row.address === address && row.link === link
+    const { row, isLost = false } = this.rows.get(this.ownKey) ?? {}
+    const isListed = row !== undefined && !isLost && row.zone === zone && row.address === address && row.link === link
     if (!isListed || this.parts.clock.monotonic() - this.writtenAt >= REGISTRATION_INTERVAL_MILLISECONDS) await this.writeOwnRow(isListed)
   }
 
+  /** Forgets instances that have not written their lost rows again since the last check. */
+  private dropLostRows (): void {
+    const lost = [...this.rows].filter(([key, { isLost }]) => isLost === true && key !== this.ownKey)
+    const dropped = lost.filter(([, { seenAt }]) => this.parts.clock.monotonic() - seenAt > REGISTRATION_CHECK_INTERVAL_MILLISECONDS)
+    for (const [key] of dropped) this.rows.delete(key)
+    if (dropped.length > 0) this.announceListing()
+  }
+
   /** @param isListed whether the row is in the list already; a process that has just started need not write it again. */
   private async writeOwnRow (isListed = false): Promise<void> {
     const { store, clock } = this.parts
@@ -154,11 +177,11 @@
 
   private async removeOldRows (): Promise<void> {
     const { store, clock, log } = this.parts
-    for (const [key, { seenAt, revision }] of this.rows) {
-      if (key === this.ownKey || clock.monotonic() - seenAt <= REGISTRATION_LIFETIME_MILLISECONDS) continue
+    for (const [key, { seenAt, position: { era, revision }, isLost = false }] of this.rows) {
+      if (key === this.ownKey || isLost || clock.monotonic() - seenAt <= REGISTRATION_LIFETIME_MILLISECONDS) continue
       try {
-        await store.transact([{ table: INSTANCES_TABLE, key, value: null, ifRevision: revision }])
-        log.info('instance_row_removed', { key, revision })
+        await store.transact([{ table: INSTANCES_TABLE, key, value: null, ifRevision: revision, ifEra: era }])
+        log.info('instance_row_removed', { key, era, revision })
       } catch (error) {
         // Either another instance has removed the row, or its owner has written it again.
         if (!isPlatformError(error, 'conflict')) throw error
--- a/packages/feeds/src/JayfallPeerChangesReader.ts
+++ b/packages/feeds/src/JayfallPeerChangesReader.ts
@@ -6,12 +6,12 @@
  */
 
 import { messageOf, type Clock } from '#jayfall/shared'
-import { type TableChanges } from '#jayfall/store'
+import { comparePositions, isAfter, type TableChanges, type TablePosition } from '#jayfall/store'
 import { type Log } from '#jayfall/telemetry'
 
-import { MAXIMUM_READERS_TRIED } from './JayfallFeedConstants'
-import { type ReaderNotices } from './JayfallFeedNotice'
-import { type FeedPeerClient, type TableReply } from './JayfallFeedPeerClient'
+import { ERA_WAIT_MILLISECONDS, MAXIMUM_READERS_TRIED } from './JayfallFeedConstants'
+import { encodeTableNotice, type ReaderNotices } from './JayfallFeedNotice'
+import { decodeReading, type FeedPeerClient, type TableReply } from './JayfallFeedPeerClient'
 import { type FeedTimings } from './JayfallFeedTimings'
 import { type FeedInstance, type ReaderSelector } from './JayfallReaderSelector'
 
@@ -24,12 +24,14 @@
   readonly readAt: number
 }
 
-/** `failed`: the reader did not answer or has lost the store; `refused`: it cannot serve the table. */
-type FetchResult = RelayedRead | 'failed' | 'refused'
+/** `failed`: the reader did not answer or has lost the store; `waiting`: it has not reached the era that was asked for; `refused`: it cannot serve the table. */
+export type FetchResult = RelayedRead | 'failed' | 'waiting' | 'refused'
 
 interface PendingRead {
   readonly table: string
-  readonly revision: number
+  readonly position: TablePosition
+  /** Whether the reader may wait until it knows a new era of the store. */
+  readonly isForEra: boolean
   readonly resolve: (result: FetchResult) => void
 }
 
@@ -40,6 +42,8 @@
   readonly timingsOf: (table: string) => FeedTimings
   /** IP address and port that notices are sent to. */
   readonly noticeAddress: () => string | undefined
+  /** The latest era of the store that this instance has heard of. */
+  readonly latestEra: () => number
   readonly clock: Clock
   readonly log: Log
 }
@@ -52,41 +56,47 @@
   constructor (private readonly parts: PeerChangesReaderParts) {}
 
   /**
-   * Reads the changes of a table after a revision, and waits while there are none. Resolves to undefined when they
-   * have to be read from the store.
+   * Reads the changes of a table after a position, and waits while there are none. Resolves to undefined when they
+   * have to be read from the store, or when a new era of the store has begun.
    * @param completeUntil monotonic milliseconds up to which this instance knows all changes of the table.
    */
-  async read (table: string, revision: number, completeUntil: number): Promise<RelayedRead | undefined> {
-    const { readerSelector, notices, clock } = this.parts
+  async read (table: string, position: TablePosition, completeUntil: number): Promise<RelayedRead | undefined> {
+    const { readerSelector, notices, clock, latestEra } = this.parts
     for (let failures = 0; failures < MAXIMUM_READERS_TRIED;) {
+      if (latestEra() > position.era) return undefined
       const now = clock.monotonic()
       const reader = readerSelector.selectReader(now)
       if (reader === undefined) return undefined
-      const noticed = this.readNotice(reader, table, revision, completeUntil)
+      const noticed = this.readNotice(reader, table, position, completeUntil)
       if (noticed !== undefined) return noticed
       const overdueIn = completeUntil + this.patienceAt(now, table) - now
-      if (!this.mustFetch(reader, table, revision) && overdueIn > 0) {
+      if (!this.mustFetch(reader, table, position) && overdueIn > 0) {
         await notices.waitForNotice(overdueIn)
         continue
       }
-      const result = await this.fetch(reader, table, revision)
+      const result = await this.fetch(reader, table, position)
       if (result === 'refused') return undefined
-      if (result !== 'failed') return result
+      if (result !== 'failed' && result !== 'waiting') return result
       failures++
     }
     return undefined
   }
 
+  /** Asks a reader for the changes that lead from a position to the latest era of the store, and waits a while until the reader knows them. */
+  readEra (reader: FeedInstance, table: string, position: TablePosition): Promise<FetchResult> {
+    return this.fetch(reader, table, position, true)
+  }
+
   /** The reading that the latest notice implies: there were no changes up to its time. */
-  private readNotice (reader: FeedInstance, table: string, revision: number, completeUntil: number): RelayedRead | undefined {
+  private readNotice (reader: FeedInstance, table: string, position: TablePosition, completeUntil: number): RelayedRead | undefined {
     const known = this.parts.notices.get(reader.id, table)
-    if (known === undefined || known.changed > revision || known.complete < revision || known.readAt <= completeUntil) return undefined
-    return { reader: reader.id, reading: { changes: [], revision: known.complete, storeTime: known.readAt + known.storeTimeOffset, isRelayed: true }, readAt: known.readAt }
+    if (known === undefined || known.complete.era !== position.era || isAfter(known.changed, position) || isAfter(position, known.complete) || known.readAt <= completeUntil) return undefined
+    return { reader: reader.id, reading: { changes: [], position: known.complete, storeTime: known.readAt + known.storeTimeOffset, isRelayed: true }, readAt: known.readAt }
   }
 
-  private mustFetch (reader: FeedInstance, table: string, revision: number): boolean {
+  private mustFetch (reader: FeedInstance, table: string, position: TablePosition): boolean {
     const known = this.parts.notices.get(reader.id, table)
-    return known === undefined || known.changed > revision
+    return known === undefined || known.complete.era > position.era || isAfter(known.changed, position)
   }
 
   private patienceAt (now: number, table: string): number {
@@ -94,39 +104,43 @@
     return this.parts.readerSelector.roleAt(now) === 'follower' ? followerPatience : zoneReaderPatience
   }
 
-  private fetch (reader: FeedInstance, table: string, revision: number): Promise<FetchResult> {
+  private fetch (reader: FeedInstance, table: string, position: TablePosition, isForEra = false): Promise<FetchResult> {
     return new Promise(resolve => {
       const pending = this.pendingReads.get(reader.id)
-      this.pendingReads.set(reader.id, [...pending ?? [], { table, revision, resolve }])
+      this.pendingReads.set(reader.id, [...pending ?? [], { table, position, isForEra, resolve }])
       // The other tables request their reads in the same turn of the event loop.
       if (pending === undefined) setImmediate(() => this.callReader(reader))
     })
   }
 
   private async callReader (reader: FeedInstance): Promise<void> {
-    const { client, readerSelector, noticeAddress } = this.parts
+    const { client, readerSelector, noticeAddress, latestEra } = this.parts
     const reads = this.pendingReads.get(reader.id) ?? []
     this.pendingReads.delete(reader.id)
-    const tables = Object.fromEntries(reads.map(({ table, revision }) => [table, revision]))
+    const isForEra = reads.some(read => read.isForEra)
+    const tables = Object.fromEntries(reads.map(({ table, position }) => [table, position]))
     try {
-      const replies = await client.changes(reader, { tables, wait: 0, notify: noticeAddress() })
+      const replies = await client.changes(reader, { tables, wait: isForEra ? ERA_WAIT_MILLISECONDS : 0, notify: noticeAddress(), latestEra: latestEra() })
       const isStale = Object.values(replies).some(reply => reply.kind === 'refused' && reply.reason === 'stale')
-      if (isStale) this.excludeReader(reader, 'its own reading is stale')
-      else readerSelector.recordReaderSuccess(reader.id)
-      for (const { table, resolve } of reads) resolve(this.toFetchResult(reader, table, replies[table]))
+      if (isStale && !isForEra) this.excludeReader(reader, 'its own reading is stale')
+      else if (!isStale) readerSelector.recordReaderSuccess(reader.id)
+      for (const read of reads) read.resolve(this.toFetchResult(reader, read, replies[read.table]))
     } catch (error) {
       this.excludeReader(reader, messageOf(error))
       for (const { resolve } of reads) resolve('failed')
     }
   }
 
-  private toFetchResult (reader: FeedInstance, table: string, reply: TableReply | undefined): FetchResult {
-    if (reply?.kind !== 'changes') return reply?.reason === 'stale' ? 'failed' : 'refused'
-    const { reading, age } = reply
+  private toFetchResult (reader: FeedInstance, { table, position: after, isForEra }: PendingRead, reply: TableReply | undefined): FetchResult {
+    if (reply?.kind !== 'changes') return reply?.reason !== 'stale' ? 'refused' : isForEra ? 'waiting' : 'failed'
+    const { age } = reply
+    const reading = decodeReading(reply.reading)
+    const { position, storeTime } = reading
+    // A reader of an older version names no era, so its numbers may belong to another one.
+    if (comparePositions(position, after) < 0) return 'refused'
     const now = this.parts.clock.monotonic()
-    const { revision, storeTime } = reading
     // The next read needs no call until a notice tells of a change.
-    this.parts.notices.record({ feed: 'notice', reader: reader.id, storeTime, tables: { [table]: { changed: revision, complete: revision, age } } }, now)
+    this.parts.notices.record({ feed: 'notice', reader: reader.id, storeTime, tables: { [table]: encodeTableNotice(position, position, age) } }, now)
     return { reader: reader.id, reading: { ...reading, storeTime: storeTime - age }, readAt: now - age }
   }
 
--- a/packages/feeds/src/JayfallReaderSelector.ts
+++ b/packages/feeds/src/JayfallReaderSelector.ts
@@ -89,6 +89,12 @@
     this.lastOwnFailureAt = now
   }
 
+  /** Forgets all failures: the store answers again, so that readers whose readings were late can read again too. */
+  forgetFailures (): void {
+    this.exclusions.clear()
+    this.lastOwnFailureAt = -Infinity
+  }
+
   roleAt (now: number): FeedRole {
     if (!this.isPreferredInZone && !this.hasSubscribers(now)) return 'follower'
     return this.findUsable(this.roots, now) === undefined ? 'root' : 'zone_reader'
--- a/packages/feeds/src/JayfallRelayedChange.ts
+++ b/packages/feeds/src/JayfallRelayedChange.ts
@@ -11,8 +11,14 @@
 
 import { MAXIMUM_COMPRESSION_RATIO, MINIMUM_COMPRESSIBLE_VALUE_BYTES } from './JayfallFeedConstants'
 
-/** A change whose value may be compressed. `packed` is the value as JSON, compressed by gzip, in base64. */
-export interface RelayedChange extends TableChange {
+/** A change as it is sent. */
+export interface RelayedChange {
+  readonly key: string
+  readonly revision: number
+  /** Era of the store in which the revision counts; older versions send none. */
+  readonly era?: number
+  readonly value: unknown
+  /** The value as JSON, compressed by gzip, in base64; sent instead of `value`. */
   readonly packed?: string
 }
 
@@ -43,15 +49,15 @@
 }
 
 /** Decodes a change that a reader encoded. */
-export function decodeChange ({ packed, ...change }: RelayedChange): TableChange {
-  return packed === undefined ? change : { ...change, value: JSON.parse(gunzipSync(Buffer.from(packed, 'base64')).toString()) }
+export function decodeChange ({ packed, key, value, revision, era = 0 }: RelayedChange): TableChange {
+  return { key, position: { era, revision }, value: packed === undefined ? value : JSON.parse(gunzipSync(Buffer.from(packed, 'base64')).toString()) }
 }
 
 function encodeChange (change: TableChange, limit: number): EncodedChange {
-  const { key, revision, value } = change
+  const { key, position: { era, revision }, value } = change
   const text = JSON.stringify(value) ?? ''
   const bytes = Buffer.byteLength(text)
-  if (bytes < MINIMUM_COMPRESSIBLE_VALUE_BYTES || bytes > limit * MAXIMUM_COMPRESSION_RATIO) return { change, bytes }
+  if (bytes < MINIMUM_COMPRESSIBLE_VALUE_BYTES || bytes > limit * MAXIMUM_COMPRESSION_RATIO) return { change: { key, revision, era, value }, bytes }
   const packed = gzipSync(text).toString('base64')
-  return { change: { key, revision, value: undefined, packed }, bytes: packed.length }
+  return { change: { key, revision, era, value: undefined, packed }, bytes: packed.length }
 }
--- a/packages/feeds/src/JayfallSharedTableStore.ts
+++ b/packages/feeds/src/JayfallSharedTableStore.ts
@@ -5,17 +5,21 @@
  * sends notices of what it has read to the instances that read from it, so that these detect by the age of the last
  * notice that it is frozen, has ended or is cut off from the store. They then read from the store themselves until
  * another reader answers. All other operations go directly to the store.
+ *
+ * When the store has come back from a copy, whoever hears of it first tells its reader by asking it.
  */
 
 import { PeerServer, type PeerDatagrams } from '#jayfall/peers'
 import { delay, type Clock, type RandomSource } from '#jayfall/shared'
-import { isPlatformError, WatchableTableStore, type TableChanges, type TableRow, type TableWrite } from '#jayfall/store'
+import { formatPosition, isPlatformError, PlatformError, WatchableTableStore, type TableChanges, type TablePosition, type TableRow, type TableWrite } from '#jayfall/store'
 import { type Log } from '#jayfall/telemetry'
 
 import { ChangesServer } from './JayfallChangesServer'
+import { planEraCatchUp, type CatchUpOutcome, type CatchUpStep } from './JayfallEraCatchUp'
+import { EraSignal } from './JayfallEraSignal'
 import { INSTANCES_TABLE, NOTICE_DELAY_MILLISECONDS, READER_PAUSE_MILLISECONDS, SUBSCRIPTION_INTERVAL_MILLISECONDS } from './JayfallFeedConstants'
 import { FeedHistory } from './JayfallFeedHistory'
-import { ReaderNotices, readFeedMessage, type FeedMessage, type TableNotice } from './JayfallFeedNotice'
+import { encodeTableNotice, ReaderNotices, readFeedMessage, type FeedMessage } from './JayfallFeedNotice'
 import { createFeedRouter, FeedPeerClient } from './JayfallFeedPeerClient'
 import { FeedSubscribers } from './JayfallFeedSubscribers'
 import { deriveFeedTimings, RELAXED_FEED_LIMITS, type FeedLimits, type FeedTimings } from './JayfallFeedTimings'
@@ -61,6 +65,9 @@
   private subscriptionTimer: NodeJS.Timeout | undefined
   /** Identifier of the reader that answered the last read of changes; undefined when the store did. */
   private lastReader: string | undefined
+  /** The eras that this instance has heard of, from the store or from other instances. */
+  private readonly eraSignal = new EraSignal()
+  private instanceCount = 1
   /** The reader that sends notices to this instance. */
   private subscribedReader: FeedInstance | undefined
 
@@ -71,8 +78,8 @@
     const timingsOf = (table: string): FeedTimings => this.timingsOf(table)
     this.readerSelector = new ReaderSelector(instance, zone, link, now => this.subscribers.addresses(now).length > 0)
     this.client = new FeedPeerClient(host)
-    this.peerReader = new PeerChangesReader({ client: this.client, readerSelector: this.readerSelector, notices: this.notices, timingsOf, noticeAddress: () => this.peerAddress, clock, log })
-    this.changesServer = new ChangesServer({ histories: this.histories, subscribers: this.subscribers, timingsOf, link, clock, refresh: () => this.notices.wake() })
+    this.peerReader = new PeerChangesReader({ client: this.client, readerSelector: this.readerSelector, notices: this.notices, timingsOf, noticeAddress: () => this.peerAddress, latestEra: () => this.eraSignal.latest, clock, log })
+    this.changesServer = new ChangesServer({ histories: this.histories, subscribers: this.subscribers, timingsOf, link, clock, refresh: era => this.refresh(era) })
     this.registry = new InstanceRegistry({ ...parts, followed: this, onListing: instances => this.updateInstances(instances) })
     datagrams.subscribe(message => this.handleMessage(message))
   }
@@ -118,41 +125,138 @@
     return this.readerSelector.readsForOthers(this.parts.clock.monotonic()) ? READER_PAUSE_MILLISECONDS : Infinity
   }
 
+  override get era (): number {
+    return Math.max(this.eraSignal.latest, this.parts.store.era)
+  }
+
+  /** Resolves after `milliseconds`, or when a new era of the store begins. */
+  override pause (milliseconds: number): Promise<void> {
+    return this.eraSignal.pause(milliseconds)
+  }
+
   override async snapshot<Value> (table: string): Promise<TableChanges<Value>> {
-    const reading = await this.parts.store.snapshot<Value>(table)
-    this.historyOf(table).reset(reading.revision, reading.storeTime, this.parts.clock.monotonic())
-    return reading
+    const reading = await this.readAll(table)
+    this.publishReading()
+    return reading as TableChanges<Value>
   }
 
   /** @param wait 0 for none. Any other wait is replaced by one that follows from the limits of the deployment and from what this instance does for others. */
-  override async changes<Value> (table: string, revision: number, wait: number): Promise<TableChanges<Value>> {
-    const { clock } = this.parts
+  override async changes<Value> (table: string, after: TablePosition, wait: number): Promise<TableChanges<Value>> {
     // A poll that begins before the other instances are known would be a call that their readers make anyway.
     if (!this.registry.hasListed) await Promise.race([this.registry.listed, delay(this.timings.readerWait)])
     const history = this.historyOf(table)
-    const relayed = await this.peerReader.read(table, revision, history.completeUntil)
+    for (;;) {
+      this.learnEra(this.parts.store.era)
+      if (history.completePosition.era > after.era) return this.changesOfEra(table, after, history) as TableChanges<Value>
+      if (this.eraSignal.latest > after.era) await this.enterEra(table, history)
+      else {
+        const reading = await this.readChanges(table, after, wait, history)
+        if (reading !== undefined) return reading as TableChanges<Value>
+      }
+    }
+  }
+
+  /** Reads the changes in the present era; resolves to undefined when a new one has begun. */
+  private async readChanges (table: string, after: TablePosition, wait: number, history: FeedHistory): Promise<TableChanges | undefined> {
+    const { clock } = this.parts
+    const relayed = await this.peerReader.read(table, after, history.completeUntil)
+    if (relayed === undefined && this.eraSignal.latest > after.era) return undefined
+    const reading = relayed?.reading ?? await this.readFromStore(table, after, wait, history)
+    if (reading === undefined) return undefined
     this.logReaderChange(relayed?.reader)
-    const reading = relayed?.reading ?? await this.readFromStore(table, revision, wait, history)
-    history.append(revision, reading, relayed?.readAt ?? clock.monotonic())
+    history.append(after, reading, relayed?.readAt ?? clock.monotonic())
+    this.learnEra(reading.position.era)
+    this.publishReading()
+    return { ...reading, reader: relayed?.reader }
+  }
+
+  /** The changes that lead from a position of an earlier era to the present one. */
+  private changesOfEra (table: string, after: TablePosition, history: FeedHistory): TableChanges {
+    const reading = history.changesAfter(after, this.parts.clock.monotonic())
+    if (reading === undefined) throw new PlatformError('history_lost', `the changes of ${table} since ${formatPosition(after)} are not known`)
+    this.parts.log.info('table_read_in_new_era', { table, era: reading.position.era, revision: reading.position.revision, previous_era: after.era, previous_revision: after.revision, changed: reading.changes.length, through: this.lastReader ?? 'store' })
+    return reading
+  }
+
+  /** Brings what is known of a table to the latest era of the store. */
+  private async enterEra (table: string, history: FeedHistory): Promise<void> {
+    const { random } = this.parts
+    const plan = planEraCatchUp({ selectReader: () => this.readerSelector.selectReader(this.parts.clock.monotonic()), instanceCount: () => this.instanceCount, rowCount: history.rowCount, uniform: () => random.uniform() })
+    for (let next = plan.next(); next.done !== true;) next = plan.next(await this.executeStep(next.value, table, history))
+    this.publishReading()
+  }
+
+  private async executeStep (step: CatchUpStep, table: string, history: FeedHistory): Promise<CatchUpOutcome> {
+    if (step.kind === 'wait') await delay(step.milliseconds)
+    else if (step.kind === 'read_all') await this.readAll(table)
+    else {
+      const after = history.completePosition
+      const result = await this.peerReader.readEra(step.reader, table, after)
+      if (typeof result === 'string') return result
+      history.append(after, result.reading, result.readAt)
+      this.logReaderChange(result.reader)
+    }
+    return 'done'
+  }
+
+  /** Reads all rows of a table from the store. */
+  private async readAll (table: string): Promise<TableChanges> {
+    const { store, clock, log } = this.parts
+    const { latest: expectedEra } = this.eraSignal
+    const reading = await store.snapshot(table)
+    const { era } = reading.position
+    this.learnEra(era)
+    if (era < expectedEra) {
+      log.warn('store_era_refuted', { era, named_by_others: expectedEra })
+      this.eraSignal.refute(era)
+    }
+    if (era < this.eraSignal.latest) throw new PlatformError('outcome_unknown', `the reading of ${table} is from before the store came back from a copy`)
+    this.historyOf(table).replace(reading, clock.monotonic())
+    this.logReaderChange(undefined)
+    return reading
+  }
+
+  private publishReading (): void {
     this.changesServer.notifyOfReading()
     this.scheduleNotice()
-    return { ...reading as TableChanges<Value>, reader: relayed?.reader }
+  }
+
+  /** Renews the readings for an instance that reads from this one. @param era the latest era of the store that it has heard of. */
+  private refresh (era: number): void {
+    if (this.eraSignal.isNews(era)) this.learnEra(era)
+    this.notices.wake()
+  }
+
+  /** Makes the feeds read all tables anew when the store has come back from a copy. */
+  private learnEra (era: number): void {
+    const { latest: previous } = this.eraSignal
+    if (era <= previous) return
+    if (previous > 0) {
+      this.parts.log.warn('store_came_back_from_copy', { era, previous_era: previous })
+      this.readerSelector.forgetFailures()
+    }
+    this.eraSignal.raise(era)
+    this.notices.wake()
   }
 
   private updateInstances (instances: readonly FeedInstance[]): void {
     this.readerSelector.updateInstances(instances)
+    this.instanceCount = instances.length
     this.notices.wake()
     this.parts.onInstances?.(instances.filter(({ id }) => id !== this.parts.instance))
   }
 
-  private async readFromStore (table: string, revision: number, wait: number, history: FeedHistory): Promise<TableChanges> {
+  /** Reads changes from the store; resolves to undefined when a new era of the store has begun. */
+  private async readFromStore (table: string, after: TablePosition, wait: number, history: FeedHistory): Promise<TableChanges | undefined> {
     const { store, clock } = this.parts
-    try {
-      return await store.changes(table, revision, wait === 0 ? 0 : this.waitAt(clock.monotonic(), table, history))
-    } catch (error) {
+    const reading = store.changes(table, after, wait === 0 ? 0 : this.waitAt(clock.monotonic(), table, history)).catch((error: unknown) => {
+      if (isPlatformError(error, 'era_changed')) this.learnEra(store.era)
+      if (this.eraSignal.latest > after.era) return undefined
       if (!isPlatformError(error, 'history_lost')) this.readerSelector.recordOwnFailure(clock.monotonic())
       throw error
-    }
+    })
+    // Other instances may tell of a new era while the store does not answer this one.
+    return this.eraSignal.untilRaised(reading)
   }
 
   /** The wait of a poll of the store. A reading that is late is renewed at once. */
@@ -185,6 +289,7 @@
     switch (parsed.feed) {
       case 'notice':
         this.notices.recordNotice(parsed, now)
+        for (const { era } of Object.values(parsed.tables)) if (this.eraSignal.isNews(era)) this.learnEra(era)
         break
       case 'leaving':
         this.readerSelector.recordReaderFailure(parsed.reader, now)
@@ -208,7 +313,7 @@
       const now = clock.monotonic()
       const entries = [...this.histories].filter(([table, { completeUntil }]) => now - completeUntil <= this.timingsOf(table).maximumPassedAge)
       if (entries.length === 0) return
-      const tables = Object.fromEntries(entries.map(([table, { changedRevision, completeRevision, completeUntil }]) => [table, { changed: changedRevision, complete: completeRevision, age: now - completeUntil } satisfies TableNotice]))
+      const tables = Object.fromEntries(entries.map(([table, { changedPosition, completePosition, completeUntil }]) => [table, encodeTableNotice(changedPosition, completePosition, now - completeUntil)]))
       datagrams.send(this.subscribers.addresses(now), { feed: 'notice', reader: instance, storeTime: entries[0][1].storeTimeAt(now), tables } satisfies FeedMessage)
     }, NOTICE_DELAY_MILLISECONDS)
   }
--- a/packages/feeds/src/__tests__/integration/JayfallSharedTableStore.test.ts
+++ b/packages/feeds/src/__tests__/integration/JayfallSharedTableStore.test.ts
@@ -6,7 +6,7 @@
 
 import { PeerDatagrams } from '#jayfall/peers'
 import { ManualClock, SystemClock, createRandomSource, delay } from '#jayfall/shared'
-import { PlatformError, WatchableTableStore, type TableChange, type TableChanges, type TableRow, type TableWrite } from '#jayfall/store'
+import { PlatformError, WatchableTableStore, type TableChange, type TableChanges, type TablePosition, type TableRow, type TableWrite } from '#jayfall/store'
 import { type Log } from '#jayfall/telemetry'
 
 import { REGISTRATION_LIFETIME_MILLISECONDS } from '../../JayfallFeedConstants'
@@ -26,18 +26,29 @@
 
 /** The changes in the store that all instances use. */
 class SharedRows {
-  readonly changes: { readonly table: string, readonly change: TableChange }[] = []
+  changes: { readonly table: string, readonly change: TableChange }[] = []
   revision = 1
+  era = 1
 
   put (table: string, key: string, value: unknown): void {
-    this.changes.push({ table, change: { key, value, revision: ++this.revision } })
+    this.changes.push({ table, change: { key, value, position: { era: this.era, revision: ++this.revision } } })
+  }
+
+  /** Loses the newest changes. Their revisions are given out again. */
+  restore (lostCount: number): void {
+    this.era++
+    const kept = this.changes.slice(0, this.changes.length - lostCount)
+    this.revision = kept[kept.length - 1].change.position.revision
+    this.changes = kept.map(({ table, change }) => ({ table, change: { ...change, position: { era: this.era, revision: change.position.revision } } }))
   }
 }
 
 /** One instance's connection to the store. */
 class MemoryStore extends WatchableTableStore {
   calls = 0
+  wholeReadings = 0
   isCutOff = false
+  private knownEra = 0
   /** Milliseconds by which each answer is delayed. */
   latency = 0
 
@@ -45,6 +56,10 @@
     super()
   }
 
+  override get era (): number {
+    return this.knownEra
+  }
+
   override async transact (writes: readonly TableWrite[]): Promise<readonly number[]> {
     for (const { table, key, value } of writes) this.rows.put(table, key, value ?? undefined)
     return writes.map(() => this.rows.revision)
@@ -58,10 +73,12 @@
   }
 
   override async snapshot<Value> (table: string): Promise<TableChanges<Value>> {
+    this.wholeReadings++
+    this.knownEra = this.rows.era
     return this.changesAfter(table, 0)
   }
 
-  override async changes<Value> (table: string, revision: number, wait: number): Promise<TableChanges<Value>> {
+  override async changes<Value> (table: string, after: TablePosition, wait: number): Promise<TableChanges<Value>> {
     this.calls++
     const end = performance.now() + wait
     for (;;) {
@@ -69,7 +86,9 @@
         await delay(wait)
         throw new PlatformError('outcome_unknown', 'no answer')
       }
-      const reading = this.changesAfter<Value>(table, revision)
+      this.knownEra = this.rows.era
+      if (after.era !== this.rows.era) throw new PlatformError('era_changed', 'the store came back from a copy')
+      const reading = this.changesAfter<Value>(table, after.revision)
       if (reading.changes.length > 0 || performance.now() >= end) {
         await delay(this.latency)
         return reading
@@ -79,8 +98,8 @@
   }
 
   private changesAfter<Value> (table: string, revision: number): TableChanges<Value> {
-    const changes = this.rows.changes.filter(row => row.table === table && row.change.revision > revision).map(({ change }) => change)
-    return { changes: changes as TableChange<Value>[], revision: this.rows.revision, storeTime: performance.now() }
+    const changes = this.rows.changes.filter(row => row.table === table && row.change.position.revision > revision).map(({ change }) => change)
+    return { changes: changes as TableChange<Value>[], position: { era: this.rows.era, revision: this.rows.revision }, storeTime: performance.now() }
   }
 }
 
@@ -248,6 +267,27 @@
     assert.deepEqual(members.filter(({ id }) => known.get(id) !== 'complete'), [])
   })
 
+  // Failure: instances read on after numbers that the store had given out again, and missed the rows up to there.
+  for (const [name, cutOff] of [['', 0], [' while some instances are cut off from it', 3]] as const) {
+    it(`delivers all rows when the store comes back from a copy${name} (guards against rows that are missing, and a herd at the store)`, async () => {
+      const reader = await startSharing()
+      rows.current.put('op', 'config', 'lost')
+      await timeUntilKnown('lost')
+      const before = members.map(({ own }) => own.wholeReadings)
+      const isolated = members.filter(member => member !== reader).slice(0, cutOff)
+      for (const member of isolated) member.own.isCutOff = true
+      rows.current.restore(1)
+      rows.current.put('op', 'config', 'written again')
+      for (let count = 0; count < 5; count++) rows.current.put('servers', `i-${count}`, count)
+      assert.ok(await timeUntilKnown('written again') < PROPAGATION_LIMIT_MILLISECONDS)
+      for (const member of isolated) member.own.isCutOff = false
+      await delay(500)
+      const wholeReadings = members.reduce((sum, { own }, index) => sum + own.wholeReadings - before[index], 0)
+      // The root reads two tables, and perhaps another instance that noticed first while the root was away.
+      assert.ok(wholeReadings <= 4, `${wholeReadings} readings of whole tables`)
+    })
+  }
+
   // Each instance polled the store or its reader several times in a second.
   it('makes as few calls for many instances as for few while nothing changes (guards against calls that grow with instances)', async () => {
     for (const count of [3, 15]) {
--- a/packages/feeds/src/__tests__/unit/JayfallFeeds.test.ts
+++ b/packages/feeds/src/__tests__/unit/JayfallFeeds.test.ts
@@ -6,7 +6,6 @@
 import fastCheck from 'fast-check'
 
 import { ManualClock } from '#jayfall/shared'
-import { type TableChange } from '#jayfall/store'
 
 import { ChangesServer } from '../../JayfallChangesServer'
 import { FIRST_EXCLUSION_MILLISECONDS, MAXIMUM_HISTORY_ROWS, PEER_TIMEOUT_MILLISECONDS, REFRESH_WAIT_MILLISECONDS } from '../../JayfallFeedConstants'
@@ -14,10 +13,7 @@
 import { FeedSubscribers } from '../../JayfallFeedSubscribers'
 import { DEFAULT_FEED_LIMITS, deriveFeedTimings } from '../../JayfallFeedTimings'
 import { ReaderSelector, type FeedInstance } from '../../JayfallReaderSelector'
-
-function createChange (key: string, revision: number): TableChange {
-  return { key, revision, value: revision }
-}
+import { at, createChange, createReading } from './JayfallFeedFixture'
 
 const TIMINGS = deriveFeedTimings(DEFAULT_FEED_LIMITS)
 const ZONES = ['valdivia', 'osorno', 'chiloe']
@@ -45,36 +41,36 @@
   describe('FeedHistory', () => {
     it('returns the last change of each row after a revision, including removals (guards against removed servers that stay in use)', () => {
       const history = new FeedHistory()
-      history.reset(10, 0, 0)
-      history.append(10, { changes: [createChange('a', 11), createChange('b', 12)], revision: 12, storeTime: 0 }, 1)
-      history.append(12, { changes: [{ key: 'a', revision: 13, value: undefined }], revision: 13, storeTime: 0 }, 2)
-      assert.deepEqual(history.changesAfter(11, 2)?.changes, [createChange('b', 12), { key: 'a', revision: 13, value: undefined }])
-      assert.equal(history.changesAfter(10, 2)?.revision, 13)
+      history.replace(createReading(at(10)), 0)
+      history.append(at(10), createReading(at(12), [createChange('a', 11), createChange('b', 12)]), 1)
+      history.append(at(12), createReading(at(13), [{ key: 'a', position: at(13), value: undefined }]), 2)
+      assert.deepEqual(history.changesAfter(at(11), 2)?.changes, [createChange('b', 12), { key: 'a', position: at(13), value: undefined }])
+      assert.equal(history.changesAfter(at(10), 2)?.position.revision, 13)
     })
 
     it('returns nothing for a revision below the kept changes (guards against changes that never reach an instance)', () => {
       const history = new FeedHistory()
-      history.reset(10, 0, 0)
-      assert.equal(history.changesAfter(9, 0), undefined)
-      for (let revision = 11; revision <= 11 + MAXIMUM_HISTORY_ROWS; revision++) history.append(revision - 1, { changes: [createChange(`row-${revision}`, revision)], revision, storeTime: 0 }, 1)
-      assert.equal(history.changesAfter(10, 1), undefined)
-      assert.equal(history.changesAfter(11, 1)?.changes.length, MAXIMUM_HISTORY_ROWS)
+      history.replace(createReading(at(10)), 0)
+      assert.equal(history.changesAfter(at(9), 0), undefined)
+      for (let revision = 11; revision <= 11 + MAXIMUM_HISTORY_ROWS; revision++) history.append(at(revision - 1), createReading(at(revision), [createChange(`row-${revision}`, revision)]), 1)
+      assert.equal(history.changesAfter(at(10), 1), undefined)
+      assert.equal(history.changesAfter(at(11), 1)?.changes.length, MAXIMUM_HISTORY_ROWS)
     })
 
     it('discards its changes when a read continues from a higher revision (guards against a gap between two reads)', () => {
       const history = new FeedHistory()
-      history.reset(10, 0, 0)
-      history.append(10, { changes: [], revision: 12, storeTime: 0 }, 1)
-      history.append(20, { changes: [createChange('a', 21)], revision: 21, storeTime: 0 }, 2)
-      assert.equal(history.changesAfter(12, 2), undefined)
-      assert.equal(history.changesAfter(20, 2)?.changes.length, 1)
+      history.replace(createReading(at(10)), 0)
+      history.append(at(10), createReading(at(12), []), 1)
+      history.append(at(20), createReading(at(21), [createChange('a', 21)]), 2)
+      assert.equal(history.changesAfter(at(12), 2), undefined)
+      assert.equal(history.changesAfter(at(20), 2)?.changes.length, 1)
     })
 
     it('does not return changes that a caller has already read from the store itself (guards against decreasing revisions)', () => {
       const history = new FeedHistory()
-      history.reset(10, 0, 0)
-      history.append(10, { changes: [createChange('a', 11)], revision: 11, storeTime: 0 }, 1)
-      assert.deepEqual(history.changesAfter(15, 1), { changes: [], revision: 15, storeTime: 0, isRelayed: true })
+      history.replace(createReading(at(10)), 0)
+      history.append(at(10), createReading(at(11), [createChange('a', 11)]), 1)
+      assert.deepEqual(history.changesAfter(at(15), 1), { ...createReading(at(15)), storeTime: 0, isRelayed: true })
     })
   })
 
@@ -170,11 +166,11 @@
   })
 
   describe('ChangesServer', () => {
-    const request = { tables: { op: 10 }, wait: 0 }
+    const request = { tables: { op: at(10) }, wait: 0, latestEra: 1 }
 
     function createServer (clock: ManualClock, refresh: (history: FeedHistory) => void = () => {}): ChangesServer {
       const history = new FeedHistory()
-      history.reset(10, 0, clock.monotonic())
+      history.replace(createReading(at(10)), clock.monotonic())
       const server: ChangesServer = new ChangesServer({
         histories: new Map([['op', history]]),
         subscribers: new FeedSubscribers(),
@@ -201,14 +197,14 @@
     // An instance that becomes a reader has readings as old as those of the reader that failed, and each of its callers read from the store.
     it('reads again for a caller when its own reading is late (guards against a herd at the store when a reader has failed)', async () => {
       const clock = new ManualClock(1000)
-      const server = createServer(clock, history => history.append(10, { changes: [], revision: 12, storeTime: 0 }, clock.monotonic()))
+      const server = createServer(clock, history => history.append(at(10), createReading(at(12), []), clock.monotonic()))
       clock.advance(TIMINGS.maximumPassedAge + 1)
       const { op } = await server.answer(request)
       assert.ok(op.kind === 'changes' && op.reading.revision === 12 && op.age <= REFRESH_WAIT_MILLISECONDS)
     })
 
     it('refuses a table that it does not follow and still serves the others', async () => {
-      const replies = await createServer(new ManualClock(1000)).answer({ ...request, tables: { op: 10, rollouts: 3 } })
+      const replies = await createServer(new ManualClock(1000)).answer({ ...request, tables: { op: at(10), rollouts: at(3) } })
       assert.equal(replies.op.kind, 'changes')
       assert.deepEqual(replies.rollouts, { kind: 'refused', reason: 'not_kept' })
     })
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -7,7 +7,7 @@
 import { followTable, type FeedReading } from '#jayfall/feeds'
 import { NoRumors, type RumorChannel } from '#jayfall/peers'
 import { type Clock, delay, messageOf, type RandomSource, type ReadonlyTable } from '#jayfall/shared'
-import { type TableChange, type WatchableTableStore } from '#jayfall/store'
+import { comparePositions, type TableChange, type TablePosition, type WatchableTableStore } from '#jayfall/store'
 import { type Log, Metrics } from '#jayfall/telemetry'
 
 import { EstimatedTimeSelector } from './JayfallBackendSelector'
@@ -77,11 +77,13 @@
   private readonly server: ForwardingServer
   /** Rollout orders by the keys of their rows. */
   private readonly ordersByRowKey = new Map<string, RolloutOrder>()
-  /** Revisions of the orders that were made while this instance followed them. */
-  private readonly ordersSeenMade = new Set<number>()
+  /** Positions of the orders that were made while this instance followed them, by the keys of their rows. */
+  private readonly ordersSeenMade = new Map<string, TablePosition>()
   private readonly timers: NodeJS.Timeout[] = []
   /** The store's clock minus the monotonic clock of this instance, in milliseconds. */
   private storeTimeOffset = -Infinity
+  /** The era of the store whose clock was read. */
+  private storeEra = 0
   private isStopping = false
   private isFollowingRollouts = false
   private settings: ForwardingSettings
@@ -191,7 +193,7 @@
     if (!this.rolloutCoordinator.isActive || this.isFollowingRollouts) return
     this.isFollowingRollouts = true
     const isStopped = (): boolean => this.isStopping || !this.rolloutCoordinator.isActive
-    const after = this.firstOrderRevision
+    const after = this.firstOrderPosition
     const feeds = [
       this.followStoreTable(ROLLOUTS_TABLE, ({ rows }) => this.applyRolloutRows(rows), isStopped, undefined, after),
       this.followStoreTable(EVIDENCE_TABLE, ({ rows }) => this.rolloutCoordinator.applyEvidenceRows(rows), isStopped, () => this.rolloutCoordinator.isMovingSessions ? RAMP_EVIDENCE_COALESCE_MILLISECONDS : EVIDENCE_COALESCE_MILLISECONDS, after)
@@ -199,13 +201,14 @@
     Promise.all(feeds).then(() => { this.isFollowingRollouts = false })
   }
 
-  /** The revision after which the rows of all rollouts in progress were written; undefined when an order may be older than the store's history. */
-  private get firstOrderRevision (): number | undefined {
-    const revisions = [...this.ordersByRowKey.values()].map(({ revision }) => revision)
-    return revisions.every(revision => this.ordersSeenMade.has(revision)) ? Math.min(...revisions) : undefined
+  /** The position after which the rows of all rollouts in progress were written; undefined when an order may be older than the store's history or than its present era. */
+  private get firstOrderPosition (): TablePosition | undefined {
+    const positions = [...this.ordersByRowKey.keys()].map(key => this.ordersSeenMade.get(key))
+    if (!positions.every(position => position?.era === this.dependencies.store.era)) return undefined
+    return (positions as readonly TablePosition[]).toSorted(comparePositions)[0]
   }
 
-  private async followStoreTable (table: string, onReading: (reading: FeedReading) => void, isStopped = () => this.isStopping, coalescePause?: () => number, after?: number): Promise<void> {
+  private async followStoreTable (table: string, onReading: (reading: FeedReading) => void, isStopped = () => this.isStopping, coalescePause?: () => number, after?: TablePosition): Promise<void> {
     const { store, random, log, clock } = this.dependencies
     let lostAt = clock.monotonic()
     for await (const event of followTable({ store, table, random, isStopped, coalescePause, after })) {
@@ -214,25 +217,35 @@
         log.warn('store_lost', { table, call_ms: Math.round(event.callDuration), message: messageOf(event.cause) })
         continue
       }
-      if (event.isAfterLoss) log.info('store_regained', { table, revision: event.revision, lost_ms: Math.round(clock.monotonic() - lostAt), call_ms: Math.round(event.callDuration) })
+      if (event.isAfterLoss) log.info('store_regained', { table, ...event.position, lost_ms: Math.round(clock.monotonic() - lostAt), call_ms: Math.round(event.callDuration) })
       this.metrics.record('jayfall_forwarding_feed_reading_seconds', { table, through: event.reader === undefined ? 'store' : 'reader' }, event.callDuration)
-      this.storeTimeOffset = Math.max(this.storeTimeOffset, event.storeTime - clock.monotonic())
+      this.updateStoreTime(event)
       onReading(event)
     }
   }
 
-  private applyOperatorRows ({ kind, rows, reader, callDuration: took, storeTime }: FeedReading): void {
-    for (const { key, value, revision } of rows) {
+  /** Estimates the store's clock from the fastest answer of the present era. */
+  private updateStoreTime ({ storeTime, position: { era } }: FeedReading): void {
+    const offset = storeTime - this.dependencies.clock.monotonic()
+    if (era < this.storeEra) return
+    this.storeTimeOffset = era > this.storeEra ? offset : Math.max(this.storeTimeOffset, offset)
+    this.storeEra = era
+  }
+
+  private applyOperatorRows ({ kind, rows, isNewEra, reader, callDuration: took, storeTime }: FeedReading): void {
+    for (const { key, value, position } of rows) {
       if (value === undefined) {
-        this.ordersByRowKey.delete(key)
+        // Operators write again what was lost with the rows of an earlier era.
+        if (!isNewEra) this.ordersByRowKey.delete(key)
         continue
       }
-      const row = this.dependencies.source.readOperatorRow(key, value, revision)
-      if (row.kind === 'catalogue') this.state.applyCatalogue(row.catalogue, { revision, reader, readDuration: took, age: this.dependencies.clock.monotonic() + this.storeTimeOffset - storeTime })
+      const row = this.dependencies.source.readOperatorRow(key, value, position.revision)
+      if (row.kind === 'catalogue') this.state.applyCatalogue(row.catalogue, { position, reader, readDuration: took, age: this.dependencies.clock.monotonic() + this.storeTimeOffset - storeTime })
       else if (row.kind === 'rollout') {
         this.ordersByRowKey.set(key, row.order)
-        if (kind === 'changes') this.ordersSeenMade.add(revision)
-      } else if (row.reason !== undefined) this.dependencies.log.warn('operator_row_ignored', { key, revision, reason: row.reason })
+        if (kind === 'changes' && !isNewEra) this.ordersSeenMade.set(key, position)
+        else this.ordersSeenMade.delete(key)
+      } else if (row.reason !== undefined) this.dependencies.log.warn('operator_row_ignored', { key, ...position, reason: row.reason })
     }
     this.rolloutCoordinator.applyOrders(new Map([...this.ordersByRowKey.values()].map(order => [order.service, order])))
     this.followRolloutTables()
@@ -244,7 +257,8 @@
     this.state.markRolloutsKnown()
   }
 
-  private applyServerRows ({ kind, rows, isAfterLoss }: FeedReading): void {
+  private applyServerRows ({ kind, rows, isAfterLoss: wasLost, isNewEra }: FeedReading): void {
+    const isAfterLoss = wasLost || isNewEra
     const changes = rows.map(({ key, value }) => ({ id: key, server: value === undefined ? undefined : this.dependencies.source.readServerRow(key, value) }))
     if (kind === 'snapshot') this.state.applyServerSnapshot(changes, isAfterLoss)
     else this.state.applyServerChanges(changes, isAfterLoss)
--- a/packages/forwarding/src/JayfallForwardingState.ts
+++ b/packages/forwarding/src/JayfallForwardingState.ts
@@ -7,6 +7,7 @@
  */
 
 import { type Clock } from '#jayfall/shared'
+import { type TablePosition } from '#jayfall/store'
 import { type Log, type LogFields } from '#jayfall/telemetry'
 
 import { type BackendDirectory } from './JayfallBackendDirectory'
@@ -22,7 +23,7 @@
 
 /** The origin of a version of the catalogue; for the log. */
 export interface CatalogueOrigin {
-  readonly revision: number
+  readonly position: TablePosition
   /** The instance that read the catalogue from the store; undefined when it was this instance. */
   readonly reader: string | undefined
   /** Milliseconds that the read took, including the time that it waited for a change. */
@@ -137,6 +138,6 @@
   }
 }
 
-function describeOrigin ({ revision, reader, readDuration, age }: CatalogueOrigin): LogFields {
-  return { revision, through: reader ?? 'store', reading_ms: Math.round(readDuration), age_ms: Math.round(age) }
+function describeOrigin ({ position, reader, readDuration, age }: CatalogueOrigin): LogFields {
+  return { ...position, through: reader ?? 'store', reading_ms: Math.round(readDuration), age_ms: Math.round(age) }
 }
--- a/packages/forwarding/src/JayfallRolloutCoordinator.ts
+++ b/packages/forwarding/src/JayfallRolloutCoordinator.ts
@@ -8,7 +8,7 @@
  */
 
 import { messageOf, type Clock, type RandomSource } from '#jayfall/shared'
-import { isPlatformError, type TableChange, type TableStore } from '#jayfall/store'
+import { isAfter, isPlatformError, type TableChange, type TablePosition, type WatchableTableStore } from '#jayfall/store'
 import { type Log } from '#jayfall/telemetry'
 
 import { type BackendDirectory } from './JayfallBackendDirectory'
@@ -30,7 +30,7 @@
 
 export interface RolloutCoordinatorDependencies {
   readonly instance: string
-  readonly store: TableStore
+  readonly store: Pick<WatchableTableStore, 'transact' | 'read' | 'era'>
   readonly source: DeploymentSource
   readonly loadProbe: LoadProbe
   readonly directory: BackendDirectory
@@ -47,7 +47,7 @@
 
 interface VersionedRolloutRow {
   readonly row: RolloutRow
-  readonly revision: number
+  readonly position: TablePosition
 }
 
 interface PublishedCounts {
@@ -104,10 +104,10 @@
   /** Applies the rollout rows that the instances agreed on. */
   applyRolloutRows (rows: readonly TableChange[]): void {
     this.hasReadRolloutRows = true
-    for (const { key, value, revision } of rows) {
+    for (const { key, value, position } of rows) {
       const row = readRolloutRow(value)
       if (row === undefined) this.rowsByService.delete(key)
-      else this.storeRow(key, row, revision)
+      else this.storeRow(key, row, position)
     }
     this.updateVersionPolicy()
   }
@@ -170,11 +170,12 @@
       startedAt: existing?.startedAt ?? this.dependencies.storeTime(),
       outcome
     }
-    const writes = [{ table: ROLLOUTS_TABLE, key: service, value: row, ifRevision: this.rowsByService.get(service)?.revision ?? 0 }, this.dependencies.source.createStatusWrite(order, outcome)]
+    const { era, revision: knownRevision } = this.rowsByService.get(service)?.position ?? { era: undefined, revision: 0 }
+    const writes = [{ table: ROLLOUTS_TABLE, key: service, value: row, ifRevision: knownRevision, ifEra: era }, this.dependencies.source.createStatusWrite(order, outcome)]
     try {
       const [revision] = await this.dependencies.store.transact(writes)
       this.dependencies.log.info('rollout_step', { service, version: order.version, outcome, reason })
-      this.storeRow(service, row, revision)
+      this.storeRow(service, row, { era: this.dependencies.store.era, revision })
       this.contention.forget(step)
       this.updateVersionPolicy()
     } catch (error) {
@@ -187,15 +188,15 @@
   private async rereadRow (service: string): Promise<void> {
     const found = await this.dependencies.store.read(ROLLOUTS_TABLE, service)
     const row = readRolloutRow(found?.value)
-    if (found !== undefined && row !== undefined) this.storeRow(service, row, found.revision)
+    if (found !== undefined && row !== undefined) this.storeRow(service, row, { era: this.dependencies.store.era, revision: found.revision })
     this.updateVersionPolicy()
   }
 
-  private storeRow (service: string, row: RolloutRow, revision: number): void {
+  private storeRow (service: string, row: RolloutRow, position: TablePosition): void {
     const known = this.rowsByService.get(service)
-    if (known !== undefined && known.revision >= revision) return
-    this.rowsByService.set(service, { row, revision })
-    this.dependencies.log.info('rollout_known', { service, version: row.version, outcome: row.outcome, revision })
+    if (known !== undefined && !isAfter(position, known.position)) return
+    this.rowsByService.set(service, { row, position })
+    this.dependencies.log.info('rollout_known', { service, version: row.version, outcome: row.outcome, ...position })
   }
 
   /** Publishes this instance's outcome counts: new failures at the next interval, other outcomes at a longer one. */
--- a/packages/forwarding/src/__tests__/unit/JayfallRolloutFixture.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallRolloutFixture.ts
@@ -18,6 +18,7 @@
 export class MemoryTables extends TableStore {
   readonly rows = new Map<string, TableRow>()
   revision = 10
+  era = 1
   isDown = false
   /** Transactions are never answered. */
   isSilent = false
--- a/packages/store/src/JayfallPlatformError.ts
+++ b/packages/store/src/JayfallPlatformError.ts
@@ -9,9 +9,10 @@
  * - `conflict`: a condition of a write was not met; nothing was written.
  * - `rate_limited`: the platform refused the call because of its rate limit; nothing was written.
  * - `history_lost`: the store no longer has the requested changes.
+ * - `era_changed`: the store came back from a copy, so that positions read before name other rows.
  * - `malformed`: the answer is malformed.
  */
-export type PlatformErrorCode = 'unavailable' | 'outcome_unknown' | 'conflict' | 'rate_limited' | 'history_lost' | 'malformed'
+export type PlatformErrorCode = 'unavailable' | 'outcome_unknown' | 'conflict' | 'rate_limited' | 'history_lost' | 'era_changed' | 'malformed'
 
 /** Signals that a call to the platform failed. */
 export class PlatformError extends JayfallError {
--- a/packages/store/src/JayfallPlatformHttp.ts
+++ b/packages/store/src/JayfallPlatformHttp.ts
@@ -17,9 +17,11 @@
   readonly localAddress?: string
 }
 
-/** The status and the parsed JSON body of an answer. */
+/** The status, the headers and the parsed JSON body of an answer. */
 export interface PlatformReply {
   readonly status: number
+  /** Values by name in lowercase. */
+  readonly headers: http.IncomingHttpHeaders
   readonly body: unknown
 }
 
@@ -51,7 +53,7 @@
     if (status === 429) throw new PlatformError('rate_limited', `the platform refused ${method} ${path} because of its rate limit`)
     if (status === 503) throw new PlatformError('unavailable', `the platform refused ${method} ${path} with status 503`)
     if (status >= 500) throw new PlatformError('outcome_unknown', `the platform failed ${method} ${path} with status ${status}`)
-    return { status, body: parseBody(text, method, path) }
+    return { status, headers: response.headers, body: parseBody(text, method, path) }
   }
 
   /** Closes idle connections. */
--- a/packages/store/src/JayfallTableStore.ts
+++ b/packages/store/src/JayfallTableStore.ts
@@ -1,8 +1,11 @@
 /** Interfaces of transactional table stores, and the client of the platform's table service. */
 
+import { delay } from '#jayfall/shared'
+
 import { LISTING_PAGE_ROWS } from './JayfallStoreConstants'
 import { PlatformError } from './JayfallPlatformError'
 import { type PlatformHttp } from './JayfallPlatformHttp'
+import { type TablePosition } from './JayfallTablePosition'
 
 /** A row and its revision, which increases with each write of the row and is never 0. */
 export interface TableRow<Value = unknown> {
@@ -19,6 +22,8 @@
   readonly value: unknown
   /** The condition of the write: the expected revision of the row, or 0 when the row must be absent. Undefined means no condition. */
   readonly ifRevision?: number
+  /** The era of the store in which `ifRevision` was read; the condition does not hold when the store is known to be in a later one. */
+  readonly ifEra?: number
 }
 
 /** The present state of a row that did not meet the condition of a write. */
@@ -47,14 +52,14 @@
 export interface TableChange<Value = unknown> {
   readonly key: string
   readonly value: Value | undefined
-  readonly revision: number
+  readonly position: TablePosition
 }
 
-/** The changes of a table up to a revision. */
+/** The changes of a table up to a position. */
 export interface TableChanges<Value = unknown> {
   readonly changes: readonly TableChange<Value>[]
-  /** The revision from which the next read continues. */
-  readonly revision: number
+  /** The position from which the next read continues. */
+  readonly position: TablePosition
   /** Time of the store's own monotonic clock when it was read, in milliseconds. In an answer to another instance: the estimated time of the answer. */
   readonly storeTime: number
   /** Whether another instance read the changes from the store. */
@@ -65,17 +70,25 @@
 
 /** A table store whose changes can be followed. */
 export abstract class WatchableTableStore extends TableStore {
-  /** Reads all rows of a table and the revision to which they correspond. */
+  /** The latest era that the store has named; 0 before its first answer, and for a store that names none. */
+  abstract get era (): number
+  /** Reads all rows of a table and the position to which they correspond. */
   abstract snapshot<Value> (table: string): Promise<TableChanges<Value>>
   /**
-   * Reads the changes after `revision`, and waits up to `wait` milliseconds while there are none.
-   * @throws PlatformError `history_lost` when the store no longer has the changes.
+   * Reads the changes after a position, and waits up to `wait` milliseconds while there are none.
+   * @throws PlatformError `history_lost` when the store no longer has the changes; `era_changed` when it came back from a copy
+   * since, so that all rows have to be read again.
    */
-  abstract changes<Value> (table: string, revision: number, wait: number): Promise<TableChanges<Value>>
+  abstract changes<Value> (table: string, after: TablePosition, wait: number): Promise<TableChanges<Value>>
   /** Maximum pause between two reads of changes, in milliseconds. */
   get maximumReadPause (): number {
     return Infinity
   }
+
+  /** Resolves after `milliseconds`, or earlier when there may be something to read. */
+  pause (milliseconds: number): Promise<void> {
+    return delay(milliseconds)
+  }
 }
 
 /** The platform's table service, accessed over HTTP. */
