Keep what is known of a rollout when the store comes back from a copy

What callers could see: a version that was rolled back gets requests again (EXPOSURE), or a completed one goes back to servers that are stopping. Cause: an order was known by the number of its row alone, and a step by the row that the store holds. Operators write a lost order again under another number, which looked like a new order: evidence was dropped and the rollout began anew. A step that was lost turned the row back to 'running', which instances followed. A number that was given out again made evidence of one version count for another. Change: an order that is lost with an era is the same order when it is written again with the same content. Each instance keeps the furthest state that it knew; a rollout that has ended does not run again. In a new era the instances read the rows first, then one of them writes again what is missing, with the status for operators, and they publish their counts again. Evidence names its version. Orders that are lost stay in force until operators have written them again.

--- a/packages/forwarding/src/JayfallDeploymentSource.ts
+++ b/packages/forwarding/src/JayfallDeploymentSource.ts
@@ -1,5 +1,7 @@
 /** Decodes the rows of a deployment's store into the types of this package. */
 
+import { type TablePosition } from '#jayfall/store'
+
 import { type BackendServer, type ForwardingCatalogue, type RolloutOrder } from './JayfallForwardingCatalogue'
 import { type RolloutOutcome } from './JayfallRolloutSchedule'
 
@@ -13,7 +15,7 @@
 export abstract class DeploymentSource {
   abstract readonly operatorTable: string
   abstract readonly serverTable: string
-  abstract readOperatorRow (key: string, value: unknown, revision: number): OperatorRow
+  abstract readOperatorRow (key: string, value: unknown, position: TablePosition): OperatorRow
   /** Returns undefined when the row describes no usable server. */
   abstract readServerRow (key: string, value: unknown): BackendServer | undefined
   /** Creates the write that reports the state of a rollout to operators. */
--- a/packages/forwarding/src/JayfallForwardingCatalogue.ts
+++ b/packages/forwarding/src/JayfallForwardingCatalogue.ts
@@ -4,6 +4,8 @@
  * A catalogue is immutable and is replaced as a whole by each new version. Times are in milliseconds.
  */
 
+import { type TablePosition } from '#jayfall/store'
+
 /** A service that receives a share of a route's requests. */
 export interface RouteTarget {
   readonly service: string
@@ -84,6 +86,6 @@
   readonly version: string
   /** Milliseconds from the order within which the rollout is to end. */
   readonly period: number
-  /** The revision of the order's row, which distinguishes the orders of one service. */
-  readonly revision: number
+  /** The order's row, and the latest era of the store in which it was read. Its revision distinguishes the orders of one service. */
+  readonly position: TablePosition
 }
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -79,6 +79,8 @@
   private readonly ordersByRowKey = new Map<string, RolloutOrder>()
   /** Positions of the orders that were made while this instance followed them, by the keys of their rows. */
   private readonly ordersSeenMade = new Map<string, TablePosition>()
+  /** Positions up to which the tables of rollouts were read. */
+  private readonly rolloutPositions = new Map<string, TablePosition>()
   private readonly timers: NodeJS.Timeout[] = []
   /** The store's clock minus the monotonic clock of this instance, in milliseconds. */
   private storeTimeOffset = -Infinity
@@ -193,14 +195,19 @@
     if (!this.rolloutCoordinator.isActive || this.isFollowingRollouts) return
     this.isFollowingRollouts = true
     const isStopped = (): boolean => this.isStopping || !this.rolloutCoordinator.isActive
-    const after = this.firstOrderPosition
     const feeds = [
-      this.followStoreTable(ROLLOUTS_TABLE, ({ rows }) => this.applyRolloutRows(rows), isStopped, undefined, after),
-      this.followStoreTable(EVIDENCE_TABLE, ({ rows }) => this.rolloutCoordinator.applyEvidenceRows(rows), isStopped, () => this.rolloutCoordinator.isMovingSessions ? RAMP_EVIDENCE_COALESCE_MILLISECONDS : EVIDENCE_COALESCE_MILLISECONDS, after)
+      this.followStoreTable(ROLLOUTS_TABLE, reading => this.applyRolloutRows(reading), isStopped, undefined, this.rolloutStart(ROLLOUTS_TABLE)),
+      this.followStoreTable(EVIDENCE_TABLE, reading => this.applyEvidenceRows(reading), isStopped, () => this.rolloutCoordinator.isMovingSessions ? RAMP_EVIDENCE_COALESCE_MILLISECONDS : EVIDENCE_COALESCE_MILLISECONDS, this.rolloutStart(EVIDENCE_TABLE))
     ]
     Promise.all(feeds).then(() => { this.isFollowingRollouts = false })
   }
 
+  /** The position at which to begin with a table of rollouts. After the store came back from a copy it is that of the last reading, so that other instances can tell what differs. */
+  private rolloutStart (table: string): TablePosition | undefined {
+    const last = this.rolloutPositions.get(table)
+    return last !== undefined && last.era < this.dependencies.store.era ? last : this.firstOrderPosition
+  }
+
   /** The position after which the rows of all rollouts in progress were written; undefined when an order may be older than the store's history or than its present era. */
   private get firstOrderPosition (): TablePosition | undefined {
     const positions = [...this.ordersByRowKey.keys()].map(key => this.ordersSeenMade.get(key))
@@ -232,14 +239,15 @@
     this.storeEra = era
   }
 
-  private applyOperatorRows ({ kind, rows, isNewEra, reader, callDuration: took, storeTime }: FeedReading): void {
+  private applyOperatorRows ({ kind, rows, position: { era }, isNewEra, reader, callDuration: took, storeTime }: FeedReading): void {
+    if (isNewEra && kind === 'changes') this.keepOrders(rows, era)
     for (const { key, value, position } of rows) {
       if (value === undefined) {
         // Operators write again what was lost with the rows of an earlier era.
         if (!isNewEra) this.ordersByRowKey.delete(key)
         continue
       }
-      const row = this.dependencies.source.readOperatorRow(key, value, position.revision)
+      const row = this.dependencies.source.readOperatorRow(key, value, position)
       if (row.kind === 'catalogue') this.state.applyCatalogue(row.catalogue, { position, reader, readDuration: took, age: this.dependencies.clock.monotonic() + this.storeTimeOffset - storeTime })
       else if (row.kind === 'rollout') {
         this.ordersByRowKey.set(key, row.order)
@@ -247,16 +255,28 @@
         else this.ordersSeenMade.delete(key)
       } else if (row.reason !== undefined) this.dependencies.log.warn('operator_row_ignored', { key, ...position, reason: row.reason })
     }
-    this.rolloutCoordinator.applyOrders(new Map([...this.ordersByRowKey.values()].map(order => [order.service, order])))
+    this.rolloutCoordinator.applyOrders(this.ordersByRowKey.values(), era)
     this.followRolloutTables()
     if (this.rolloutCoordinator.hasRolloutState) this.state.markRolloutsKnown()
   }
 
-  private applyRolloutRows (rows: readonly TableChange[]): void {
-    this.rolloutCoordinator.applyRolloutRows(rows)
+  /** Notes which orders are still there in a new era. The others keep their place: operators write them again. */
+  private keepOrders (differing: readonly TableChange[], era: number): void {
+    const keys = new Set(differing.map(({ key }) => key))
+    for (const [key, order] of this.ordersByRowKey) if (!keys.has(key)) this.ordersByRowKey.set(key, { ...order, position: { ...order.position, era } })
+  }
+
+  private applyRolloutRows ({ rows, position }: FeedReading): void {
+    this.rolloutPositions.set(ROLLOUTS_TABLE, position)
+    this.rolloutCoordinator.applyRolloutRows(rows, position.era)
     this.state.markRolloutsKnown()
   }
 
+  private applyEvidenceRows ({ rows, position, isNewEra }: FeedReading): void {
+    this.rolloutPositions.set(EVIDENCE_TABLE, position)
+    this.rolloutCoordinator.applyEvidenceRows(rows, isNewEra)
+  }
+
   private applyServerRows ({ kind, rows, isAfterLoss: wasLost, isNewEra }: FeedReading): void {
     const isAfterLoss = wasLost || isNewEra
     const changes = rows.map(({ key, value }) => ({ id: key, server: value === undefined ? undefined : this.dependencies.source.readServerRow(key, value) }))
--- a/packages/forwarding/src/JayfallRolloutCoordinator.ts
+++ b/packages/forwarding/src/JayfallRolloutCoordinator.ts
@@ -14,6 +14,7 @@
 import { type BackendDirectory } from './JayfallBackendDirectory'
 import { type DeploymentSource } from './JayfallDeploymentSource'
 import { type RolloutOrder } from './JayfallForwardingCatalogue'
+import { KnownRollouts } from './JayfallKnownRollouts'
 import { EVIDENCE_INTERVAL_MILLISECONDS, EXPECTED_STEP_ATTEMPTS, EVIDENCE_LIFETIME_MILLISECONDS } from './JayfallForwardingConstants'
 import { type RolloutEvidence } from './JayfallRolloutEvidence'
 import { mayComplete, mayMoveSessions, mustComplete, type Rollout, type RolloutOutcome } from './JayfallRolloutSchedule'
@@ -57,8 +58,12 @@
 }
 
 export class RolloutCoordinator {
-  private orders: ReadonlyMap<string, RolloutOrder> = new Map()
+  private readonly known = new KnownRollouts()
+  /** The rows that the store holds, as far as this instance knows. */
   private readonly rowsByService = new Map<string, VersionedRolloutRow>()
+  /** The latest era of the store in which orders were read, and that in which the rows of rollouts were. */
+  private orderEra = 0
+  private rowEra = 0
   /** Evidence of other instances by row key. */
   private readonly peerEvidence = new Map<string, EvidenceRow>()
   private readonly publishedCounts = new Map<string, PublishedCounts>()
@@ -71,39 +76,52 @@
     this.contention = new StepContention(dependencies.instanceCount, dependencies.random)
   }
 
-  /** Whether a rollout is in progress, so that its tables must be followed. */
+  /** Whether a rollout is in progress, or the store may have lost how it ended, so that its tables must be followed. */
   get isActive (): boolean {
-    return [...this.orders.values()].some(order => (this.rolloutRowOf(order)?.outcome ?? 'running') === 'running')
+    const { orders } = this.known
+    if (orders.length > 0 && this.rowEra < this.orderEra) return true
+    return orders.some(order => !this.isStored(order) || this.known.reachedOf(order)?.outcome === 'running')
   }
 
   /** Whether sessions may already move to the new version in a running rollout. */
   get isMovingSessions (): boolean {
     const storeTime = this.dependencies.storeTime()
-    return [...this.orders.values()].some(order => {
-      const row = this.rolloutRowOf(order)
+    return this.known.orders.some(order => {
+      const row = this.known.reachedOf(order)
       return row?.outcome === 'running' && mayMoveSessions(toRollout(order, row), storeTime)
     })
   }
 
   /** Whether the state of the rollouts is known, or there is none. */
   get hasRolloutState (): boolean {
-    return this.hasReadRolloutRows || this.orders.size === 0
+    return this.hasReadRolloutRows || this.known.orders.length === 0
   }
 
-  applyOrders (orders: ReadonlyMap<string, RolloutOrder>): void {
-    for (const [service, order] of orders) {
-      if (this.orders.get(service)?.revision === order.revision) continue
+  /** @param era the era of the store in which the orders were read. */
+  applyOrders (orders: Iterable<RolloutOrder>, era: number): void {
+    const { log } = this.dependencies
+    const { ordered, writtenAgain } = this.known.setOrders(orders)
+    for (const { service, version, period, position } of ordered) {
       this.dependencies.evidence.forService(service).reset()
       this.publishedCounts.delete(service)
-      this.dependencies.log.info('rollout_ordered', { service, version: order.version, period_ms: order.period, revision: order.revision })
+      log.info('rollout_ordered', { service, version, period_ms: period, ...position })
     }
-    this.orders = orders
+    for (const order of writtenAgain) log.info('rollout_order_written_again', { service: order.service, version: order.version, ...order.position, reached: this.known.reachedOf(order)?.outcome })
+    if (this.orderEra === 0) this.rowEra = era
+    else if (era > this.orderEra) this.publishAgain()
+    this.orderEra = Math.max(this.orderEra, era)
+    // The row may have been read before the order.
+    for (const [service, { row }] of this.rowsByService) this.known.record(service, row)
     this.updateVersionPolicy()
   }
 
-  /** Applies the rollout rows that the instances agreed on. */
-  applyRolloutRows (rows: readonly TableChange[]): void {
+  /**
+   * Applies the rollout rows that the instances agreed on. A row that is missing in a new era is written again.
+   * @param era the era of the store in which they were read.
+   */
+  applyRolloutRows (rows: readonly TableChange[], era: number): void {
     this.hasReadRolloutRows = true
+    this.rowEra = Math.max(this.rowEra, era)
     for (const { key, value, position } of rows) {
       const row = readRolloutRow(value)
       if (row === undefined) this.rowsByService.delete(key)
@@ -112,9 +130,11 @@
     this.updateVersionPolicy()
   }
 
-  applyEvidenceRows (rows: readonly TableChange[]): void {
+  /** @param isNewEra whether rows may be missing only because the store came back from a copy; they still count until they are too old. */
+  applyEvidenceRows (rows: readonly TableChange[], isNewEra = false): void {
     for (const { key, value } of rows) {
       const row = readEvidenceRow(value)
+      if (row === undefined && isNewEra) continue
       if (row === undefined) this.peerEvidence.delete(key)
       else if (row.instance !== this.dependencies.instance) this.peerEvidence.set(key, row)
     }
@@ -126,7 +146,7 @@
     if (this.isRunning) return
     this.isRunning = true
     try {
-      for (const order of this.orders.values()) await this.advanceRollout(order)
+      for (const order of this.known.orders) await this.advanceRollout(order)
     } catch (error) {
       // A loss of the store is reported by the table feeds, and the step is due again at the next interval.
       this.dependencies.log.warn('rollout_step_failed', { message: messageOf(error) })
@@ -137,16 +157,17 @@
 
   /** Keeps new work away from versions that the evidence shows to be bad. Needs no store, because the store may not answer this instance for a while. */
   private suspendBadVersions (): void {
-    for (const order of this.orders.values()) {
-      if (this.rolloutRowOf(order)?.outcome === 'running' && isBadVersion(this.sumRecentEvidence(order))) this.dependencies.versionPolicy.suspend(order.service, order.version)
+    for (const order of this.known.orders) {
+      if (this.known.reachedOf(order)?.outcome === 'running' && isBadVersion(this.sumRecentEvidence(order))) this.dependencies.versionPolicy.suspend(order.service, order.version)
     }
   }
 
   private async advanceRollout (order: RolloutOrder): Promise<void> {
-    const row = this.rolloutRowOf(order)
-    if (row === undefined) {
-      return this.transition(order, 'running', 'ordered')
-    }
+    // In a new era, the rows that the store holds have to be read first.
+    if (this.rowEra < this.orderEra) return
+    const row = this.known.reachedOf(order)
+    if (row === undefined) return this.transition(order, 'running', 'ordered')
+    if (!this.isStored(order)) return this.transition(order, row.outcome, 'written again after the store came back from a copy')
     if (row.outcome !== 'running') return
     const rollout = toRollout(order, row)
     const counts = this.sumRecentEvidence(order)
@@ -158,12 +179,12 @@
   }
 
   private async transition (order: RolloutOrder, outcome: RolloutOutcome, reason: string): Promise<void> {
-    const { service, revision: orderRevision } = order
+    const { service, position: { revision: orderRevision } } = order
     const step = `${service}/${orderRevision}/${outcome}`
     if (!this.contention.isChosen(step)) return
-    const existing = this.rolloutRowOf(order)
+    const existing = this.known.reachedOf(order)
     // The row may have arrived while the conditions for this step were checked.
-    if (existing !== undefined && existing.outcome !== 'running') return
+    if (existing !== undefined && existing.outcome !== 'running' && (existing.outcome !== outcome || this.isStored(order))) return
     const row: RolloutRow = {
       version: order.version,
       orderRevision,
@@ -196,11 +217,12 @@
     const known = this.rowsByService.get(service)
     if (known !== undefined && !isAfter(position, known.position)) return
     this.rowsByService.set(service, { row, position })
+    this.known.record(service, row)
     this.dependencies.log.info('rollout_known', { service, version: row.version, outcome: row.outcome, ...position })
   }
 
   /** Publishes this instance's outcome counts: new failures at the next interval, other outcomes at a longer one. */
-  private async publishEvidence ({ service, revision }: RolloutOrder): Promise<void> {
+  private async publishEvidence ({ service, version, position: { revision } }: RolloutOrder): Promise<void> {
     const { evidence, clock, instance } = this.dependencies
     const now = clock.monotonic()
     const { outcomes: counts, speeds } = evidence.forService(service).recentCounts(now)
@@ -211,14 +233,21 @@
       this.publishedCounts.set(service, lastPublished)
       return
     }
-    const row: EvidenceRow = { instance, orderRevision: revision, at: this.dependencies.storeTime(), counts, speeds }
+    const row: EvidenceRow = { instance, orderRevision: revision, version, at: this.dependencies.storeTime(), counts, speeds }
     await this.dependencies.store.transact([{ table: EVIDENCE_TABLE, key: `${service}/${instance}`, value: row }])
     this.publishedCounts.set(service, { bad: newBadCount, outcomes: newOutcomeCount, publishedAt: now })
   }
 
-  private sumRecentEvidence ({ service, revision }: RolloutOrder): VersionCounts {
+  /** Lets this instance publish its counts again, those without new failures spread over an interval, because the store may have lost them. */
+  private publishAgain (): void {
+    const { clock, random } = this.dependencies
+    for (const service of this.publishedCounts.keys()) this.publishedCounts.set(service, { bad: 0, outcomes: 0, publishedAt: clock.monotonic() - random.uniform() * EVIDENCE_INTERVAL_MILLISECONDS })
+  }
+
+  private sumRecentEvidence (order: RolloutOrder): VersionCounts {
     const { evidence, clock, storeTime } = this.dependencies
-    const isCurrent = (row: EvidenceRow): boolean => row.orderRevision === revision && storeTime() - row.at < EVIDENCE_LIFETIME_MILLISECONDS
+    const { service } = order
+    const isCurrent = (row: EvidenceRow): boolean => this.known.isEvidenceFor(order, row) && storeTime() - row.at < EVIDENCE_LIFETIME_MILLISECONDS
     const peerCounts = [...this.peerEvidence].filter(([key, row]) => key.startsWith(`${service}/`) && isCurrent(row)).map(([, { counts, speeds }]) => ({ outcomes: counts, speeds }))
     return sumVersionCounts([evidence.forService(service).recentCounts(clock.monotonic()), ...peerCounts])
   }
@@ -236,16 +265,15 @@
     return true
   }
 
-  /** The row of the order's rollout; undefined until its start is agreed on. */
-  private rolloutRowOf ({ service, revision }: RolloutOrder): RolloutRow | undefined {
-    const row = this.rowsByService.get(service)?.row
-    return row?.orderRevision === revision ? row : undefined
+  private isStored (order: RolloutOrder): boolean {
+    return this.known.isStored(order, this.rowsByService.get(order.service)?.row)
   }
 
   private updateVersionPolicy (): void {
     const rollouts = new Map<string, Rollout>()
-    for (const [service, order] of this.orders) {
-      const row = this.rolloutRowOf(order)
+    for (const order of this.known.orders) {
+      const { service } = order
+      const row = this.known.reachedOf(order)
       // Until the start is agreed on, nothing beyond the canary share goes to the new version.
       rollouts.set(service, row === undefined ? { order, startedAt: Infinity, outcome: 'running' } : toRollout(order, row))
     }
--- a/packages/forwarding/src/JayfallRolloutRows.ts
+++ b/packages/forwarding/src/JayfallRolloutRows.ts
@@ -7,7 +7,7 @@
 
 const rolloutRow = z.object({
   version: z.string(),
-  /** The revision of the order that this rollout carries out. */
+  /** The revision that the row of the order had when this row was written. */
   orderRevision: z.number(),
   /** Milliseconds of the store's clock. */
   startedAt: z.number(),
@@ -20,6 +20,8 @@
 const evidenceRow = z.object({
   instance: z.string(),
   orderRevision: z.number(),
+  /** The new version; absent in rows that older versions wrote. */
+  version: z.string().optional(),
   /** Milliseconds of the store's clock when the row was written. */
   at: z.number(),
   /** Answered and failed attempts. Older versions count slow ones among the failed ones. */
--- a/packages/forwarding/src/__tests__/unit/JayfallRolloutFixture.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallRolloutFixture.ts
@@ -12,11 +12,11 @@
 import { VersionPolicy } from '../../JayfallVersionPolicy'
 import { SERVICE, SILENT_LOG } from './JayfallDecisionFixture'
 
-export const ORDER: RolloutOrder = { service: SERVICE, version: 'v2', period: 20_000, revision: 5 }
+export const ORDER: RolloutOrder = { service: SERVICE, version: 'v2', period: 20_000, position: { era: 1, revision: 5 } }
 
 /** A table store whose calls can be made to fail. */
 export class MemoryTables extends TableStore {
-  readonly rows = new Map<string, TableRow>()
+  rows: ReadonlyMap<string, TableRow> = new Map()
   revision = 10
   era = 1
   isDown = false
@@ -26,13 +26,23 @@
   override async transact (writes: readonly TableWrite[]): Promise<readonly number[]> {
     if (this.isDown) throw new PlatformError('unavailable', 'the store is down')
     if (this.isSilent) return new Promise(() => {})
-    const conflicts = writes.filter(({ table, key, ifRevision }) => ifRevision !== undefined && (this.rows.get(`${table}/${key}`)?.revision ?? 0) !== ifRevision)
+    const conflicts = writes.filter(({ table, key, ifRevision, ifEra = this.era }) => ifEra < this.era || (ifRevision !== undefined && (this.rows.get(`${table}/${key}`)?.revision ?? 0) !== ifRevision))
     if (conflicts.length > 0) throw new PlatformError('conflict', 'a condition did not hold')
     this.revision++
-    for (const { table, key, value } of writes) this.rows.set(`${table}/${key}`, { key, value, revision: this.revision })
+    for (const { table, key, value } of writes) this.rows = new Map([...this.rows, [`${table}/${key}`, { key, value, revision: this.revision }]])
     return writes.map(() => this.revision)
   }
 
+  copy (): Pick<MemoryTables, 'rows' | 'revision'> {
+    return { rows: this.rows, revision: this.revision }
+  }
+
+  /** Replaces all rows by those of a copy. Revisions that were given since are given out again. */
+  restore ({ rows, revision }: Pick<MemoryTables, 'rows' | 'revision'>): void {
+    Object.assign(this, { rows, revision })
+    this.era++
+  }
+
   override async read<Value> (table: string, key: string): Promise<TableRow<Value> | undefined> {
     if (this.isDown) throw new PlatformError('unavailable', 'the store is down')
     return this.rows.get(`${table}/${key}`) as TableRow<Value> | undefined
@@ -57,9 +67,28 @@
     })
   }
 
+  /** Reads the rows of rollouts and the order, as after the store came back from a copy. */
+  readNewEra (order?: RolloutOrder): void {
+    if (order !== undefined) this.coordinator.applyOrders([order], this.tables.era)
+    const row = this.tables.rows.get(`rollouts/${SERVICE}`)
+    const position = { era: this.tables.era, revision: row?.revision ?? this.tables.revision }
+    this.coordinator.applyRolloutRows([{ key: SERVICE, value: row?.value, position }], this.tables.era)
+  }
+
+  /** Runs until a version that fails is rolled back. */
+  async rollBack (): Promise<void> {
+    this.observe(20)
+    await this.coordinator.run()
+  }
+
+  /** What operators read of the rollout. */
+  get status (): unknown {
+    return this.tables.rows.get(`status/${SERVICE}`)?.value
+  }
+
   /** Applies the order and starts its rollout in the store. */
   async start (order = ORDER): Promise<void> {
-    this.coordinator.applyOrders(new Map([[SERVICE, order]]))
+    this.coordinator.applyOrders([order], order.position.era)
     await this.coordinator.run()
   }
 
--- a/packages/forwarding/src/__tests__/unit/JayfallRollouts.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallRollouts.test.ts
@@ -10,7 +10,7 @@
 import { VersionPolicy } from '../../JayfallVersionPolicy'
 import { isBadVersion, sumVersionCounts, type CountsByRoute, type VersionCounts } from '../../JayfallVersionVerdict'
 
-const ROLLOUT: Rollout = { order: { service: 'guide', version: 'v2', period: 20_000, revision: 5 }, startedAt: 0, outcome: 'running' }
+const ROLLOUT: Rollout = { order: { service: 'guide', version: 'v2', period: 20_000, position: { era: 1, revision: 5 } }, startedAt: 0, outcome: 'running' }
 const EXPOSURE_SHARE = 0.15
 
 function createPolicy (storeTime: () => number, rollout = ROLLOUT): VersionPolicy {
--- a/packages/forwarding/src/__tests__/unit/JayfallSharedSessions.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallSharedSessions.test.ts
@@ -15,7 +15,7 @@
 
   constructor (readonly clock: { now: number }, startedAt: number | undefined) {
     this.policy = new VersionPolicy({ sessionGap: SESSION_GAP_MILLISECONDS, exposureShare: 0.15 }, () => clock.now)
-    const rollout: Rollout = { order: { service: 'guide', version: 'v2', period: PERIOD_MILLISECONDS, revision: 5 }, startedAt: startedAt ?? 0, outcome: 'running' }
+    const rollout: Rollout = { order: { service: 'guide', version: 'v2', period: PERIOD_MILLISECONDS, position: { era: 1, revision: 5 } }, startedAt: startedAt ?? 0, outcome: 'running' }
     if (startedAt !== undefined) this.policy.setRollouts(new Map([['guide', rollout]]))
   }
 
