Keep servers out of use that left before the store came back from a copy

What callers could see: requests to servers that had announced their leaving, or were gone, because the store's copy listed them as ready (DRAIN). Cause: the list of a copy was taken for the newest word on each server, though this instance had read a later one. Change: a server that was seen to drain goes on draining, unless the entry is that of another start of it. One that is gone stays out of use until it writes its entry again, or its entry has outlasted the silence after which the store removes entries. Servers whose entries are missing in the copy are kept for the grace period, as after an outage.

--- a/packages/command/src/JayfallRequestTimeline.ts
+++ b/packages/command/src/JayfallRequestTimeline.ts
@@ -20,7 +20,7 @@
 
 /** Events that change the state an instance works with, each with the kind of object that it concerns. */
 const STATE_CHANGE_EVENTS: ReadonlyMap<string, string> = new Map([
-  ['catalogue_in_force', 'catalogue version'], ['server_known', 'server'], ['server_lapsed', 'server'], ['server_gone', 'server'],
+  ['catalogue_in_force', 'catalogue version'], ['server_known', 'server'], ['server_lapsed', 'server'], ['server_held_back', 'server'], ['server_gone', 'server'],
   ['store_lost', 'table'], ['store_regained', 'table'], ['rollout_ordered', 'service'], ['rollout_order_written_again', 'service'], ['store_came_back_from_copy', 'era'], ['table_read_in_new_era', 'table'], ['store_era_refuted', 'era'], ['prompt_suspected', 'prompt parts'], ['prompt_part_cleared', 'prompt part'], ['server_limited', 'server'], ['server_limit_ended', 'server'], ['rollout_known', 'service'], ['rollout_step', 'service'],
   ['started', 'instance'], ['stopping', 'instance'], ['settings_reloaded', 'settings']
 ])
--- a/packages/forwarding/src/JayfallForwardingCatalogue.ts
+++ b/packages/forwarding/src/JayfallForwardingCatalogue.ts
@@ -78,6 +78,8 @@
   readonly version: string
   readonly slots: number
   readonly isDraining: boolean
+  /** Unix milliseconds of the server's start, which tell its starts under one identifier apart; undefined when it names none. */
+  readonly startedAt?: number
 }
 
 /** An operator's order to move a service to another version. */
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -198,6 +198,8 @@
 /** Weight of one answer in the moving average of the old version's baseline times. */
 export const BASELINE_TIME_WEIGHT = 0.1
 
+/** Time for which an instance remembers servers that left, in milliseconds; longer than a copy from which the store comes back is old. */
+export const DEPARTED_SERVER_MEMORY_MILLISECONDS = 120_000
 /** Time after an outage of the store within which servers whose entries lapsed meanwhile register again. */
 export const LAPSED_ENTRY_GRACE_MILLISECONDS = 2000
 
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -47,6 +47,8 @@
   readonly exposureShare: number
   /** Maximum time between two requests of one session, in milliseconds. */
   readonly sessionGap: number
+  /** Time after which the store removes the entry of a silent server, in milliseconds. */
+  readonly serverEntryLifetime: number
   /** Time between SIGTERM and SIGKILL, in milliseconds. */
   readonly terminationGracePeriod: number
 }
@@ -96,7 +98,7 @@
     this.settings = settings
     this.metrics = dependencies.metrics ?? new Metrics()
     this.directory = new BackendDirectory(settings.zone)
-    this.state = new ForwardingState(this.directory, clock, log)
+    this.state = new ForwardingState(this.directory, clock, log, settings.serverEntryLifetime)
     this.versionPolicy = new VersionPolicy(settings, storeTime)
     this.retryBudget = new RetryBudget(settings.retryRatio)
     const promptCache = new PromptCacheTracker()
@@ -145,7 +147,7 @@
     const { source } = this.dependencies
     this.followStoreTable(source.operatorTable, reading => this.applyOperatorRows(reading))
     this.followStoreTable(source.serverTable, reading => this.applyServerRows(reading))
-    this.timers.push(setInterval(() => this.state.removeLapsedServers(), STATE_INTERVAL_MILLISECONDS), setInterval(() => this.advanceRollouts(), ROLLOUT_INTERVAL_MILLISECONDS))
+    this.timers.push(setInterval(() => this.state.updateServers(), STATE_INTERVAL_MILLISECONDS), setInterval(() => this.advanceRollouts(), ROLLOUT_INTERVAL_MILLISECONDS))
   }
 
   replaceSettings (settings: ForwardingSettings): void {
@@ -277,10 +279,11 @@
     this.rolloutCoordinator.applyEvidenceRows(rows, isNewEra)
   }
 
-  private applyServerRows ({ kind, rows, isAfterLoss: wasLost, isNewEra }: FeedReading): void {
-    const isAfterLoss = wasLost || isNewEra
+  private applyServerRows ({ kind, rows, isAfterLoss, isNewEra }: FeedReading): void {
     const changes = rows.map(({ key, value }) => ({ id: key, server: value === undefined ? undefined : this.dependencies.source.readServerRow(key, value) }))
-    if (kind === 'snapshot') this.state.applyServerSnapshot(changes, isAfterLoss)
+    if (isNewEra && kind === 'snapshot') this.state.applySnapshotOfCopy(changes)
+    else if (isNewEra) this.state.applyServersOfCopy(changes)
+    else if (kind === 'snapshot') this.state.applyServerSnapshot(changes, isAfterLoss)
     else this.state.applyServerChanges(changes, isAfterLoss)
   }
 }
--- a/packages/forwarding/src/JayfallForwardingState.ts
+++ b/packages/forwarding/src/JayfallForwardingState.ts
@@ -4,6 +4,7 @@
  * An older version of the catalogue never replaces a newer one. When the entries of servers expire around
  * an outage of the store, the servers are kept for a grace period, because running servers register again
  * after the outage. Until then they are used only when there is no other server, because they may have left.
+ * When the store comes back from a copy, a server that was seen to leave stays out of use.
  */
 
 import { type Clock } from '#jayfall/shared'
@@ -11,6 +12,7 @@
 import { type Log, type LogFields } from '#jayfall/telemetry'
 
 import { type BackendDirectory } from './JayfallBackendDirectory'
+import { DepartedServers, isSameIncarnation } from './JayfallDepartedServers'
 import { type BackendServer, type ForwardingCatalogue } from './JayfallForwardingCatalogue'
 import { LAPSED_ENTRY_GRACE_MILLISECONDS } from './JayfallForwardingConstants'
 import { RouteTable } from './JayfallRouteTable'
@@ -43,7 +45,12 @@
   /** Monotonic milliseconds until which missing entries may still reappear. */
   private graceUntil = -Infinity
 
-  constructor (private readonly directory: BackendDirectory, private readonly clock: Clock, private readonly log: Log) {}
+  private readonly departed: DepartedServers
+
+  /** @param entryLifetime milliseconds after which the store removes the entry of a silent server. */
+  constructor (private readonly directory: BackendDirectory, private readonly clock: Clock, private readonly log: Log, entryLifetime: number) {
+    this.departed = new DepartedServers(entryLifetime)
+  }
 
   /** undefined until the first catalogue is known. */
   get routes (): RouteTable | undefined {
@@ -80,12 +87,19 @@
     this.notifyReady()
   }
 
+  /** Applies how the list differs from the one before, after the store came back from a copy. */
+  applyServersOfCopy (changes: readonly ServerChange[]): void {
+    const now = this.clock.monotonic()
+    this.applyServerChanges(changes.flatMap(change => [...this.reviseChange(change, now)]), true)
+  }
+
   /** @param isAfterLoss whether the store was unreachable just before. */
   applyServerChanges (changes: readonly ServerChange[], isAfterLoss: boolean): void {
     const now = this.clock.monotonic()
     if (isAfterLoss) this.graceUntil = now + LAPSED_ENTRY_GRACE_MILLISECONDS
     this.hasServerList = true
     for (const { id, server } of changes) {
+      this.departed.forget(id)
       if (server === undefined) this.markServerLapsed(id, now)
       else this.addServer(server, now)
     }
@@ -94,14 +108,18 @@
 
   /** Replaces the list of servers; the entries of servers that are not listed have expired. */
   applyServerSnapshot (servers: readonly ServerChange[], isAfterLoss: boolean): void {
-    const listed = new Set(servers.map(({ id }) => id))
-    const missing = [...this.directory.rows.entries()].map(([id]) => id).filter(id => !listed.has(id))
-    this.applyServerChanges([...servers, ...missing.map(id => ({ id, server: undefined }))], isAfterLoss)
+    this.applyServerChanges(this.withMissing(servers), isAfterLoss)
+  }
+
+  /** Replaces the list of servers by that of a copy from which the store came back. */
+  applySnapshotOfCopy (servers: readonly ServerChange[]): void {
+    this.applyServersOfCopy(this.withMissing(servers))
   }
 
-  /** Removes the servers whose grace period has ended; called at an interval. */
-  removeLapsedServers (): void {
+  /** Removes the servers whose grace period has ended, and uses those that were held back long enough; called at an interval. */
+  updateServers (): void {
     const now = this.clock.monotonic()
+    for (const server of this.departed.release(now)) this.addServer(server, now)
     for (const [id, keptUntil] of this.lapsed) {
       if (now < keptUntil) continue
       this.lapsed.delete(id)
@@ -116,6 +134,25 @@
     for (const callback of readyCallbacks) callback()
   }
 
+  /** Adds the servers that are not listed any more to a whole list. */
+  private withMissing (servers: readonly ServerChange[]): readonly ServerChange[] {
+    const listed = new Set(servers.map(({ id }) => id))
+    const missing = [...this.directory.rows.entries()].map(([id]) => id).filter(id => !listed.has(id))
+    return [...servers, ...missing.map(id => ({ id, server: undefined }))]
+  }
+
+  /** Corrects an entry of a copy by what this instance saw since the copy was made. */
+  private * reviseChange ({ id, server }: ServerChange, now: number): Generator<ServerChange> {
+    if (server === undefined) return yield { id, server }
+    const known = this.directory.get(id)?.server
+    if (known === undefined && this.departed.hold(server, now)) {
+      this.log.info('server_held_back', { server: id, reason: 'it left after the copy of the store was made' })
+      return
+    }
+    const isDraining = server.isDraining || (known !== undefined && known.isDraining && isSameIncarnation(known, server))
+    yield { id, server: { ...server, isDraining } }
+  }
+
   private addServer (server: BackendServer, now: number): void {
     const known = this.directory.get(server.id)
     this.lapsed.delete(server.id)
@@ -133,6 +170,8 @@
   }
 
   private removeServer (id: string): void {
+    const known = this.directory.get(id)
+    if (known !== undefined) this.departed.recordDeparture(known.server, this.clock.monotonic())
     this.directory.delete(id)
     this.log.info('server_gone', { server: id })
   }
--- a/packages/forwarding/src/__tests__/unit/JayfallHealthProbe.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallHealthProbe.test.ts
@@ -37,7 +37,7 @@
       })
     })
     await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-    const probe = new HealthProbe(protocol, new ForwardingState(new BackendDirectory('valdivia'), new ManualClock(), silentLog), silentLog)
+    const probe = new HealthProbe(protocol, new ForwardingState(new BackendDirectory('valdivia'), new ManualClock(), silentLog, 3600), silentLog)
     assert.equal(await probe.queryLoad(`127.0.0.1:${(server.address() as AddressInfo).port}`, 'guide'), 3)
     assert.equal(await Promise.race([closed, new Promise(resolve => { setTimeout(resolve, CLOSE_TIMEOUT_MILLISECONDS).unref() })]), true)
   })
