Take a refusal of another request for none of this one

What callers could see: 503 for a request that a server ran, or a request that must run once at a second server (REFUSED, TWICE). Cause: an answer that says 'not run' was believed before its identifier was compared with that of the request. Change: a refusal that bears another identifier is an answer of another request, after which the outcome is not known. Result: three tests (429, 503, 421) fail before with status 503, and pass.

--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -127,7 +127,9 @@
     // Only what the server itself answered to this request shows that its limit has ended.
     if (fields.rateLimit !== undefined || (fields.isSigned && fields.requestId === this.request.requestId)) limits.recordAnswer(attempt.server.id, fields.rateLimit, startedAt)
     if (fields.load !== undefined && (fields.server === undefined || fields.server === attempt.server.id)) directory.recordLoad(attempt.server.id, fields.load, clock.monotonic())
-    if (fields.isNotRun || NOT_RUN_STATUSES.has(status)) return { kind: 'not_run', status }
+    // A refusal of another request says nothing about this one, which may be running.
+    const isOfAnotherRequest = fields.requestId !== undefined && fields.requestId !== this.request.requestId
+    if (!isOfAnotherRequest && (fields.isNotRun || NOT_RUN_STATUSES.has(status))) return { kind: 'not_run', status }
     if (fields.requestId !== this.request.requestId) return { kind: 'broken', cause: 'the answer belongs to another request' }
     if (fields.isEncoded) return { kind: 'broken', cause: 'the answer is encoded' }
     const isSuccess = status >= 200 && status < 300
