Ignore odd entries of other writers wherever they would be used or passed on

What callers could see: an instance that ends by itself, or no longer learns of servers (LOST), after one odd entry in the list of servers. Cause: a port of 99,999 or 0 or an address that is none passed the check of the entry, and became a server to connect to. Slots of 1e300 drew all requests. A value that is nested 50,000 levels deep can be read, but not encoded again: the stack overflows where a reader passes it on, so that its callers get no changes of that table. A socket that sends datagrams throws for a port out of range. Change: entries name an IPv4 address and a port from 1 to 65,535, and at most 100,000 slots. Values nested more than 64 levels deep are unreadable. Rows of instances and addresses of datagrams are checked in the same way.

--- a/packages/feeds/src/JayfallInstanceRegistry.ts
+++ b/packages/feeds/src/JayfallInstanceRegistry.ts
@@ -9,7 +9,7 @@
  * Ages are measured since this process saw a row, because the times of day of instances may differ or jump.
  */
 
-import { delay, messageOf, type Clock, type RandomSource } from '#jayfall/shared'
+import { delay, isSocketAddress, messageOf, type Clock, type RandomSource } from '#jayfall/shared'
 import { comparePositions, isPlatformError, type TableChange, type TablePosition, type TableStore, type WatchableTableStore } from '#jayfall/store'
 import { type Log } from '#jayfall/telemetry'
 import * as z from 'zod'
@@ -21,7 +21,7 @@
 const instanceRow = z.object({
   id: z.string(),
   zone: z.string(),
-  address: z.string(),
+  address: z.string().refine(isSocketAddress),
   /** Bandwidth of the link in Mbit/s; absent in rows that older versions wrote. */
   link: z.number().positive().optional(),
   /** Time of the write, in wall-clock milliseconds; read by older versions only. */
--- a/packages/peers/src/JayfallPeerDatagrams.ts
+++ b/packages/peers/src/JayfallPeerDatagrams.ts
@@ -7,7 +7,7 @@
 
 import * as dgram from 'node:dgram'
 
-import { type Clock } from '#jayfall/shared'
+import { isSocketAddress, type Clock } from '#jayfall/shared'
 import { type Log } from '#jayfall/telemetry'
 
 import { DATAGRAM_LOG_INTERVAL_MILLISECONDS, MAXIMUM_DATAGRAM_BURST, MAXIMUM_DATAGRAMS_PER_SECOND } from './JayfallPeerConstants'
@@ -75,6 +75,10 @@
     if (this.isClosed) return
     const bytes = Buffer.from(JSON.stringify(message))
     for (const address of addresses) {
+      if (!isSocketAddress(address)) {
+        this.failed++
+        continue
+      }
       const [host, port] = address.split(':')
       this.socket.send(bytes, Number(port), host, error => { if (error !== null) this.failed++ })
     }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,5 +1,6 @@
 export { beginChunkedResponse, encodeChunk, LAST_CHUNK } from './JayfallChunkedCoding'
 export { Clock, ManualClock, SystemClock, delay } from './JayfallClock'
+export { isSocketAddress } from './JayfallSocketAddress'
 export { EventQueue } from './JayfallEventQueue'
 export { JayfallError, messageOf, type ErrorInfo } from './JayfallError'
 export { halfLifeWeight } from './JayfallHalfLife'
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -6,4 +6,5 @@
 export { PlatformHttp, type PlatformReply, type PlatformSettings } from './JayfallPlatformHttp'
 export { PlatformServices, type AnswerRating, type ListedInstance, type RatingPage } from './JayfallPlatformServices'
 export { HttpTableStore, TableStore, WatchableTableStore, conflictsOf, listRows, type TableChange, type TableChanges, type TableConflict, type TableRow, type TableWrite } from './JayfallTableStore'
+export { parseStoredValue } from './JayfallStoredValue'
 export { FIRST_POSITION, comparePositions, formatPosition, isAfter, laterPosition, type TablePosition } from './JayfallTablePosition'
