--- a/packages/forwarding/src/__tests__/unit/JayfallRolloutCoordinator.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallRolloutCoordinator.test.ts
@@ -50,6 +50,17 @@
     })
   })
 
+  describe('beside other instances', () => {
+    // Failure at others: around a hand-over between two processes both acted for a moment, and orders went out twice.
+    it('makes each step once, however many instances try (guards against steps that are made twice)', async () => {
+      const tables = new MemoryTables()
+      const fixtures = Array.from({ length: 9 }, (_, index) => new RolloutFixture(tables, `entry-${index}`))
+      await Promise.all(fixtures.map(fixture => fixture.start()))
+      await Promise.all(fixtures.map(fixture => fixture.rollBack()))
+      assert.deepEqual(tables.statusWrites, [{ state: 'running', to: 'v2' }, { state: 'rolled_back', to: 'v2' }])
+    })
+  })
+
   describe('after the store came back from a copy', () => {
     // Failure: operators wrote an order again that was lost, and the instances began its rollout anew, with a version that they had just rolled back.
     it('keeps a version rolled back whose order and steps are lost (guards against exposure to a version that is known to be bad)', async () => {
--- a/packages/forwarding/src/__tests__/unit/JayfallRolloutFixture.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallRolloutFixture.ts
@@ -19,6 +19,8 @@
   rows: ReadonlyMap<string, TableRow> = new Map()
   revision = 10
   era = 1
+  /** What operators were told, in order. */
+  readonly statusWrites: unknown[] = []
   isDown = false
   /** Transactions are never answered. */
   isSilent = false
@@ -30,6 +32,7 @@
     if (conflicts.length > 0) throw new PlatformError('conflict', 'a condition did not hold')
     this.revision++
     for (const { table, key, value } of writes) this.rows = new Map([...this.rows, [`${table}/${key}`, { key, value, revision: this.revision }]])
+    for (const { table, value } of writes) if (table === 'status') this.statusWrites.push(value)
     return writes.map(() => this.revision)
   }
 
