Ask other instances when the store goes on turning one away

Cause: after a failure of its own reading, an instance asked only the store for 2 s, and each further failure began these 2 s anew. Once an outage had made its own readings fail, an instance that the store went on turning away, or did not answer, never asked the others again, though they knew every change. Two more rules kept it from them: a reader that had lost the store too was excluded like one that is gone, for up to 160 s, and the preferred reader of all had nobody to ask. Evidence: the test sees no change within 4 s at one instance of nine, and all others know it. Change: the 2 s count from the first failure since the store last answered. A reader that answers but has lost the store is asked again after 1 s. An instance that is turned away and has no reader before it asks those after it; readings that are not fresh are not passed on, so a circle ends.

--- a/packages/feeds/src/JayfallFeedConstants.ts
+++ b/packages/feeds/src/JayfallFeedConstants.ts
@@ -37,7 +37,11 @@
  */
 export const FIRST_EXCLUSION_MILLISECONDS = 5000
 export const MAXIMUM_EXCLUSION_MILLISECONDS = 160_000
-/** Time for which an instance reads only from the store after its own read of the store failed, in milliseconds. */
+/** Time for which a reader is not asked that answers but has lost the store, in milliseconds. */
+export const STALE_READER_EXCLUSION_MILLISECONDS = 1000
+/** Time after which a failure of the store says nothing about the next one, in milliseconds. */
+export const OWN_FAILURE_MEMORY_MILLISECONDS = 30_000
+/** Time for which an instance reads only from the store after its own read of the store first failed, in milliseconds. */
 export const PEER_READ_SUSPENSION_MILLISECONDS = 2000
 /** Number of changed rows that a reader keeps for other instances, which need those of the last second or two. */
 export const MAXIMUM_HISTORY_ROWS = 2000
--- a/packages/feeds/src/JayfallPeerChangesReader.ts
+++ b/packages/feeds/src/JayfallPeerChangesReader.ts
@@ -122,7 +122,7 @@
     try {
       const replies = await client.changes(reader, { tables, wait: isForEra ? ERA_WAIT_MILLISECONDS : 0, notify: noticeAddress(), latestEra: latestEra() })
       const isStale = Object.values(replies).some(reply => reply.kind === 'refused' && reply.reason === 'stale')
-      if (isStale && !isForEra) this.excludeReader(reader, 'its own reading is stale')
+      if (isStale && !isForEra) this.leaveStaleReader(reader)
       else if (!isStale) readerSelector.recordReaderSuccess(reader.id)
       for (const read of reads) read.resolve(this.toFetchResult(reader, read, replies[read.table]))
     } catch (error) {
@@ -144,6 +144,13 @@
     return { reader: reader.id, reading: { ...reading, storeTime: storeTime - age }, readAt: now - age }
   }
 
+  private leaveStaleReader (reader: FeedInstance): void {
+    const { readerSelector, notices, clock, log } = this.parts
+    readerSelector.recordStaleReader(reader.id, clock.monotonic())
+    notices.forget(reader.id)
+    log.warn('feed_reader_lost', { reader: reader.id, address: reader.address, reason: 'its own reading is stale' })
+  }
+
   private excludeReader (reader: FeedInstance, reason: string): void {
     const { readerSelector, notices, clock, log } = this.parts
     readerSelector.recordReaderFailure(reader.id, clock.monotonic())
--- a/packages/feeds/src/JayfallReaderSelector.ts
+++ b/packages/feeds/src/JayfallReaderSelector.ts
@@ -6,11 +6,14 @@
  * messages. An instance to which a reader does not answer excludes that reader for some time and takes the next one.
  * An instance only reads from one that is ranked before it, so that there are no cycles. Several readers at the same
  * time are harmless: changes are only read more often from the store.
+ *
+ * An instance that the store turns away reads from any other one. That makes no cycle either: readings that are not
+ * fresh are not passed on, and only the store makes fresh ones.
  */
 
 import { rendezvousWeight } from '#jayfall/shared'
 
-import { MAXIMUM_EXCLUSION_MILLISECONDS, PEER_READ_SUSPENSION_MILLISECONDS, FIRST_EXCLUSION_MILLISECONDS, WIDE_LINK_FRACTION } from './JayfallFeedConstants'
+import { MAXIMUM_EXCLUSION_MILLISECONDS, OWN_FAILURE_MEMORY_MILLISECONDS, PEER_READ_SUSPENSION_MILLISECONDS, FIRST_EXCLUSION_MILLISECONDS, STALE_READER_EXCLUSION_MILLISECONDS, WIDE_LINK_FRACTION } from './JayfallFeedConstants'
 
 /** An instance that can read for other instances of its zone. */
 export interface FeedInstance {
@@ -44,8 +47,12 @@
   /** Excluded readers by identifier. */
   private readonly exclusions = new Map<string, Exclusion>()
   private isPreferredInZone = false
+  /** The preferred readers of the zones and then the instances of the zone that are ranked after this one. */
+  private laterReaders: readonly FeedInstance[] = []
   private hasOthers = false
   private lastOwnFailureAt = -Infinity
+  /** Time of the first failure since the store last answered this instance; undefined when it answered the last call. */
+  private firstOwnFailureAt: number | undefined
   /** Weights of the ranking by identifier. */
   private readonly weights = new Map<string, number>()
 
@@ -66,19 +73,27 @@
     this.zoneReaders = rankedBefore(inZone, this.id)
     this.isPreferredInZone = inZone[0].id === this.id
     const preferred = [...new Set(all.map(({ zone }) => zone))].map(zone => this.rankReaders(all.filter(instance => instance.zone === zone))[0])
-    this.roots = rankedBefore(this.rankReaders(preferred), this.id)
+    const rankedRoots = this.rankReaders(preferred)
+    this.roots = rankedBefore(rankedRoots, this.id)
+    const earlier = new Set([...this.zoneReaders, ...this.roots, own].map(({ id }) => id))
+    this.laterReaders = [...rankedRoots, ...inZone].filter(({ id }, index, ranked) => !earlier.has(id) && ranked.findIndex(other => other.id === id) === index)
     this.hasOthers = all.length > 1
     const ids = new Set(all.map(({ id }) => id))
     for (const id of this.exclusions.keys()) if (!ids.has(id)) this.exclusions.delete(id)
   }
 
-  /** Records that a reader did not answer or has lost the store, and excludes it. */
+  /** Records that a reader did not answer, and excludes it. */
   recordReaderFailure (id: string, now: number): void {
     const previous = this.exclusions.get(id)
-    const duration = previous === undefined ? FIRST_EXCLUSION_MILLISECONDS : Math.min(MAXIMUM_EXCLUSION_MILLISECONDS, previous.duration * 2)
+    const duration = Math.min(MAXIMUM_EXCLUSION_MILLISECONDS, Math.max(FIRST_EXCLUSION_MILLISECONDS, (previous?.duration ?? 0) * 2))
     this.exclusions.set(id, { until: now + duration, duration })
   }
 
+  /** Records that a reader has lost the store. It answers, so it is asked again soon. */
+  recordStaleReader (id: string, now: number): void {
+    this.exclusions.set(id, { until: now + STALE_READER_EXCLUSION_MILLISECONDS, duration: this.exclusions.get(id)?.duration ?? 0 })
+  }
+
   /** Records that a reader answered, and ends its exclusion. */
   recordReaderSuccess (id: string): void {
     this.exclusions.delete(id)
@@ -86,13 +101,21 @@
 
   /** Records that the store did not answer this instance. In this case it most likely does not answer the readers either. */
   recordOwnFailure (now: number): void {
+    if (now - this.lastOwnFailureAt > OWN_FAILURE_MEMORY_MILLISECONDS) this.firstOwnFailureAt = undefined
+    this.firstOwnFailureAt ??= now
     this.lastOwnFailureAt = now
   }
 
+  /** Records that the store answered this instance. */
+  recordOwnSuccess (): void {
+    this.firstOwnFailureAt = undefined
+  }
+
   /** Forgets all failures: the store answers again, so that readers whose readings were late can read again too. */
   forgetFailures (): void {
     this.exclusions.clear()
     this.lastOwnFailureAt = -Infinity
+    this.firstOwnFailureAt = undefined
   }
 
   roleAt (now: number): FeedRole {
@@ -107,8 +130,12 @@
 
   /** The instance to read from, or undefined when this instance reads from the store itself. */
   selectReader (now: number): FeedInstance | undefined {
-    if (now - this.lastOwnFailureAt < PEER_READ_SUSPENSION_MILLISECONDS) return undefined
-    return this.findUsable(this.roleAt(now) === 'follower' ? this.zoneReaders : this.roots, now)
+    const hasFailed = now - this.lastOwnFailureAt < PEER_READ_SUSPENSION_MILLISECONDS
+    // Others may be able to read when the store goes on turning this instance away.
+    const isTurnedAway = hasFailed && this.firstOwnFailureAt !== undefined && now - this.firstOwnFailureAt >= PEER_READ_SUSPENSION_MILLISECONDS
+    if (hasFailed && !isTurnedAway) return undefined
+    const reader = this.findUsable(this.roleAt(now) === 'follower' ? this.zoneReaders : this.roots, now)
+    return reader ?? (isTurnedAway ? this.findUsable(this.laterReaders, now) : undefined)
   }
 
   private findUsable (readers: readonly FeedInstance[], now: number): FeedInstance | undefined {
--- a/packages/feeds/src/JayfallSharedTableStore.ts
+++ b/packages/feeds/src/JayfallSharedTableStore.ts
@@ -204,6 +204,7 @@
     const { store, clock, log } = this.parts
     const { latest: expectedEra } = this.eraSignal
     const reading = await store.snapshot(table)
+    this.readerSelector.recordOwnSuccess()
     const { era } = reading.position
     this.learnEra(era)
     if (era < expectedEra) {
@@ -249,7 +250,10 @@
   /** Reads changes from the store; resolves to undefined when a new era of the store has begun. */
   private async readFromStore (table: string, after: TablePosition, wait: number, history: FeedHistory): Promise<TableChanges | undefined> {
     const { store, clock } = this.parts
-    const reading = store.changes(table, after, wait === 0 ? 0 : this.waitAt(clock.monotonic(), table, history)).catch((error: unknown) => {
+    const reading = store.changes(table, after, wait === 0 ? 0 : this.waitAt(clock.monotonic(), table, history)).then(answer => {
+      this.readerSelector.recordOwnSuccess()
+      return answer
+    }, (error: unknown) => {
       if (isPlatformError(error, 'era_changed')) this.learnEra(store.era)
       if (this.eraSignal.latest > after.era) return undefined
       if (!isPlatformError(error, 'history_lost')) this.readerSelector.recordOwnFailure(clock.monotonic())
--- a/packages/feeds/src/__tests__/integration/JayfallSharedTableStore.test.ts
+++ b/packages/feeds/src/__tests__/integration/JayfallSharedTableStore.test.ts
@@ -268,15 +268,20 @@
   })
 
   // Failure: an instance whose own calls failed during an outage asked only the store from then on. While the store answered all others but not this one, it stayed behind (issue 31, 404 for an added route 3.5 s after its acknowledgement).
-  it('delivers changes to an instance that the store goes on turning away after an outage (guards against an instance that stays behind)', async () => {
-    await startSharing()
-    const followers = members.filter(({ shared }) => shared.maximumReadPause === Infinity)
-    for (const { own } of members) own.isCutOff = true
-    await delay(3000)
-    for (const member of members) member.own.isCutOff = member === followers[0]
-    rows.current.put('op', 'config', 'after the outage')
-    assert.ok(await timeUntilKnown('after the outage') < PROPAGATION_LIMIT_MILLISECONDS)
-  })
+  for (const role of ['follower', 'reader of a zone', 'root'] as const) {
+    it(`delivers changes to a ${role} that the store goes on turning away after an outage (guards against an instance that stays behind)`, async () => {
+      const root = await startSharing()
+      const turnedAway = members.find(member => role === 'root' ? member === root : member !== root && (member.shared.maximumReadPause === Infinity) === (role === 'follower'))
+      for (const { own } of members) own.isCutOff = true
+      await delay(3000)
+      for (const member of members) member.own.isCutOff = member === turnedAway
+      for (const value of ['first', 'second', 'third']) {
+        rows.current.put('op', 'config', value)
+        assert.ok(await timeUntilKnown(value) < PROPAGATION_LIMIT_MILLISECONDS)
+        await delay(700)
+      }
+    })
+  }
 
   // Failure: instances read on after numbers that the store had given out again, and missed the rows up to there.
   for (const [name, cutOff] of [['', 0], [' while some instances are cut off from it', 3]] as const) {
--- a/packages/feeds/src/__tests__/unit/JayfallFeeds.test.ts
+++ b/packages/feeds/src/__tests__/unit/JayfallFeeds.test.ts
@@ -8,7 +8,7 @@
 import { ManualClock } from '#jayfall/shared'
 
 import { ChangesServer } from '../../JayfallChangesServer'
-import { FIRST_EXCLUSION_MILLISECONDS, MAXIMUM_HISTORY_ROWS, PEER_TIMEOUT_MILLISECONDS, REFRESH_WAIT_MILLISECONDS } from '../../JayfallFeedConstants'
+import { FIRST_EXCLUSION_MILLISECONDS, MAXIMUM_HISTORY_ROWS, PEER_READ_SUSPENSION_MILLISECONDS, PEER_TIMEOUT_MILLISECONDS, REFRESH_WAIT_MILLISECONDS, STALE_READER_EXCLUSION_MILLISECONDS } from '../../JayfallFeedConstants'
 import { FeedHistory } from '../../JayfallFeedHistory'
 import { FeedSubscribers } from '../../JayfallFeedSubscribers'
 import { DEFAULT_FEED_LIMITS, deriveFeedTimings } from '../../JayfallFeedTimings'
@@ -138,6 +138,26 @@
       assert.equal(follower.selectReader(1001), undefined)
     })
 
+    // Failure: each further failure of the store began the time anew in which an instance asked only the store, so that it stayed behind for as long as the store turned it away.
+    it('asks others when the store goes on turning the instance away, and the store again at times (guards against an instance that stays behind)', () => {
+      for (const selector of createSelectors(createInstances(6, 3)).values()) {
+        for (const time of [0, 700, 1400, 2100]) selector.recordOwnFailure(time)
+        assert.notEqual(selector.selectReader(2101), undefined)
+        if (selector.roleAt(2101) === 'root') assert.equal(selector.selectReader(2100 + PEER_READ_SUSPENSION_MILLISECONDS), undefined)
+      }
+    })
+
+    it('asks a reader again soon that has lost the store, and never excludes it for longer (guards against a reader that is not asked when the store is back)', () => {
+      const follower = createFollower(createInstances(6))
+      const first = follower.selectReader(0)
+      assert.ok(first !== undefined)
+      for (let time = 0; time <= 8000; time += STALE_READER_EXCLUSION_MILLISECONDS) {
+        assert.equal(follower.selectReader(time)?.id, first.id)
+        follower.recordStaleReader(first.id, time)
+        assert.notEqual(follower.selectReader(time + 1)?.id, first.id)
+      }
+    })
+
     // Instances exclude different readers, and any of them may have become a reader of others.
     it('never reads in a circle, whatever each instance has excluded (guards against readers that wait for each other)', () => {
       fastCheck.assert(fastCheck.property(fastCheck.integer({ min: 2, max: 12 }), fastCheck.array(fastCheck.tuple(fastCheck.nat(11), fastCheck.nat(11)), { maxLength: 30 }), fastCheck.uniqueArray(fastCheck.nat(11)), (count, exclusions, subscribed) => {
