Let readers hand whole tables to instances that the store turns away

Cause: a reader that has started since keeps no changes from before its start. It refuses the caller, which then asks the store, and that does not answer it. During a rolling restart no reader is left that could help. Change: a caller that the store turns away says so, and a reader that lacks its changes reads the table for it, once for all callers at a time, within the limit of its link. The caller takes the rows that differ from what it knows.

--- a/packages/feeds/src/JayfallChangesServer.ts
+++ b/packages/feeds/src/JayfallChangesServer.ts
@@ -1,6 +1,7 @@
 /** Answers the calls of other instances from the recent changes of the tables that this instance follows. */
 
 import { type Clock } from '#jayfall/shared'
+import { isPlatformError, type TableChanges } from '#jayfall/store'
 
 import { MAXIMUM_RELAYED_BYTES, MINIMUM_RELAYED_BYTES, REFRESH_WAIT_MILLISECONDS, RELAY_SECONDS } from './JayfallFeedConstants'
 import { type FeedHistory } from './JayfallFeedHistory'
@@ -21,6 +22,8 @@
   readonly clock: Clock
   /** Makes this instance renew its own reading. @param era the latest era of the store that the caller has heard of. */
   readonly refresh: (era: number) => void
+  /** Reads all rows of a table from the store. */
+  readonly readRows: (table: string) => Promise<TableChanges>
 }
 
 /** Serves changes to the instances that read from this one. */
@@ -29,6 +32,8 @@
   /** Functions that wake the calls waiting for a change. */
   private readonly wakeCallbacks = new Set<() => void>()
   private readonly encoder = new ChangeEncoder()
+  /** Readings of whole tables that have not ended. */
+  private readonly rowReadings = new Map<string, Promise<TableChanges>>()
 
   constructor (private readonly parts: ChangesServerParts) {
     super()
@@ -45,7 +50,7 @@
       const replies = Object.entries(request.tables).map(([table, position]) => [table, this.answerTable(table, position, request.latestEra, now, limit)] as const)
       const isLate = replies.some(([, reply]) => isStale(reply)) && !this.isStopping
       const end = start + Math.max(request.wait, isLate ? REFRESH_WAIT_MILLISECONDS : 0)
-      if (now >= end || (!isLate && replies.some(([, reply]) => isReadyToSend(reply)))) return Object.fromEntries(replies)
+      if (now >= end || (!isLate && replies.some(([, reply]) => isReadyToSend(reply)))) return this.completeReplies(replies, request, limit)
       const woken = this.waitForReading(end - now)
       if (isLate) refresh(request.latestEra)
       await woken
@@ -63,6 +68,35 @@
     this.notifyOfReading()
   }
 
+  /** Adds the rows of tables whose changes are not kept, if the caller cannot read them itself. */
+  private async completeReplies (replies: readonly (readonly [string, TableReply])[], { acceptsRows }: ChangesRequest, limit: number): Promise<ChangesReply> {
+    const completed = replies.map(async ([table, reply]) => {
+      const lacksChanges = reply.kind === 'refused' && reply.reason === 'not_kept' && this.parts.histories.has(table)
+      return [table, acceptsRows && lacksChanges ? await this.answerRows(table, limit) : reply] as const
+    })
+    return Object.fromEntries(await Promise.all(completed))
+  }
+
+  private async answerRows (table: string, limit: number): Promise<TableReply> {
+    try {
+      const { changes, position, storeTime } = await this.readRows(table)
+      const rows = this.encoder.encodeWithin(limit, changes)
+      return rows === undefined ? { kind: 'refused', reason: 'too_large' } : { kind: 'rows', reading: { changes: rows, ...position, storeTime }, age: 0 }
+    } catch (error) {
+      if (isPlatformError(error)) return { kind: 'refused', reason: 'stale' }
+      throw error
+    }
+  }
+
+  /** Reads all rows of a table. Calls at the same time share one reading. */
+  private readRows (table: string): Promise<TableChanges> {
+    const running = this.rowReadings.get(table)
+    if (running !== undefined) return running
+    const reading = this.parts.readRows(table).finally(() => this.rowReadings.delete(table))
+    this.rowReadings.set(table, reading)
+    return reading
+  }
+
   private answerTable (table: string, { revision, era: requestedEra }: RequestedPosition, latestEra: number, now: number, limit: number): TableReply {
     const history = this.parts.histories.get(table)
     if (this.isStopping) return { kind: 'refused', reason: 'stale' }
@@ -105,5 +139,5 @@
 }
 
 function isReadyToSend (reply: TableReply): boolean {
-  return reply.kind === 'refused' || reply.reading.changes.length > 0
+  return reply.kind !== 'changes' || reply.reading.changes.length > 0
 }
--- a/packages/feeds/src/JayfallFeedHistory.ts
+++ b/packages/feeds/src/JayfallFeedHistory.ts
@@ -73,11 +73,21 @@
     if (position.era < this.latest.era) return
     // Within an era, the rows that were added and removed since are unknown, so instances behind cannot be served.
     const isNewEra = this.completeAfter !== END_POSITION && position.era > this.latest.era
-    if (isNewEra) this.retainDifferences(rows, position)
-    else this.begin(rows, position)
+    if (!isNewEra) this.begin(rows, position)
+    else for (const change of this.differencesTo(rows, position)) this.retain(change)
     this.setLatest(position, storeTime, readAt)
   }
 
+  /**
+   * Replaces what is known by all rows of the table that another instance read, and returns them as the changes since
+   * the latest position: the rows that differ.
+   */
+  adopt (reading: TableChanges, readAt: number): TableChanges {
+    const changes = this.differencesTo(reading.changes, reading.position)
+    this.replace(reading, readAt)
+    return { ...reading, changes }
+  }
+
   /** Adds the changes that were read after the position `after`. */
   append (after: TablePosition, { changes, position, storeTime }: TableChanges, readAt: number): void {
     if (position.era < this.latest.era) return
@@ -104,12 +114,12 @@
     this.eraRanges.set(position.era, { first: position.revision, last: position.revision })
   }
 
-  /** Keeps the rows that a reading of the whole table in a new era shows to be different. */
-  private retainDifferences (rows: readonly TableChange[], position: TablePosition): void {
+  /** The rows of the whole table that are different from what is known, and those that are known and missing. */
+  private differencesTo (rows: readonly TableChange[], position: TablePosition): readonly TableChange[] {
     const keys = new Set(rows.map(({ key }) => key))
     const changed = rows.filter(({ key, value }) => this.digests.get(key) !== digestOf(value))
     const removed = [...this.digests.keys()].filter(key => !keys.has(key)).map(key => ({ key, value: undefined, position }))
-    for (const change of [...changed, ...removed].sort((left, right) => comparePositions(left.position, right.position))) this.retain(change)
+    return [...changed, ...removed].sort((left, right) => comparePositions(left.position, right.position))
   }
 
   /** Whether all changes since the position are known. In the present era, a position after the latest one is that of an instance that knows more. */
--- a/packages/feeds/src/JayfallFeedPeerClient.ts
+++ b/packages/feeds/src/JayfallFeedPeerClient.ts
@@ -20,7 +20,9 @@
   /** IP address and port to which the reader sends notices of its readings. */
   notify: z.string().optional(),
   /** The latest era of the store that the caller has heard of. */
-  latestEra: z.number().nonnegative().prefault(0)
+  latestEra: z.number().nonnegative().prefault(0),
+  /** Whether the caller takes all rows of a table when changes are not kept, because the store does not answer it. */
+  acceptsRows: z.boolean().prefault(false)
 }).readonly()
 
 type ReceivedRequest = z.infer<typeof changesRequest>
@@ -56,6 +58,8 @@
 export type TableReply =
   /** `age`: milliseconds since the last read of the table from the store. */
   | { readonly kind: 'changes', readonly reading: RelayedChanges, readonly age: number }
+  /** All rows of the table, for a caller that accepts them. */
+  | { readonly kind: 'rows', readonly reading: RelayedChanges, readonly age: number }
   | { readonly kind: 'refused', readonly reason: RefusalReason }
 
 /** The replies by table name. */
--- a/packages/feeds/src/JayfallPeerChangesReader.ts
+++ b/packages/feeds/src/JayfallPeerChangesReader.ts
@@ -22,6 +22,8 @@
   readonly reading: TableChanges
   /** Time at which the reader read them from the store, in monotonic milliseconds of this instance. */
   readonly readAt: number
+  /** Whether the reading holds all rows of the table instead of changes. */
+  readonly isWhole?: boolean
 }
 
 /** `failed`: the reader did not answer or has lost the store; `waiting`: it has not reached the era that was asked for; `refused`: it cannot serve the table. */
@@ -75,8 +77,9 @@
         continue
       }
       const result = await this.fetch(reader, table, position)
-      if (result === 'refused') return undefined
-      if (result !== 'failed' && result !== 'waiting') return result
+      if (result === 'refused' && !readerSelector.isTurnedAway(clock.monotonic())) return undefined
+      if (result === 'refused') readerSelector.recordStaleReader(reader.id, clock.monotonic())
+      if (typeof result !== 'string') return result
       failures++
     }
     return undefined
@@ -114,13 +117,13 @@
   }
 
   private async callReader (reader: FeedInstance): Promise<void> {
-    const { client, readerSelector, noticeAddress, latestEra } = this.parts
+    const { client, readerSelector, noticeAddress, latestEra, clock } = this.parts
     const reads = this.pendingReads.get(reader.id) ?? []
     this.pendingReads.delete(reader.id)
     const isForEra = reads.some(read => read.isForEra)
     const tables = Object.fromEntries(reads.map(({ table, position }) => [table, position]))
     try {
-      const replies = await client.changes(reader, { tables, wait: isForEra ? ERA_WAIT_MILLISECONDS : 0, notify: noticeAddress(), latestEra: latestEra() })
+      const replies = await client.changes(reader, { tables, wait: isForEra ? ERA_WAIT_MILLISECONDS : 0, notify: noticeAddress(), latestEra: latestEra(), acceptsRows: readerSelector.isTurnedAway(clock.monotonic()) })
       const isStale = Object.values(replies).some(reply => reply.kind === 'refused' && reply.reason === 'stale')
       if (isStale && !isForEra) this.leaveStaleReader(reader)
       else if (!isStale) readerSelector.recordReaderSuccess(reader.id)
@@ -132,8 +135,8 @@
   }
 
   private toFetchResult (reader: FeedInstance, { table, position: after, isForEra }: PendingRead, reply: TableReply | undefined): FetchResult {
-    if (reply?.kind !== 'changes') return reply?.reason !== 'stale' ? 'refused' : isForEra ? 'waiting' : 'failed'
-    const { age } = reply
+    if (reply === undefined || reply.kind === 'refused') return reply?.reason !== 'stale' ? 'refused' : isForEra ? 'waiting' : 'failed'
+    const { kind, age } = reply
     const reading = decodeReading(reply.reading)
     const { position, storeTime } = reading
     // A reader of an older version names no era, so its numbers may belong to another one.
@@ -141,7 +144,7 @@
     const now = this.parts.clock.monotonic()
     // The next read needs no call until a notice tells of a change.
     this.parts.notices.record({ feed: 'notice', reader: reader.id, storeTime, tables: { [table]: encodeTableNotice(position, position, age) } }, now)
-    return { reader: reader.id, reading: { ...reading, storeTime: storeTime - age }, readAt: now - age }
+    return { reader: reader.id, reading: { ...reading, storeTime: storeTime - age }, readAt: now - age, isWhole: kind === 'rows' }
   }
 
   private leaveStaleReader (reader: FeedInstance): void {
--- a/packages/feeds/src/JayfallReaderSelector.ts
+++ b/packages/feeds/src/JayfallReaderSelector.ts
@@ -130,14 +130,21 @@
 
   /** The instance to read from, or undefined when this instance reads from the store itself. */
   selectReader (now: number): FeedInstance | undefined {
-    const hasFailed = now - this.lastOwnFailureAt < PEER_READ_SUSPENSION_MILLISECONDS
-    // Others may be able to read when the store goes on turning this instance away.
-    const isTurnedAway = hasFailed && this.firstOwnFailureAt !== undefined && now - this.firstOwnFailureAt >= PEER_READ_SUSPENSION_MILLISECONDS
-    if (hasFailed && !isTurnedAway) return undefined
+    const isTurnedAway = this.isTurnedAway(now)
+    if (this.hasFailedLately(now) && !isTurnedAway) return undefined
     const reader = this.findUsable(this.roleAt(now) === 'follower' ? this.zoneReaders : this.roots, now)
     return reader ?? (isTurnedAway ? this.findUsable(this.laterReaders, now) : undefined)
   }
 
+  /** Whether the store goes on not answering this instance, while it may answer others. */
+  isTurnedAway (now: number): boolean {
+    return this.hasFailedLately(now) && this.firstOwnFailureAt !== undefined && now - this.firstOwnFailureAt >= PEER_READ_SUSPENSION_MILLISECONDS
+  }
+
+  private hasFailedLately (now: number): boolean {
+    return now - this.lastOwnFailureAt < PEER_READ_SUSPENSION_MILLISECONDS
+  }
+
   private findUsable (readers: readonly FeedInstance[], now: number): FeedInstance | undefined {
     return readers.find(({ id }) => now >= (this.exclusions.get(id)?.until ?? -Infinity))
   }
--- a/packages/feeds/src/JayfallSharedTableStore.ts
+++ b/packages/feeds/src/JayfallSharedTableStore.ts
@@ -79,7 +79,7 @@
     this.readerSelector = new ReaderSelector(instance, zone, link, now => this.subscribers.addresses(now).length > 0)
     this.client = new FeedPeerClient(host)
     this.peerReader = new PeerChangesReader({ client: this.client, readerSelector: this.readerSelector, notices: this.notices, timingsOf, noticeAddress: () => this.peerAddress, latestEra: () => this.eraSignal.latest, clock, log })
-    this.changesServer = new ChangesServer({ histories: this.histories, subscribers: this.subscribers, timingsOf, link, clock, refresh: era => this.refresh(era) })
+    this.changesServer = new ChangesServer({ histories: this.histories, subscribers: this.subscribers, timingsOf, link, clock, refresh: era => this.refresh(era), readRows: table => parts.store.snapshot(table) })
     this.registry = new InstanceRegistry({ ...parts, followed: this, onListing: instances => this.updateInstances(instances) })
     datagrams.subscribe(message => this.handleMessage(message))
   }
@@ -164,10 +164,12 @@
     const reading = relayed?.reading ?? await this.readFromStore(table, after, wait, history)
     if (reading === undefined) return undefined
     this.logReaderChange(relayed?.reader)
-    history.append(after, reading, relayed?.readAt ?? clock.monotonic())
+    const readAt = relayed?.readAt ?? clock.monotonic()
+    const changes = relayed?.isWhole === true ? history.adopt(reading, readAt) : reading
+    if (relayed?.isWhole !== true) history.append(after, reading, readAt)
     this.learnEra(reading.position.era)
     this.publishReading()
-    return { ...reading, reader: relayed?.reader }
+    return { ...changes, reader: relayed?.reader }
   }
 
   /** The changes that lead from a position of an earlier era to the present one. */
@@ -193,7 +195,8 @@
       const after = history.completePosition
       const result = await this.peerReader.readEra(step.reader, table, after)
       if (typeof result === 'string') return result
-      history.append(after, result.reading, result.readAt)
+      if (result.isWhole === true) history.replace(result.reading, result.readAt)
+      else history.append(after, result.reading, result.readAt)
       this.logReaderChange(result.reader)
     }
     return 'done'
--- a/packages/feeds/src/__tests__/unit/JayfallFeedEras.test.ts
+++ b/packages/feeds/src/__tests__/unit/JayfallFeedEras.test.ts
@@ -171,13 +171,14 @@
         timingsOf: () => deriveFeedTimings(DEFAULT_FEED_LIMITS),
         link: undefined,
         clock,
+        readRows: () => Promise.reject(new Error('no store')),
         refresh: era => {
           toldEra = era
           history.replace(createReading(at(12, 2), [createChange('a', 5, 5, 2)]), clock.monotonic())
           server.notifyOfReading()
         }
       })
-      const { op } = await server.answer({ tables: { op: at(20) }, wait: 0, latestEra: 2 })
+      const { op } = await server.answer({ tables: { op: at(20) }, wait: 0, latestEra: 2, acceptsRows: false })
       assert.equal(toldEra, 2)
       assert.ok(op.kind === 'changes' && op.reading.era === 2)
     })
--- a/packages/feeds/src/__tests__/unit/JayfallFeeds.test.ts
+++ b/packages/feeds/src/__tests__/unit/JayfallFeeds.test.ts
@@ -186,7 +186,7 @@
   })
 
   describe('ChangesServer', () => {
-    const request = { tables: { op: at(10) }, wait: 0, latestEra: 1 }
+    const request = { tables: { op: at(10) }, wait: 0, latestEra: 1, acceptsRows: false }
 
     function createServer (clock: ManualClock, refresh: (history: FeedHistory) => void = () => {}): ChangesServer {
       const history = new FeedHistory()
@@ -197,6 +197,7 @@
         timingsOf: () => TIMINGS,
         link: undefined,
         clock,
+        readRows: () => Promise.reject(new Error('no store')),
         refresh: () => {
           refresh(history)
           clock.advance(REFRESH_WAIT_MILLISECONDS)
--- a/packages/feeds/src/__tests__/unit/JayfallStoreClock.test.ts
+++ b/packages/feeds/src/__tests__/unit/JayfallStoreClock.test.ts
@@ -31,7 +31,7 @@
 
   constructor () {
     const { clock } = this
-    const server = new ChangesServer({ histories: new Map([['op', this.served]]), subscribers: new FeedSubscribers(), timingsOf: () => TIMINGS, link: 200, clock, refresh: () => {} })
+    const server = new ChangesServer({ histories: new Map([['op', this.served]]), subscribers: new FeedSubscribers(), timingsOf: () => TIMINGS, link: 200, clock, refresh: () => {}, readRows: () => Promise.reject(new Error('no store')) })
     const client = { changes: (_reader: FeedInstance, request: ChangesRequest) => server.answer(request) } as unknown as FeedPeerClient
     const readerSelector = new ReaderSelector('follower', 'valdivia', 10)
     readerSelector.updateInstances([READER])
