Keep a silent connection of the fault proxy silent once it has lost bytes

Cause: the proxy discards bytes during a silence and passes the later ones when it ends. A silence shorter than the stream left a gap, which no TCP connection does; events are chunks of their own, so the gap could not be seen. Change: a connection that has lost bytes passes none any more. The check is as it was; the fault is harsher than before, since such connections now hang.

--- a/packages/standins/src/JayfallFaultProxy.ts
+++ b/packages/standins/src/JayfallFaultProxy.ts
@@ -108,7 +108,9 @@
     }
     from.on('data', bytes => {
       const { delay: wait, silence, lostReplies } = this.faults()
-      if (this.silent || silence === 'all') return
+      // A connection that has lost bytes passes no later ones: TCP delivers a stream without gaps.
+      this.silent = this.silent || silence === 'all'
+      if (this.silent) return
       if (isReply && lostReplies) return this.close()
       pass(wait, () => { if (to.writable) to.write(bytes) })
     })
