Keep the verdict on a bad version until its order is replaced

Cause: instances kept requests away from the version while the store was silent (18 to 26 s), and could not roll it back. Without requests the counts grew too old within 8 s, so when the store returned at the deadline, the first step that was due was the completion. Change: a verdict holds until another order is made; the due step is the rollback. Result: the test fails before with 'complete' and passes.

--- a/packages/forwarding/src/JayfallRolloutCoordinator.ts
+++ b/packages/forwarding/src/JayfallRolloutCoordinator.ts
@@ -67,6 +67,8 @@
   /** Evidence of other instances by row key. */
   private readonly peerEvidence = new Map<string, EvidenceRow>()
   private readonly publishedCounts = new Map<string, PublishedCounts>()
+  /** Services whose new version this instance has judged to be bad. */
+  private readonly badServices = new Set<string>()
   private isRunning = false
   private hasReadRolloutRows = false
 
@@ -104,6 +106,7 @@
     for (const { service, version, period, position } of ordered) {
       this.dependencies.evidence.forService(service).reset()
       this.publishedCounts.delete(service)
+      this.badServices.delete(service)
       log.info('rollout_ordered', { service, version, period_ms: period, ...position })
     }
     for (const order of writtenAgain) log.info('rollout_order_written_again', { service: order.service, version: order.version, ...order.position, reached: this.known.reachedOf(order)?.outcome })
@@ -158,7 +161,9 @@
   /** Keeps new work away from versions that the evidence shows to be bad. Needs no store, because the store may not answer this instance for a while. */
   private suspendBadVersions (): void {
     for (const order of this.known.orders) {
-      if (this.known.reachedOf(order)?.outcome === 'running' && isBadVersion(this.sumRecentEvidence(order))) this.dependencies.versionPolicy.suspend(order.service, order.version)
+      if (this.known.reachedOf(order)?.outcome !== 'running' || !isBadVersion(this.sumRecentEvidence(order))) continue
+      this.badServices.add(order.service)
+      this.dependencies.versionPolicy.suspend(order.service, order.version)
     }
   }
 
@@ -171,7 +176,8 @@
     if (row.outcome !== 'running') return
     const rollout = toRollout(order, row)
     const counts = this.sumRecentEvidence(order)
-    if (isBadVersion(counts)) return this.transition(order, 'rolled_back', JSON.stringify(counts))
+    // A verdict outlasts its counts, which grow old while the version gets no requests and the store does not answer.
+    if (this.badServices.has(order.service)) return this.transition(order, 'rolled_back', JSON.stringify(counts))
     await this.publishEvidence(order)
     const storeTime = this.dependencies.storeTime()
     if (mustComplete(rollout, storeTime)) return this.transition(order, 'complete', 'deadline')
--- a/packages/forwarding/src/__tests__/unit/JayfallRolloutCoordinator.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallRolloutCoordinator.test.ts
@@ -50,6 +50,22 @@
     })
   })
 
+  describe('at the deadline', () => {
+    // Failure: the store was silent until the deadline, the counts of a version that instances kept requests away from were too old by then, and it was completed (issue 31, EXPOSURE).
+    it('rolls back a version that was judged bad, however old the counts are (guards against a bad version that is completed after an outage)', async () => {
+      const fixture = new RolloutFixture(new MemoryTables())
+      await fixture.start()
+      fixture.tables.isDown = true
+      fixture.observe(20)
+      await fixture.coordinator.run()
+      fixture.clock.advance(ORDER.period)
+      await fixture.coordinator.run()
+      fixture.tables.isDown = false
+      await fixture.coordinator.run()
+      assert.deepEqual(fixture.status, { state: 'rolled_back', to: 'v2' })
+    })
+  })
+
   describe('beside other instances', () => {
     // Failure at others: around a hand-over between two processes both acted for a moment, and orders went out twice.
     it('makes each step once, however many instances try (guards against steps that are made twice)', async () => {
