--- a/packages/feeds/src/JayfallReaderSelector.ts
+++ b/packages/feeds/src/JayfallReaderSelector.ts
@@ -7,8 +7,8 @@
  * An instance only reads from one that is ranked before it, so that there are no cycles. Several readers at the same
  * time are harmless: changes are only read more often from the store.
  *
- * An instance that the store turns away reads from any other one. That makes no cycle either: readings that are not
- * fresh are not passed on, and only the store makes fresh ones.
+ * An instance that the store turns away reads from any other one. Two instances may then read from each other, until
+ * their reading is too old to be passed on and one of them reads from the store.
  */
 
 import { rendezvousWeight } from '#jayfall/shared'
--- a/packages/forwarding/src/JayfallKnownRollouts.ts
+++ b/packages/forwarding/src/JayfallKnownRollouts.ts
@@ -19,7 +19,7 @@
   readonly reached: RolloutRow | undefined
 }
 
-/** The rows that the store holds, by service, and the order that each belongs to. */
+/** The orders in force and the furthest state of each that this instance knows, by service. */
 export class KnownRollouts {
   private readonly rollouts = new Map<string, KnownRollout>()
 
