Log a fingerprint of requests that break, and whether their server ended

Cause: the log named nothing but prompt parts of a broken attempt, so repeats of one request without a prompt could not be told from different requests at servers that end by themselves. Change: broken attempts log a fingerprint of method, host, path, workspace, prompt parts and body, and whether the server refused connections afterwards; explain shows both. Measured: type check and linter pass; no decision depends on it yet.

--- a/packages/command/src/JayfallRequestTimeline.ts
+++ b/packages/command/src/JayfallRequestTimeline.ts
@@ -46,12 +46,13 @@
 
 function describeRecord ({ event, fields }: LogRecord): string {
   if (event === 'attempt_ended') {
-    const { attempt, server, version, model, result, cause, load, load_age_ms: age, elapsed_ms: elapsed, confidence, minimum_confidence: minimum, estimated_ms: estimated, answered_ms: answered, events, prompt_parts: parts } = fields
+    const { attempt, server, version, model, result, cause, load, load_age_ms: age, elapsed_ms: elapsed, confidence, minimum_confidence: minimum, estimated_ms: estimated, answered_ms: answered, events, prompt_parts: parts, fingerprint, server_ended: hasEnded } = fields
     const choice = `estimated ${String(estimated)} ms, load ${String(load)} as of ${String(age)} ms before`
     const confidenceText = confidence === undefined ? '' : `, confidence ${String(confidence)} of ${String(minimum)} asked for`
     const timing = answered === undefined ? '' : `, first answer after ${String(answered)} ms`
     const progress = parts === undefined ? '' : `, ${String(events)} events, prompt parts ${String(parts)}`
-    return `attempt ${String(attempt)} at ${String(server)} (${[version, model].filter(part => part !== undefined).join(', ')}; ${choice}): ${String(result)}${cause === undefined ? '' : `, ${String(cause)}`}${confidenceText}${timing}${progress}, ${String(elapsed)} ms after arrival`
+    const ending = hasEnded === true ? `, the server had ended under ${String(fingerprint)}` : ''
+    return `attempt ${String(attempt)} at ${String(server)} (${[version, model].filter(part => part !== undefined).join(', ')}; ${choice}): ${String(result)}${cause === undefined ? '' : `, ${String(cause)}`}${confidenceText}${timing}${progress}${ending}, ${String(elapsed)} ms after arrival`
   }
   if (event === 'request_ended') {
     const { outcome, status, events, elapsed_ms: elapsed, allowed_ms: allowed, catalogue, route, first_event_ms: first, objective_ms: objective } = fields
--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -17,6 +17,7 @@
 import { type CallerFields } from './JayfallForwardingProtocol'
 import { confidenceThreshold } from './JayfallConfidenceThreshold'
 import { type PromptAdmission, type PromptSuspicions } from './JayfallPromptSuspicions'
+import { type RequestIdentity } from './JayfallRequestIdentity'
 import { type RetryBudget } from './JayfallRetryBudget'
 import { type VersionPolicy, type VersionRule } from './JayfallVersionPolicy'
 
@@ -88,6 +89,7 @@
   /** Whether other requests may belong to the same session. */
   readonly isSharedSession: boolean
   readonly fields: CallerFields
+  readonly identity: RequestIdentity
   /** Monotonic milliseconds. */
   readonly arrivedAt: number
   readonly deadline: number
--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -41,6 +41,8 @@
   receivedEvents = 0
   /** The confidence that the attempt's answer had to reach. */
   minimumConfidence = 0
+  /** Whether the attempt's server was found to have ended after its connection broke; undefined when it was not checked. */
+  hasServerEnded: boolean | undefined
   private isPrefillRecorded = false
   /** Set for the running attempt when it may be continued at another server. */
   private zoneOutageDetector: ZoneOutageDetector | undefined
@@ -65,6 +67,7 @@
     this.timeToAnswer = undefined
     this.rateLimit = undefined
     this.receivedEvents = 0
+    this.hasServerEnded = undefined
     directory.recordSent(server.id, attempt.selection.prefillTime)
     this.context.limits.recordSent(server.id)
     this.context.prefillTimes.recordSent(attempt.selection.prefillTime)
@@ -195,7 +198,8 @@
     const { promptSuspicions, endedServerCheck, directory, clock } = this.context
     const { promptParts } = this.plan.fields
     if (this.receivedEvents > 0 || this.answer.lastEventId !== undefined || promptParts.length < 2 || this.zoneOutageDetector?.signal.aborted === true) return
-    if (!await endedServerCheck.hasEnded(server.address)) return
+    this.hasServerEnded = await endedServerCheck.hasEnded(server.address)
+    if (!this.hasServerEnded) return
     directory.recordUnreachable(server.id, clock.monotonic())
     promptSuspicions.recordCrash(promptParts, server.id)
   }
--- a/packages/forwarding/src/JayfallForwardedCall.ts
+++ b/packages/forwarding/src/JayfallForwardedCall.ts
@@ -74,6 +74,8 @@
       minimum_confidence: Math.round(this.runner.minimumConfidence),
       resumed_after: resumeAfter,
       events: result.kind === 'broken' ? this.runner.receivedEvents : undefined,
+      fingerprint: result.kind === 'broken' ? this.plan.identity.fingerprint : undefined,
+      server_ended: this.runner.hasServerEnded,
       prompt_parts: result.kind === 'broken' ? this.plan.fields.promptParts.map(({ id }) => id).join(',') : undefined,
       load: Math.round(selection.estimatedLoad * 10) / 10,
       reported_running: selection.row.loadReport?.running,
--- a/packages/forwarding/src/JayfallForwardingServer.ts
+++ b/packages/forwarding/src/JayfallForwardingServer.ts
@@ -13,6 +13,7 @@
 import { STARTING_RETRY_AFTER_MILLISECONDS, MAXIMUM_STARTING_WAIT_MILLISECONDS, STARTING_WAIT_PATIENCE_SHARE, STOPPING_RETRY_AFTER_MILLISECONDS } from './JayfallForwardingConstants'
 import { type ForwardingContext } from './JayfallForwardingContext'
 import { type ForwardingState } from './JayfallForwardingState'
+import { identifyRequest } from './JayfallRequestIdentity'
 
 /** Limit on headers for the HTTP parser of Node.js. The catalogue's limit may change, so it is checked for each request. */
 const MAXIMUM_HEADER_BYTES = 128 * 1024
@@ -96,7 +97,8 @@
     if (countHeaderBytes(request.rawHeaders) > limits.headerBytes) return this.refuse(answer, requestId, 431, 'headers_too_large')
     if (requestId === undefined) return this.refuse(answer, requestId, 400, 'request_id_missing')
     const path = request.url ?? '/'
-    const decision = routes.find(request.headers.host ?? '', path, fields.key)
+    const { method = 'GET', headers: { host = '' } } = request
+    const decision = routes.find(host, path, fields.key)
     if (decision.kind === 'unknown_route') return this.refuse(answer, requestId, 404, 'unknown_route', undefined, version)
     if (decision.kind === 'unknown_key') return this.refuse(answer, requestId, 401, 'unknown_key', undefined, version)
     const body = await readRequestBody(request, limits.bodyBytes)
@@ -114,11 +116,12 @@
       session,
       isSharedSession: sharedSession !== undefined,
       fields,
+      identity: identifyRequest({ method, host, path, workspace: workspace?.name, promptParts: fields.promptParts, body }),
       arrivedAt,
       deadline: arrivedAt + Math.min(fields.patience ?? Infinity, route.timeout),
       lastDeliveredEventId: () => answer.lastEventId
     }
-    const callerRequest = { requestId, method: request.method ?? 'GET', path, rawHeaders: request.rawHeaders, body, workspace }
+    const callerRequest = { requestId, method, path, rawHeaders: request.rawHeaders, body, workspace }
     await new ForwardedCall(this.context, plan, callerRequest, answer, version).run()
   }
 
--- a/packages/forwarding/src/__tests__/unit/JayfallDecisionFixture.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallDecisionFixture.ts
@@ -77,6 +77,7 @@
       session: 'session',
       isSharedSession: true,
       fields,
+      identity: { fingerprint: 'request:own', promptParts: fields.promptParts },
       arrivedAt: now,
       deadline: now + 5000,
       clock: this.clock,
