Suspect single requests by their fingerprint when servers crash under them

What callers saw: a request without a prompt that crashes servers was sent to server after server as often as it came; the servers of its service were down most of the time, and sound requests got 503. Cause: suspicions named parts of prompts only, so a request without a prompt was never suspected; and each instance counted the crashes that it saw itself, so a request with one attempt was known at none. Change: a request is named by a hash of method, host, path, workspace, prompt parts and body. Crashes are reported with it to the collectors, which suspect it after two crashes if no other request was at both, and after three in any case; then it is refused everywhere, and it alone. The repeats of one request count once against the parts of its prompt. What waited beside a certain cause is not suspected. At most three trials follow the third crash, over all instances. Tests: the calls of PromptSuspicions take the identity of a request instead of its parts. The test of an instance that starts meanwhile also checks the requests that crashed servers, since one request alone no longer makes its parts suspect. Measured: RepeatedDeadlyRequests failed before (7 to 14 crashes) and passes. Simulated at 3, 9, 195 and 890 instances with lost messages and a cut zone, one request with one attempt at any instance: within the allowed three retries. The hash takes 4 us without a body, 5 us for 2.5 kB, 33 us for 45 kB, 2.8 ms for 4 MB.

--- a/packages/command/src/JayfallRequestTimeline.ts
+++ b/packages/command/src/JayfallRequestTimeline.ts
@@ -85,7 +85,7 @@
     case 'no_server':
       return 'No server of the service was known that the request could run on.'
     case 'suspect_prompt':
-      return `Prompts with the same parts have crashed servers: ${results === '' ? 'it was sent to none' : results}.`
+      return `This request, or prompts with the same parts, have crashed servers: ${results === '' ? 'it was sent to none' : results}.`
     case 'servers_limited':
       return 'The servers had named limits, and this instance had used its share of them.'
     case 'servers_full':
--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -103,7 +103,7 @@
 }
 
 export function * planAttempts (context: PlanContext): Generator<AttemptPlan, FinalDecision, AttemptResult> {
-  const { route, clock, deadline, retryBudget, service, promptSuspicions, fields } = context
+  const { route, clock, deadline, retryBudget, service, promptSuspicions, identity } = context
   const triedServers = new Set<string>()
   let sentAttempts = 0
   let mayHaveRun = false
@@ -114,7 +114,7 @@
     const now = clock.monotonic()
     if (deadline - now < MINIMUM_ATTEMPT_MILLISECONDS) return decideWithoutAnswer(context, mayHaveRun, 'too_late')
     // A trial that reached no server goes on; one that did is not repeated.
-    const admission: PromptAdmission | undefined = isTrial && sentAttempts === 0 ? undefined : promptSuspicions.admit(fields.promptParts)
+    const admission: PromptAdmission | undefined = isTrial && sentAttempts === 0 ? undefined : promptSuspicions.admit(identity)
     if (admission?.kind === 'refused') return mayHaveRun ? { kind: 'fail', code: 'suspect_prompt' } : { kind: 'refuse', code: 'suspect_prompt', retryAfter: Math.max(DEFAULT_RETRY_AFTER_MILLISECONDS, admission.retryAfter) }
     isTrial ||= admission?.kind === 'trial'
     const chosen = chooseServer(context, model, triedServers)
--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -87,7 +87,7 @@
     })
     this.zoneOutageDetector = this.plan.route.isRepeatable ? new ZoneOutageDetector(directory, clock, server.zone) : undefined
     const suspicion = new AbortController()
-    const closePrompt = this.context.promptSuspicions.open(this.plan.fields.promptParts, () => {
+    const closePrompt = this.context.promptSuspicions.open(this.plan.identity, () => {
       if (this.receivedEvents === 0) suspicion.abort()
     })
     this.stopSignals = [this.answer.callerDisconnected, suspicion.signal, ...(this.zoneOutageDetector === undefined ? [] : [this.zoneOutageDetector.signal])]
@@ -160,7 +160,7 @@
     if (this.answer.hasBegun) return { kind: 'broken', cause: `the stream could not be resumed: status ${head.status}` }
     this.timeToAnswer = this.context.clock.monotonic() - startedAt
     this.bufferedAnswer = { ...head, body }
-    if (head.status < 300 && this.plan.fields.promptParts.length > 0) this.context.promptSuspicions.recordBegun(this.plan.fields.promptParts)
+    if (head.status < 300) this.context.promptSuspicions.recordBegun(this.plan.identity)
     return head.status >= 500 ? { kind: 'failed', status: head.status } : { kind: 'answered' }
   }
 
@@ -178,7 +178,7 @@
       isReplaceable: attempt.isReplaceable,
       onBytes: () => this.zoneOutageDetector?.recordActivity(),
       onEvent: () => {
-        if (this.receivedEvents++ === 0) this.context.promptSuspicions.recordBegun(this.plan.fields.promptParts)
+        if (this.receivedEvents++ === 0) this.context.promptSuspicions.recordBegun(this.plan.identity)
         this.timeToAnswer ??= clock.monotonic() - startedAt
         this.recordPrefillEnd(attempt, this.timeToAnswer)
         this.observations.get(attempt)?.recordEvent(clock.monotonic())
@@ -193,15 +193,14 @@
     return { kind: 'answered' }
   }
 
-  /** Records a crash of the server if it has ended before the answer to the prompt began, as the prompt may be the cause. */
+  /** Records a crash of the server if it has ended before the answer began, as the request may be the cause. */
   private async checkForCrash ({ server }: AttemptPlan): Promise<void> {
     const { promptSuspicions, endedServerCheck, directory, clock } = this.context
-    const { promptParts } = this.plan.fields
-    if (this.receivedEvents > 0 || this.answer.lastEventId !== undefined || promptParts.length < 2 || this.zoneOutageDetector?.signal.aborted === true) return
+    if (this.receivedEvents > 0 || this.answer.lastEventId !== undefined || this.zoneOutageDetector?.signal.aborted === true) return
     this.hasServerEnded = await endedServerCheck.hasEnded(server.address)
     if (!this.hasServerEnded) return
     directory.recordUnreachable(server.id, clock.monotonic())
-    promptSuspicions.recordCrash(promptParts, server.id)
+    promptSuspicions.recordCrash(this.plan.identity, server.id)
   }
 
   /** Waits for a part of the answer until the attempt's deadline, or until the answer makes no progress and another server can be tried. */
--- a/packages/forwarding/src/JayfallCrashEvidence.ts
+++ b/packages/forwarding/src/JayfallCrashEvidence.ts
@@ -20,6 +20,7 @@
 
 /** A request waited for its first event at a server that crashed. */
 export interface CrashReport {
+  readonly fingerprint: string
   /** Identifiers of the parts that the request may share with others, without repetitions. */
   readonly parts: readonly string[]
   readonly server: string
@@ -29,12 +30,6 @@
   readonly isOwn: boolean
 }
 
-interface SuspectRequest {
-  readonly report: CrashReport
-  /** The parts that have had no answer since the crash. */
-  readonly parts: readonly string[]
-}
-
 /** Parts that crash servers when a prompt holds all of them. */
 export interface CrashFinding {
   readonly parts: readonly string[]
@@ -59,6 +54,9 @@
   private answers = 0
   private attemptsAt = 0
 
+  /** @param explain returns the request that is known to have crashed the server at that time. */
+  constructor (private readonly explain: (server: string, at: number) => string | undefined) {}
+
   recordAttempt (now: number): void {
     this.attempts = this.attemptsOf(now) + 1
     this.attemptsAt = now
@@ -105,22 +103,23 @@
 
   private evaluate (candidate: readonly string[], now: number): CrashFinding | undefined {
     const matching = this.reports.map(report => ({ report, parts: this.suspectPartsOf(report) })).filter(({ parts }) => isSubset(candidate, parts))
-    const incidents = groupByCrash(matching.map(({ report }) => report))
-    const isOneKind = isOneKindOfRequest(matching, incidents.length)
+    const reports = matching.map(({ report }) => report)
+    const crashes = this.countCrashes(reports)
+    const isOneKind = this.isOneKindOfRequest(reports, crashes)
     // An instance that has just started cannot tell what crashed prompts have in common from what all prompts have in common.
     if (!isOneKind && this.answers < MINIMUM_KNOWN_ANSWERS) return undefined
     const unproven = candidate.filter(part => !this.isProven(part, now))
-    const firstCrashAt = Math.min(...incidents.map(({ at }) => at))
+    const firstCrashAt = Math.min(...reports.map(({ at }) => at))
     // What many requests have in common is in many crashes. If it is sound, the next answers clear it.
     if (unproven.length === 0 && !isOneKind && now - firstCrashAt < SHARED_PARTS_SETTLING_MILLISECONDS) return undefined
-    const required = this.requiredCrashes(candidate, now) + Number(!isOneKind) + Number(unproven.length === 0)
-    if (incidents.length < required) return undefined
-    return { parts: unproven.length === 0 ? candidate : unproven, crashes: incidents.length, firstCrashAt }
+    const required = this.requiredCrashes(report => !isSubset(candidate, report.parts), now) + Number(!isOneKind) + Number(unproven.length === 0)
+    if (crashes < required) return undefined
+    return { parts: unproven.length === 0 ? candidate : unproven, crashes, firstCrashAt }
   }
 
   /** The number of crashes that a sound request hardly ever meets in a row, at the rate at which other requests meet them. */
-  private requiredCrashes (candidate: readonly string[], now: number): number {
-    const others = this.reports.filter(report => report.isOwn && !isSubset(candidate, report.parts))
+  requiredCrashes (isOther: (report: CrashReport) => boolean, now: number): number {
+    const others = this.reports.filter(report => report.isOwn && isOther(report))
     const crashes = others.reduce((sum, { at }) => sum + halfLifeWeight(now - at, CRASH_RATE_HALF_LIFE_MILLISECONDS), 0)
     const rate = (crashes + CRASH_RATE_PRIOR * CRASH_RATE_PRIOR_ATTEMPTS) / (this.attemptsOf(now) + CRASH_RATE_PRIOR_ATTEMPTS)
     const required = rate >= 1 ? Infinity : Math.ceil(Math.log(COINCIDENCE_PROBABILITY) / Math.log(rate))
@@ -132,6 +131,24 @@
     return parts.filter(part => !this.hasBegunSince(part, at))
   }
 
+  /** Whether there was a request with exactly the same parts in each crash, as when one request is repeated. */
+  private isOneKindOfRequest (reports: readonly CrashReport[], crashes: number): boolean {
+    const kinds = new Set(reports.map(({ parts }) => keyOf(parts)))
+    return [...kinds].some(kind => this.countCrashes(reports.filter(({ parts }) => keyOf(parts) === kind)) === crashes)
+  }
+
+  /** The number of crashes under different requests. The repeats of one request say as much of its parts as the first time. */
+  private countCrashes (reports: readonly CrashReport[]): number {
+    const causes = new Set<string>()
+    const incidents = groupByCrash(reports).filter(({ server, at }) => {
+      const cause = this.explain(server, at)
+      const isRepeated = cause !== undefined && causes.has(cause)
+      if (cause !== undefined) causes.add(cause)
+      return !isRepeated
+    })
+    return Math.min(incidents.length, new Set(reports.map(({ fingerprint }) => fingerprint)).size)
+  }
+
   private attemptsOf (now: number): number {
     return this.attempts * halfLifeWeight(now - this.attemptsAt, CRASH_RATE_HALF_LIFE_MILLISECONDS)
   }
@@ -150,12 +167,6 @@
   return parts.filter(part => others.includes(part))
 }
 
-/** Whether there was a request with exactly the same parts in each crash, as when one request is repeated. */
-function isOneKindOfRequest (matching: readonly SuspectRequest[], crashes: number): boolean {
-  const kinds = new Set(matching.map(({ report }) => keyOf(report.parts)))
-  return [...kinds].some(kind => groupByCrash(matching.map(({ report }) => report).filter(({ parts }) => keyOf(parts) === kind)).length === crashes)
-}
-
 /** Requests that wait at a server when it crashes notice it within a short time. */
 function isSameCrash (left: Incident, right: Incident): boolean {
   return left.server === right.server && Math.abs(left.at - right.at) < SAME_CRASH_MILLISECONDS
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -220,6 +220,17 @@
 /** Bounds of the number of crashes after which the parts of a prompt are suspected. */
 export const MINIMUM_REQUIRED_CRASHES = 2
 export const MAXIMUM_REQUIRED_CRASHES = 10
+/** Crashes after which a request is suspected whatever else was at the servers. It must not crash more than three before every instance knows it. */
+export const CERTAIN_CRASHES_OF_REQUEST = 3
+/** Time within which the reports of one crash reach a collector, unless they are lost. */
+export const CRASH_REPORTS_SETTLING_MILLISECONDS = 150
+/** Crashes after which a suspected request is not tried again, so that no more than three tries follow the third crash over all instances. */
+export const MAXIMUM_CRASHES_OF_TRIED_REQUEST = 5
+/** Crashes of servers whose requests are compared, and requests that are kept for each; an engine has about as many places. */
+export const MAXIMUM_CRASH_INCIDENTS = 128
+export const MAXIMUM_REQUESTS_PER_INCIDENT = 64
+/** Requests whose answers have begun that an instance remembers; at the target size those of the last ten seconds. */
+export const MAXIMUM_TRACKED_REQUESTS = 1000
 /** Age at which the report of a crash is no longer counted. */
 export const CRASH_REPORT_LIFETIME_MILLISECONDS = 600_000
 /** Reports that are kept. Each new one is compared with all of them. */
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -77,6 +77,7 @@
   private readonly retryBudget: RetryBudget
   private readonly rolloutCoordinator: RolloutCoordinator
   private readonly server: ForwardingServer
+  private readonly promptSuspicions: PromptSuspicions
   /** Rollout orders by the keys of their rows. */
   private readonly ordersByRowKey = new Map<string, RolloutOrder>()
   /** Positions of the orders that were made while this instance followed them, by the keys of their rows. */
@@ -107,7 +108,7 @@
     const rumors = dependencies.rumors ?? new NoRumors()
     const instances = dependencies.instances ?? (() => [settings.instance])
     const limits = new ServerLimits({ ...dependencies, rumors, storeTime, instance: settings.instance, instances })
-    const promptSuspicions = new PromptSuspicions({ clock, log, metrics: this.metrics, rumors })
+    const promptSuspicions = this.promptSuspicions = new PromptSuspicions({ clock, log, metrics: this.metrics, rumors })
     const evidence = new RolloutEvidence(this.versionPolicy, clock)
     this.rolloutCoordinator = new RolloutCoordinator({
       ...dependencies,
@@ -147,7 +148,7 @@
     const { source } = this.dependencies
     this.followStoreTable(source.operatorTable, reading => this.applyOperatorRows(reading))
     this.followStoreTable(source.serverTable, reading => this.applyServerRows(reading))
-    this.timers.push(setInterval(() => this.state.updateServers(), STATE_INTERVAL_MILLISECONDS), setInterval(() => this.advanceRollouts(), ROLLOUT_INTERVAL_MILLISECONDS))
+    this.timers.push(setInterval(() => this.updateState(), STATE_INTERVAL_MILLISECONDS), setInterval(() => this.advanceRollouts(), ROLLOUT_INTERVAL_MILLISECONDS))
   }
 
   replaceSettings (settings: ForwardingSettings): void {
@@ -186,6 +187,11 @@
     this.server.destroyConnections()
   }
 
+  private updateState (): void {
+    this.state.updateServers()
+    this.promptSuspicions.update()
+  }
+
   private advanceRollouts (): void {
     if (this.storeTimeOffset === -Infinity) return
     this.followRolloutTables()
--- a/packages/forwarding/src/JayfallPromptSuspicions.ts
+++ b/packages/forwarding/src/JayfallPromptSuspicions.ts
@@ -1,12 +1,13 @@
 /**
- * Keeps prompts that crash servers away from them, and tells the other instances.
+ * Keeps requests that crash servers away from them, and tells the other instances.
  *
- * A suspicion names a set of prompt parts; prompts that hold all of them are refused. Every instance decides from what
- * it saw itself, and a few of them, the collectors, from the reports of all. What one of them finds spreads as a rumor,
- * and so does the end of a suspicion.
+ * A suspicion names either one request by its fingerprint, so that only its repeats are refused, or a set of prompt
+ * parts; requests whose prompts hold all of them are refused. Parts are suspected from the crashes of different
+ * requests. Every instance decides from what it saw itself, and a few of them, the collectors, from the reports of
+ * all. What one of them finds spreads as a rumor, and so does the end of a suspicion.
  *
- * A suspicion may be wrong. It ends for a part as soon as any instance sees an answer to a prompt with the part begin.
- * Since refused prompts have no answers, one prompt is let through as a trial after a time that doubles with each crash.
+ * A suspicion may be wrong. It ends for a request or a part as soon as any instance sees an answer to it begin. Since
+ * refused requests have no answers, one is let through as a trial after a time that doubles with each crash.
  */
 
 import { type RumorChannel, RumorTopic } from '#jayfall/peers'
@@ -15,14 +16,16 @@
 import { LRUCache } from 'lru-cache'
 import * as z from 'zod'
 
-import { CrashEvidence, isSubset, keyOf, type CrashFinding } from './JayfallCrashEvidence'
+import { CrashEvidence, isSubset, keyOf, type CrashFinding, type CrashReport } from './JayfallCrashEvidence'
 import {
-  FORGOTTEN_SUSPICION_MILLISECONDS, FIRST_TRIAL_MILLISECONDS, MAXIMUM_SUSPICIONS, MAXIMUM_TRIAL_DOUBLINGS, MAXIMUM_TRACKED_PROMPT_PARTS, MAXIMUM_TRIAL_RANK, MINIMUM_CRASHES_OF_PROVEN_PARTS, REMINDER_INTERVAL_MILLISECONDS, SAME_NEWS_MILLISECONDS, TRIAL_RANK_DELAY_MILLISECONDS,
+  CERTAIN_CRASHES_OF_REQUEST, FORGOTTEN_SUSPICION_MILLISECONDS, FIRST_TRIAL_MILLISECONDS, MAXIMUM_CRASHES_OF_TRIED_REQUEST, MAXIMUM_SUSPICIONS, MAXIMUM_TRIAL_DOUBLINGS, MAXIMUM_TRACKED_PROMPT_PARTS, MAXIMUM_TRACKED_REQUESTS, MAXIMUM_TRIAL_RANK, MINIMUM_CRASHES_OF_PROVEN_PARTS, REMINDER_INTERVAL_MILLISECONDS, SAME_NEWS_MILLISECONDS, TRIAL_RANK_DELAY_MILLISECONDS,
   TRIAL_TIMEOUT_MILLISECONDS
 } from './JayfallForwardingConstants'
 import { type PromptPart } from './JayfallForwardingProtocol'
+import { RequestCrashes, type RequestFinding } from './JayfallRequestCrashes'
+import { isFingerprint, type RequestIdentity } from './JayfallRequestIdentity'
 
-/** Whether a prompt may be sent to a server. A trial may be sent once. */
+/** Whether a request may be sent to a server. A trial may be sent once. */
 export type PromptAdmission =
   | { readonly kind: 'admitted' }
   | { readonly kind: 'trial' }
@@ -37,7 +40,8 @@
 }
 
 interface OpenAttempt {
-  readonly parts: readonly string[]
+  /** The request's fingerprint and the shared parts of its prompt. */
+  readonly names: readonly string[]
   readonly onSuspected: () => void
 }
 
@@ -55,15 +59,18 @@
 const partsBody = z.object({ parts: z.array(z.string()).min(1) })
 const suspicionBody = partsBody.extend({ crashes: z.number().int().positive(), trialIn: z.number() }).readonly()
 /** `proven`: parts that the instance has seen answers with. */
-const crashBody = partsBody.extend({ server: z.string(), proven: z.array(z.string()) }).readonly()
+const crashBody = z.object({ request: z.string().refine(isFingerprint), parts: z.array(z.string()), server: z.string(), proven: z.array(z.string()) }).readonly()
 const clearanceBody = z.object({ part: z.string() }).readonly()
 
 export class PromptSuspicions {
-  private readonly evidence = new CrashEvidence()
+  private readonly requestCrashes = new RequestCrashes()
+  private readonly evidence = new CrashEvidence((server, at) => this.requestCrashes.explain(server, at))
+  /** Requests whose answers began here, with the time. */
+  private readonly begunRequests = new LRUCache<string, number>({ max: MAXIMUM_TRACKED_REQUESTS })
   /** Suspicions by the key of their parts. */
   private readonly suspicions = new Map<string, Suspicion>()
   private readonly openAttempts = new Set<OpenAttempt>()
-  /** Parts that were cleared of a suspicion, with the time. */
+  /** Requests and parts that were cleared of a suspicion, with the time. */
   private readonly clearances = new LRUCache<string, number>({ max: MAXIMUM_TRACKED_PROMPT_PARTS })
   private readonly suspicionTopic = new Topic('prompt-suspected', (body, at) => this.hearSuspicion(body, at), () => this.describeSuspicions())
   private readonly clearanceTopic = new Topic('prompt-cleared', (body, at) => this.hearClearance(body, at))
@@ -73,12 +80,20 @@
     for (const topic of [this.suspicionTopic, this.clearanceTopic, this.crashTopic]) parts.rumors.subscribe(topic)
   }
 
-  /** Decides whether a prompt may be sent to a server. */
-  admit (promptParts: readonly PromptPart[]): PromptAdmission {
-    if (this.suspicions.size === 0) return ADMITTED
+  /** Decides on what has become due; called at an interval. */
+  update (): void {
     const now = this.parts.clock.monotonic()
-    const parts = sharedPartsOf(promptParts)
-    const matching = [...this.suspicions.values()].filter(suspicion => this.applies(suspicion, parts, now))
+    for (const fingerprint of [...this.requestCrashes.due(now)]) this.settle(fingerprint, now)
+  }
+
+  /** Decides whether a request may be sent to a server. */
+  admit (identity: RequestIdentity): PromptAdmission {
+    const now = this.parts.clock.monotonic()
+    this.settle(identity.fingerprint, now)
+    if (this.suspicions.size === 0) return ADMITTED
+    this.removeForgotten(now)
+    const names = namesOf(identity)
+    const matching = [...this.suspicions.values()].filter(suspicion => this.applies(suspicion, names, now))
     if (matching.length === 0) return ADMITTED
     const [suspicion] = matching
     if (matching.length === 1 && this.mayTry(suspicion, now)) {
@@ -87,48 +102,65 @@
       return { kind: 'trial' }
     }
     if (now - suspicion.toldAt >= REMINDER_INTERVAL_MILLISECONDS) this.tellSuspicion(suspicion, now)
-    return { kind: 'refused', retryAfter: Math.max(0, ...matching.map(({ trialAt }) => trialAt - now)) }
+    return { kind: 'refused', retryAfter: Math.max(0, ...matching.map(suspicion => examinedAt(suspicion) - now)) }
   }
 
   /**
-   * Records that a prompt is sent to a server.
-   * @param onSuspected called when the prompt is suspected while it is open.
+   * Records that a request is sent to a server.
+   * @param onSuspected called when the request is suspected while it is open.
    * @returns a function that records its end.
    */
-  open (promptParts: readonly PromptPart[], onSuspected: () => void): () => void {
-    const parts = sharedPartsOf(promptParts)
-    if (parts.length === 0) return () => {}
-    const now = this.parts.clock.monotonic()
-    this.evidence.recordAttempt(now)
-    const attempt = { parts, onSuspected }
+  open (identity: RequestIdentity, onSuspected: () => void): () => void {
+    this.evidence.recordAttempt(this.parts.clock.monotonic())
+    const attempt = { names: namesOf(identity), onSuspected }
     this.openAttempts.add(attempt)
     return () => this.openAttempts.delete(attempt)
   }
 
-  /** Records that the answer to a prompt has begun. */
-  recordBegun (promptParts: readonly PromptPart[]): void {
+  /** Records that the answer to a request has begun. */
+  recordBegun ({ fingerprint, promptParts }: RequestIdentity): void {
     const now = this.parts.clock.monotonic()
-    this.evidence.recordAnswer()
-    for (const part of sharedPartsOf(promptParts)) {
-      this.evidence.recordBegun(part, now)
-      if (this.clear(part, now)) this.tellClearance(part, now)
-    }
+    const parts = sharedPartsOf(promptParts)
+    if (parts.length > 0) this.evidence.recordAnswer()
+    for (const part of parts) this.evidence.recordBegun(part, now)
+    this.begunRequests.set(fingerprint, now)
+    for (const name of [fingerprint, ...parts]) if (this.clear(name, now)) this.tellClearance(name, now)
   }
 
-  /** Records that a server crashed while a prompt waited there for the begin of its answer. */
-  recordCrash (promptParts: readonly PromptPart[], server: string): void {
+  /** Records that a server crashed while a request waited there for the begin of its answer. */
+  recordCrash ({ fingerprint, promptParts }: RequestIdentity, server: string): void {
     const parts = sharedPartsOf(promptParts)
-    if (parts.length === 0) return
     const { clock, rumors, metrics } = this.parts
     const now = clock.monotonic()
     metrics.count('jayfall_forwarding_prompt_crashes_total', {})
-    this.addReport(parts, server, now, true)
-    rumors.report(this.crashTopic, COLLECTION_KEY, { parts, server, proven: parts.filter(part => this.evidence.isProven(part, now)) }, now)
+    this.addReport({ fingerprint, parts, server, at: now, isOwn: true })
+    rumors.report(this.crashTopic, COLLECTION_KEY, { request: fingerprint, parts, server, proven: parts.filter(part => this.evidence.isProven(part, now)) }, now)
   }
 
-  private addReport (parts: readonly string[], server: string, at: number, isOwn: boolean): void {
+  private addReport (report: CrashReport): void {
     const now = this.parts.clock.monotonic()
-    for (const finding of this.evidence.add({ parts, server, at, isOwn }, now)) this.suspect(finding, now + firstTrialDelay(finding.crashes), 'found')
+    this.suspectRequest(this.requestCrashes.add(report, now), now)
+    for (const found of this.evidence.add(report, now)) this.suspect(found, now + firstTrialDelay(found.crashes), 'found')
+  }
+
+  /** Decides on a request that was at two crashes, if that is still open. */
+  private settle (fingerprint: string, now: number): void {
+    const requiredCrashes = (): number => this.evidence.requiredCrashes(other => other.fingerprint !== fingerprint, now)
+    this.suspectRequest(this.requestCrashes.settle(fingerprint, requiredCrashes), now)
+  }
+
+  private suspectRequest (finding: RequestFinding | undefined, now: number): void {
+    if (finding === undefined) return
+    const { fingerprint, crashes, firstCrashAt } = finding
+    this.suspect({ parts: [fingerprint], crashes, firstCrashAt }, now + firstTrialDelay(crashes), 'found')
+    if (crashes >= CERTAIN_CRASHES_OF_REQUEST) this.clearBystanders(fingerprint, now)
+  }
+
+  /** Ends suspicions against requests that were at the same servers as one that is certain to have crashed them. */
+  private clearBystanders (fingerprint: string, now: number): void {
+    for (const bystander of [...this.requestCrashes.explainedBy(fingerprint)]) {
+      if (this.clear(bystander, now)) this.tellClearance(bystander, now)
+    }
   }
 
   /** @returns whether the suspicion was new, or has changed. */
@@ -143,35 +175,43 @@
       if (isSubset(finding.parts, other.parts)) this.suspicions.delete(keyOf(other.parts))
     }
     this.removeForgotten(now)
+    const [oldest] = this.suspicions.keys()
+    if (known === undefined && this.suspicions.size >= MAXIMUM_SUSPICIONS) this.suspicions.delete(oldest)
     const suspicion = { ...finding, crashes: Math.max(finding.crashes, known?.crashes ?? 0), firstCrashAt: Math.min(finding.firstCrashAt, known?.firstCrashAt ?? Infinity), trialAt: Math.max(trialAt, known?.trialAt ?? -Infinity), toldAt: now }
     this.suspicions.set(key, suspicion)
     this.parts.log.warn('prompt_suspected', { parts: suspicion.parts.join(','), crashes: suspicion.crashes, origin, trial_in_ms: Math.round(suspicion.trialAt - now) })
     if (origin === 'found') this.tellSuspicion(suspicion, now)
     for (const attempt of [...this.openAttempts]) {
-      if (known === undefined && this.applies(suspicion, attempt.parts, now)) attempt.onSuspected()
+      if (known === undefined && this.applies(suspicion, attempt.names, now)) attempt.onSuspected()
     }
     return true
   }
 
   /**
-   * Whether a prompt with these parts is refused. Parts that this instance has seen answers with are not held against
-   * the prompt, unless nothing else is left of the suspicion.
+   * Whether a request with these names is refused. Parts that this instance has seen answers with are not held against
+   * it, unless nothing else is left of the suspicion.
    */
-  private applies ({ parts, crashes }: Suspicion, promptParts: readonly string[], now: number): boolean {
+  private applies ({ parts, crashes }: Suspicion, names: readonly string[], now: number): boolean {
     const unproven = parts.filter(part => !this.evidence.isProven(part, now))
-    return unproven.length > 0 ? isSubset(unproven, promptParts) : crashes >= MINIMUM_CRASHES_OF_PROVEN_PARTS && isSubset(parts, promptParts)
+    return unproven.length > 0 ? isSubset(unproven, names) : crashes >= MINIMUM_CRASHES_OF_PROVEN_PARTS && isSubset(parts, names)
   }
 
-  /** The first instance in the ranking for the suspicion tries first; the next ones follow when it does not. */
-  private mayTry ({ parts, trialAt }: Suspicion, now: number): boolean {
-    if (now < trialAt) return false
+  /**
+   * The first instance in the ranking for the suspicion tries first; the next ones follow when it does not. A single
+   * request may never come to one of the first instances, so all others follow after them.
+   */
+  private mayTry (suspicion: Suspicion, now: number): boolean {
+    const { parts, trialAt } = suspicion
+    if (now < trialAt || !isTried(suspicion)) return false
     const rank = this.parts.rumors.rankFor(keyOf(parts))
-    return rank <= MAXIMUM_TRIAL_RANK && now >= trialAt + rank * TRIAL_RANK_DELAY_MILLISECONDS
+    if (rank > MAXIMUM_TRIAL_RANK && !parts.some(isFingerprint)) return false
+    return now >= trialAt + Math.min(rank, MAXIMUM_TRIAL_RANK + 1) * TRIAL_RANK_DELAY_MILLISECONDS
   }
 
-  /** Ends all suspicions against a part that are older than an answer with it. @returns whether there was one. */
+  /** Ends all suspicions against a request or a part that are older than an answer to it. @returns whether there was one. */
   private clear (part: string, at: number): boolean {
     let hasCleared = false
+    if (isFingerprint(part)) this.requestCrashes.forget(part)
     for (const [key, suspicion] of [...this.suspicions]) {
       if (!suspicion.parts.includes(part) || suspicion.firstCrashAt >= at) continue
       hasCleared = true
@@ -184,9 +224,7 @@
   }
 
   private removeForgotten (now: number): void {
-    for (const [key, { trialAt }] of this.suspicions) {
-      if (now - trialAt > FORGOTTEN_SUSPICION_MILLISECONDS || this.suspicions.size >= MAXIMUM_SUSPICIONS) this.suspicions.delete(key)
-    }
+    for (const [key, { trialAt }] of this.suspicions) if (now - trialAt > FORGOTTEN_SUSPICION_MILLISECONDS) this.suspicions.delete(key)
   }
 
   private tellSuspicion (suspicion: Suspicion, now: number): void {
@@ -207,7 +245,7 @@
   private hearSuspicion (body: unknown, firstCrashAt: number): boolean {
     const { data } = suspicionBody.safeParse(body)
     if (data === undefined) return false
-    const begun = data.parts.filter(part => this.evidence.hasBegunSince(part, firstCrashAt))
+    const begun = data.parts.filter(part => isFingerprint(part) ? (this.begunRequests.get(part) ?? -Infinity) > firstCrashAt : this.evidence.hasBegunSince(part, firstCrashAt))
     // The instance that told the suspicion does not know of these answers.
     for (const part of begun) {
       if ((this.clearances.get(part) ?? -Infinity) <= firstCrashAt) this.tellClearance(part, this.parts.clock.monotonic())
@@ -219,7 +257,7 @@
   private hearClearance (body: unknown, at: number): boolean {
     const { data } = clearanceBody.safeParse(body)
     if (data === undefined) return false
-    this.evidence.recordBegun(data.part, at)
+    if (!isFingerprint(data.part)) this.evidence.recordBegun(data.part, at)
     const hasCleared = this.clear(data.part, at)
     const isNew = hasCleared || at > (this.clearances.get(data.part) ?? -Infinity) + FORGOTTEN_SUSPICION_MILLISECONDS
     if (isNew) this.clearances.set(data.part, at)
@@ -230,8 +268,9 @@
   private hearCrash (body: unknown, at: number): boolean {
     const { data } = crashBody.safeParse(body)
     if (data === undefined) return false
-    for (const part of data.proven) this.evidence.recordProven(part, at)
-    this.addReport(data.parts, data.server, at, false)
+    const { request, parts, server, proven } = data
+    for (const part of proven) this.evidence.recordProven(part, at)
+    this.addReport({ fingerprint: request, parts, server, at, isOwn: false })
     return false
   }
 }
@@ -258,6 +297,21 @@
   return FIRST_TRIAL_MILLISECONDS * 2 ** Math.min(MAXIMUM_TRIAL_DOUBLINGS, crashes - 2)
 }
 
+/** Whether the suspicion is examined by trials at all. */
+function isTried ({ parts, crashes }: Suspicion): boolean {
+  return crashes < MAXIMUM_CRASHES_OF_TRIED_REQUEST || !parts.some(isFingerprint)
+}
+
+/** Monotonic milliseconds at which a request of the suspicion may be let through. */
+function examinedAt (suspicion: Suspicion): number {
+  return suspicion.trialAt + (isTried(suspicion) ? 0 : FORGOTTEN_SUSPICION_MILLISECONDS)
+}
+
+/** What suspicions may name of a request. */
+function namesOf ({ fingerprint, promptParts }: RequestIdentity): readonly string[] {
+  return [fingerprint, ...sharedPartsOf(promptParts)]
+}
+
 /** The parts of a prompt that other prompts may hold too; the last one belongs to the request or its session. */
 function sharedPartsOf (promptParts: readonly PromptPart[]): readonly string[] {
   return [...new Set(promptParts.slice(0, -1).map(({ id }) => id))]
--- a/packages/forwarding/src/__tests__/unit/JayfallAttemptPlan.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallAttemptPlan.test.ts
@@ -4,7 +4,7 @@
 import { describe, it } from 'node:test'
 
 import { planAttempts, type AttemptPlan, type AttemptResult, type FinalDecision } from '../../JayfallAttemptPlan'
-import { DecisionFixture, fakeFields, fakeRoute, fakeServer } from './JayfallDecisionFixture'
+import { DecisionFixture, fakeFields, fakeRoute, fakeServer, identityOf } from './JayfallDecisionFixture'
 
 const TWO_SERVERS = [fakeServer('a'), fakeServer('b')]
 
@@ -24,10 +24,11 @@
   describe('with suspected prompts', () => {
     const parts = ['system', 'deadly', 'own'].map(id => ({ id, tokens: 10 }))
     const fields = fakeFields({ promptParts: parts })
+    const identity = identityOf(fields)
 
     it('refuses at once and names the time of the next trial, when nothing was sent', () => {
       const fixture = new DecisionFixture(TWO_SERVERS)
-      for (const server of ['a', 'b']) fixture.promptSuspicions.recordCrash(parts, server)
+      for (const server of ['a', 'b']) fixture.promptSuspicions.recordCrash(identity, server)
       const { value } = planAttempts(fixture.context(fakeRoute(), fields)).next()
       assert.ok(value !== undefined && 'kind' in value && value.kind === 'refuse' && value.code === 'suspect_prompt' && value.retryAfter > 1000)
     })
@@ -38,7 +39,7 @@
       const attempts = planAttempts(fixture.context(fakeRoute(), fields))
       let step = attempts.next()
       for (let attempt = 0; step.done !== true; attempt++) {
-        fixture.promptSuspicions.recordCrash(parts, step.value.server.id)
+        fixture.promptSuspicions.recordCrash(identity, step.value.server.id)
         step = attempts.next({ kind: 'broken', cause: 'reset' })
         if (attempt === 1) assert.equal(step.done, true, 'two servers crashed')
       }
--- a/packages/forwarding/src/__tests__/unit/JayfallDecisionFixture.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallDecisionFixture.ts
@@ -11,6 +11,7 @@
 import { PromptCacheTracker } from '../../JayfallPromptCacheTracker'
 import { PrefillTimes } from '../../JayfallPrefillTimes'
 import { PromptSuspicions } from '../../JayfallPromptSuspicions'
+import { type RequestIdentity } from '../../JayfallRequestIdentity'
 import { RetryBudget } from '../../JayfallRetryBudget'
 import { ServerLimits } from '../../JayfallServerLimits'
 import { VersionPolicy } from '../../JayfallVersionPolicy'
@@ -45,6 +46,10 @@
   return { requestId: 'r', patience: 5000, key: undefined, lastEventId: undefined, session: undefined, model: undefined, promptTokens: 0, maximumOutputTokens: 0, promptParts: [], ...overrides }
 }
 
+export function identityOf ({ requestId, promptParts }: CallerFields): RequestIdentity {
+  return { fingerprint: `request:${requestId}`, promptParts }
+}
+
 const ignoreLine = (): void => {}
 export const SILENT_LOG: Log = { debug: ignoreLine, info: ignoreLine, warn: ignoreLine, error: ignoreLine }
 
@@ -77,7 +82,7 @@
       session: 'session',
       isSharedSession: true,
       fields,
-      identity: { fingerprint: 'request:own', promptParts: fields.promptParts },
+      identity: identityOf(fields),
       arrivedAt: now,
       deadline: now + 5000,
       clock: this.clock,
--- a/packages/forwarding/src/__tests__/unit/JayfallRumorNetwork.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallRumorNetwork.ts
@@ -3,7 +3,7 @@
 import { collectorsOf, RumorChannel, RumorSpreader, type News, type RumorTopic } from '#jayfall/peers'
 import { ManualClock, RandomSource, rendezvousRank } from '#jayfall/shared'
 
-const ZONES = ['valdivia', 'osorno', 'puerto-montt', 'chiloe']
+export const ZONES = ['valdivia', 'osorno', 'puerto-montt', 'chiloe']
 const LONGEST_DELAY_MILLISECONDS = 20
 
 /** Runs actions at simulated times, with a resolution of a millisecond. */
@@ -32,16 +32,23 @@
   readonly channels: readonly SimulatedChannel[]
   /** Messages that instances sent. */
   sentMessages = 0
+  /** A zone that no message enters or leaves. */
+  cutZone: string | undefined
 
   constructor (readonly simulation: Simulation, instances: number, readonly random: RandomSource, private readonly loss: number) {
     this.channels = Array.from({ length: instances }, (_, index) => new SimulatedChannel(this, index))
     for (const channel of this.channels) channel.connect()
   }
 
+  /** Whether the cut lies between two zones. */
+  areApart (zone: string, other: string): boolean {
+    return this.cutZone !== undefined && (zone === this.cutZone) !== (other === this.cutZone)
+  }
+
   send (from: SimulatedChannel, to: SimulatedChannel, news: News, isReport: boolean): void {
     this.sentMessages++
     from.sentMessages++
-    if (this.random.chance(this.loss) || to.isSilent) return
+    if (this.random.chance(this.loss) || to.isSilent || this.areApart(from.zone, to.zone)) return
     this.simulation.after(1 + this.random.uniform() * LONGEST_DELAY_MILLISECONDS, () => to.receive(news, isReport))
   }
 }
