--- a/packages/command/src/JayfallRequestTimeline.ts
+++ b/packages/command/src/JayfallRequestTimeline.ts
@@ -21,7 +21,7 @@
 /** Events that change the state an instance works with, each with the kind of object that it concerns. */
 const STATE_CHANGE_EVENTS: ReadonlyMap<string, string> = new Map([
   ['catalogue_in_force', 'catalogue version'], ['server_known', 'server'], ['server_lapsed', 'server'], ['server_held_back', 'server'], ['server_gone', 'server'],
-  ['store_lost', 'table'], ['store_regained', 'table'], ['rollout_ordered', 'service'], ['rollout_order_written_again', 'service'], ['store_came_back_from_copy', 'era'], ['table_read_in_new_era', 'table'], ['store_era_refuted', 'era'], ['prompt_suspected', 'prompt parts'], ['prompt_part_cleared', 'prompt part'], ['server_limited', 'server'], ['server_limit_ended', 'server'], ['rollout_known', 'service'], ['rollout_step', 'service'],
+  ['store_lost', 'table'], ['store_regained', 'table'], ['rollout_ordered', 'service'], ['rollout_order_written_again', 'service'], ['store_came_back_from_copy', 'era'], ['table_read_in_new_era', 'table'], ['store_era_refuted', 'era'], ['prompt_suspected', 'prompt parts'], ['prompt_part_cleared', 'prompt part'], ['server_limited', 'server'], ['service_out_of_reach', 'service'], ['service_in_reach', 'service'], ['server_limit_ended', 'server'], ['rollout_known', 'service'], ['rollout_step', 'service'],
   ['started', 'instance'], ['stopping', 'instance'], ['settings_reloaded', 'settings']
 ])
 
@@ -54,10 +54,15 @@
     const ending = hasEnded === true ? `, the server had ended under ${String(fingerprint)}` : ''
     return `attempt ${String(attempt)} at ${String(server)} (${[version, model].filter(part => part !== undefined).join(', ')}; ${choice}): ${String(result)}${cause === undefined ? '' : `, ${String(cause)}`}${confidenceText}${timing}${progress}${ending}, ${String(elapsed)} ms after arrival`
   }
+  if (event === 'relay_ended') {
+    const { relay, through, zone, result, code, cause, elapsed_ms: elapsed } = fields
+    const reason = [code, cause].filter(part => part !== undefined).map(part => `, ${String(part)}`).join('')
+    return `relay ${String(relay)} through ${String(through)} in ${String(zone)}: ${String(result)}${reason}, ${String(elapsed)} ms after arrival`
+  }
   if (event === 'request_ended') {
-    const { outcome, status, events, elapsed_ms: elapsed, allowed_ms: allowed, catalogue, route, first_event_ms: first, objective_ms: objective } = fields
+    const { relayed_from: from, outcome, status, events, elapsed_ms: elapsed, allowed_ms: allowed, catalogue, route, first_event_ms: first, objective_ms: objective } = fields
     const stream = first === undefined ? '' : `, first event after ${String(first)} ms of ${String(objective)}, ${String(events)} events`
-    return `ended as ${String(outcome)}${status === undefined ? '' : ` with status ${String(status)}`} on ${String(route)} of catalogue ${String(catalogue)} after ${String(elapsed)} of ${String(allowed)} ms${stream}`
+    return `ended${from === undefined ? '' : ` for ${String(from)}`} as ${String(outcome)}${status === undefined ? '' : ` with status ${String(status)}`} on ${String(route)} of catalogue ${String(catalogue)} after ${String(elapsed)} of ${String(allowed)} ms${stream}`
   }
   if (event === 'request_refused') return `refused with status ${String(fields.status)}: ${String(fields.code)}${fields.catalogue === undefined ? '' : `, catalogue ${String(fields.catalogue)}`}`
   return `${event} ${JSON.stringify(fields)}`
@@ -72,9 +77,11 @@
   const refused = records.find(({ event }) => event === 'request_refused')
   if (refused !== undefined) return explainRefusal(String(refused.fields.code))
   const attempts = records.filter(({ event }) => event === 'attempt_ended')
-  const end = records.find(({ event }) => event === 'request_ended')
+  // Of a request that went through another instance, the one that the caller reached tells how it ended.
+  const end = records.find(({ event, fields }) => event === 'request_ended' && fields.relayed_from === undefined)
   if (end === undefined) return 'The instance ended, or its log stopped, before the request had an answer.'
-  const results = attempts.map(({ fields }) => `${String(fields.result)} at ${String(fields.server)}`).join(', then ')
+  const relays = records.filter(({ event }) => event === 'relay_ended')
+  const results = [...attempts.map(({ fields }) => `${String(fields.result)} at ${String(fields.server)}`), ...relays.map(({ fields }) => `${String(fields.result)} through ${String(fields.through)}`)].join(', then ')
   switch (end.fields.outcome) {
     case 'delivered':
       return Number(end.fields.first_event_ms) > Number(end.fields.objective_ms) ? `The answer was late: ${results}.` : `The answer was delivered: ${results}.`
@@ -84,6 +91,8 @@
       return `The caller's time or the route's limit ended: ${results}.`
     case 'no_server':
       return 'No server of the service was known that the request could run on.'
+    case 'unreached':
+      return `The instance reached no server of the service, and no other instance took the request: ${results === '' ? 'none was asked' : results}.`
     case 'suspect_prompt':
       return `This request, or prompts with the same parts, have crashed servers: ${results === '' ? 'it was sent to none' : results}.`
     case 'servers_limited':
--- a/packages/command/src/__tests__/unit/JayfallRequestTimeline.test.ts
+++ b/packages/command/src/__tests__/unit/JayfallRequestTimeline.test.ts
@@ -33,6 +33,22 @@
     assert.deepEqual(timeline.beliefs.map(({ time }) => time), ['T1'])
   })
 
+  // The instance that took the request from another one also logs its end, which may differ from what the caller got.
+  it('follows a request through two instances and explains it by the one that the caller reached (guards against a request that is explained twice)', () => {
+    const lines = [
+      '{"level":"info","time":"T1","instance":"entry-1","event":"service_out_of_reach","service":"guide","servers":8}',
+      '{"level":"info","time":"T2","instance":"entry-2","event":"attempt_ended","request":"r4","attempt":1,"server":"s1","result":"answered"}',
+      '{"level":"info","time":"T3","instance":"entry-2","event":"request_ended","request":"r4","outcome":"delivered","relayed_from":"entry-1"}',
+      '{"level":"info","time":"T3","instance":"entry-1","event":"relay_ended","request":"r4","relay":1,"through":"entry-2","zone":"osorno","result":"broken","cause":"reset"}',
+      '{"level":"info","time":"T4","instance":"entry-1","event":"request_ended","request":"r4","outcome":"answer_lost"}'
+    ]
+    const timeline = createTimeline('r4', lines.map(readLogLine).filter((record): record is LogRecord => record !== undefined))
+    assert.match(timeline?.cause ?? '', /not known to have been a success: answered at s1, then broken through entry-2/)
+    assert.match(timeline?.steps[1].text ?? '', /ended for entry-1 as delivered/)
+    assert.match(timeline?.steps[2].text ?? '', /relay 1 through entry-2 in osorno: broken, reset/)
+    assert.match(timeline?.beliefs[0].text ?? '', /service out of reach/)
+  })
+
   it('reads lines of key=value pairs', () => {
     assert.match(createTimeline('r2', RECORDS)?.cause ?? '', /no such key/)
   })
--- a/packages/feeds/src/JayfallSharedTableStore.ts
+++ b/packages/feeds/src/JayfallSharedTableStore.ts
@@ -9,10 +9,9 @@
  * When the store has come back from a copy, whoever hears of it first tells its reader by asking it.
  */
 
-import { PeerServer, type PeerDatagrams } from '#jayfall/peers'
-import { delay, type Clock, type RandomSource } from '#jayfall/shared'
+import { PeerServer } from '#jayfall/peers'
+import { delay } from '#jayfall/shared'
 import { formatPosition, isPlatformError, PlatformError, WatchableTableStore, type TableChanges, type TablePosition, type TableRow, type TableWrite } from '#jayfall/store'
-import { type Log } from '#jayfall/telemetry'
 
 import { ChangesServer } from './JayfallChangesServer'
 import { planEraCatchUp, type CatchUpOutcome, type CatchUpStep } from './JayfallEraCatchUp'
@@ -22,31 +21,11 @@
 import { encodeTableNotice, ReaderNotices, readFeedMessage, type FeedMessage } from './JayfallFeedNotice'
 import { createFeedRouter, FeedPeerClient } from './JayfallFeedPeerClient'
 import { FeedSubscribers } from './JayfallFeedSubscribers'
-import { deriveFeedTimings, RELAXED_FEED_LIMITS, type FeedLimits, type FeedTimings } from './JayfallFeedTimings'
+import { deriveFeedTimings, RELAXED_FEED_LIMITS, type FeedTimings } from './JayfallFeedTimings'
 import { InstanceRegistry } from './JayfallInstanceRegistry'
 import { PeerChangesReader } from './JayfallPeerChangesReader'
 import { ReaderSelector, type FeedInstance } from './JayfallReaderSelector'
-
-export interface SharedTableStoreParts {
-  readonly store: WatchableTableStore
-  readonly instance: string
-  readonly zone: string
-  /** IP address and port on which this instance accepts calls from other instances. */
-  readonly host: string
-  readonly port: number
-  /** Bandwidth of this instance's link in Mbit/s; undefined when it is unknown. */
-  readonly link?: number
-  readonly limits: FeedLimits
-  /** Whether the whole deployment starts for the first time, so that no instance is registered yet. */
-  readonly isFirstStart: boolean
-  /** Carries the notices. Its address is that of the calls, with the same port. */
-  readonly datagrams: PeerDatagrams
-  readonly clock: Clock
-  readonly random: RandomSource
-  readonly log: Log
-  /** Called with all other registered instances when they have changed. */
-  readonly onInstances?: (others: readonly FeedInstance[]) => void
-}
+import { type SharedTableStoreParts } from './JayfallSharedTableStoreParts'
 
 /** Reads changes from the instance that reads for this one, or from the store when there is none. */
 export class SharedTableStore extends WatchableTableStore {
@@ -87,7 +66,7 @@
   /** Starts to answer other instances, registers this instance and starts to list the others. */
   async start (): Promise<void> {
     const { instance, zone, host, port, link } = this.parts
-    this.peerServer = await PeerServer.start(`${host}:${port}`, createFeedRouter(this.changesServer))
+    this.peerServer = await PeerServer.start(`${host}:${port}`, createFeedRouter(this.changesServer), this.parts.otherCalls)
     this.subscriptionTimer = setInterval(() => this.renewSubscription(), SUBSCRIPTION_INTERVAL_MILLISECONDS)
     await this.registry.start({ id: instance, zone, address: `${host}:${this.peerServer.port}`, link })
   }
--- a/packages/feeds/src/index.ts
+++ b/packages/feeds/src/index.ts
@@ -1,4 +1,5 @@
 export { DEFAULT_FEED_LIMITS, type FeedLimits } from './JayfallFeedTimings'
 export { type FeedInstance } from './JayfallReaderSelector'
-export { SharedTableStore, type SharedTableStoreParts } from './JayfallSharedTableStore'
+export { SharedTableStore } from './JayfallSharedTableStore'
+export { type SharedTableStoreParts } from './JayfallSharedTableStoreParts'
 export { followTable, type FeedEvent, type FeedOptions, type FeedReading } from './JayfallTableFeed'
--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -18,7 +18,9 @@
 import { confidenceThreshold } from './JayfallConfidenceThreshold'
 import { type PromptAdmission, type PromptSuspicions } from './JayfallPromptSuspicions'
 import { type RequestIdentity } from './JayfallRequestIdentity'
+import { type RelayTargets } from './JayfallRelayTargets'
 import { type RetryBudget } from './JayfallRetryBudget'
+import { type ServiceReach } from './JayfallServiceReach'
 import { type VersionPolicy, type VersionRule } from './JayfallVersionPolicy'
 
 /** One attempt to run the request on one server. */
@@ -78,9 +80,27 @@
   | { readonly kind: 'none' }
 
 /** A refusal guarantees that the request has not run. */
-export type RefusalCode = 'no_server' | 'servers_full' | 'too_late' | 'suspect_prompt' | 'servers_limited'
+export type RefusalCode = 'no_server' | 'unreached' | 'servers_full' | 'too_late' | 'suspect_prompt' | 'servers_limited'
 export type FailureCode = 'answer_lost' | 'timeout' | 'suspect_prompt'
 
+/** What has been done for a request so far. */
+export interface AttemptProgress {
+  /** Attempts at servers that may have received the request. */
+  readonly sentAttempts: number
+  readonly mayHaveRun: boolean
+  readonly triedServers: readonly string[]
+  /** Whether the next sending is a retry that has not been taken out of the budget. */
+  readonly isRetry: boolean
+}
+
+export const NO_PROGRESS: AttemptProgress = { sentAttempts: 0, mayHaveRun: false, triedServers: [], isRetry: false }
+
+/** How the attempts of this instance ended. */
+export type AttemptsEnd =
+  | FinalDecision
+  /** The servers are out of this instance's reach. */
+  | { readonly kind: 'unreached', readonly progress: AttemptProgress }
+
 export interface PlanContext {
   readonly route: ForwardingRoute
   readonly service: string
@@ -98,29 +118,36 @@
   readonly retryBudget: RetryBudget
   readonly versionPolicy: VersionPolicy
   readonly promptSuspicions: PromptSuspicions
+  readonly reach: ServiceReach
+  readonly relays: RelayTargets
+  /** The instance that the caller reached and that handed the request to this one; undefined when the caller reached this one. */
+  readonly relayedFrom: string | undefined
+  /** What the other instance had done before. */
+  readonly start: AttemptProgress
   /** The last event that the caller has received; undefined before the first. */
   readonly lastDeliveredEventId: () => string | undefined
 }
 
-export function * planAttempts (context: PlanContext): Generator<AttemptPlan, FinalDecision, AttemptResult> {
+/** @param isDirect whether requests that return by degrees after a cut are sent to servers too. */
+export function * planAttempts (context: PlanContext, start = context.start, isDirect = false): Generator<AttemptPlan, AttemptsEnd, AttemptResult> {
   const { route, clock, deadline, retryBudget, service, promptSuspicions, identity } = context
-  const triedServers = new Set<string>()
-  let sentAttempts = 0
-  let mayHaveRun = false
+  const triedServers = new Set(start.triedServers)
+  let { sentAttempts, mayHaveRun } = start
   let isTrial = false
   let model = route.models[0] ?? context.fields.model
   let previous: AttemptResult | undefined
   for (let number = 1; ; number++) {
     const now = clock.monotonic()
     if (deadline - now < MINIMUM_ATTEMPT_MILLISECONDS) return decideWithoutAnswer(context, mayHaveRun, 'too_late')
+    const isRepeat = previous === undefined ? start.isRetry : previous.kind !== 'unsent'
+    if (isOutOfReach(context, isDirect, now)) return { kind: 'unreached', progress: { sentAttempts, mayHaveRun, triedServers: [...triedServers], isRetry: isRepeat } }
     // A trial that reached no server goes on; one that did is not repeated.
     const admission: PromptAdmission | undefined = isTrial && sentAttempts === 0 ? undefined : promptSuspicions.admit(identity)
     if (admission?.kind === 'refused') return mayHaveRun ? { kind: 'fail', code: 'suspect_prompt' } : { kind: 'refuse', code: 'suspect_prompt', retryAfter: Math.max(DEFAULT_RETRY_AFTER_MILLISECONDS, admission.retryAfter) }
     isTrial ||= admission?.kind === 'trial'
     const chosen = chooseServer(context, model, triedServers)
     // Only an attempt that follows one that may have reached a server counts as a retry.
-    const isRetry = previous !== undefined && previous.kind !== 'unsent'
-    if (chosen === undefined || (isRetry && !retryBudget.trySpendRetry(service, now))) {
+    if (chosen === undefined || (isRepeat && !retryBudget.trySpendRetry(service, now))) {
       if (previous?.kind === 'failed') return { kind: 'deliver' }
       return decideWithoutAnswer(context, mayHaveRun, triedServers.size === 0 ? 'no_server' : 'servers_full')
     }
@@ -176,9 +203,6 @@
 function createPlan (context: PlanContext, { selection, versionRule }: ChosenServer, model: string | undefined, number: number, sentAttempts: number, triedServers: ReadonlySet<string>): AttemptPlan {
   const { route, deadline, lastDeliveredEventId } = context
   const resumeAfter = lastDeliveredEventId()
-  const answerTimeout = route.isStream
-    ? Math.max(MINIMUM_FIRST_EVENT_TIMEOUT_MILLISECONDS, route.objective * FIRST_EVENT_TIMEOUT_OBJECTIVES)
-    : Math.max(MINIMUM_ANSWER_TIMEOUT_MILLISECONDS, route.objective * ANSWER_TIMEOUT_OBJECTIVES)
   return {
     number,
     server: selection.row.server,
@@ -186,22 +210,43 @@
     minimumConfidence: () => minimumConfidence(context, model, sentAttempts),
     resumeAfter,
     deadline,
-    // A request that must not run twice cannot be sent to another server, so it has no such timeout.
-    answerTimeout: route.isRepeatable ? answerTimeout : Infinity,
-    eventGapTimeout: route.isRepeatable ? Math.max(MINIMUM_EVENT_GAP_TIMEOUT_MILLISECONDS, route.eventGapObjective * EVENT_GAP_TIMEOUT_OBJECTIVES) : Infinity,
+    answerTimeout: answerTimeoutOf(route),
+    eventGapTimeout: eventGapTimeoutOf(route),
     isReplaceable: () => isReplaceable(context, model, sentAttempts, new Set([...triedServers, selection.row.server.id])),
     selection,
     versionRule
   }
 }
 
-/** Whether the route, the retry budget and the servers allow another attempt after the running one. */
+/** Milliseconds without an answer, or a first event, after which the request is sent elsewhere. */
+export function answerTimeoutOf ({ isRepeatable, isStream, objective }: ForwardingRoute): number {
+  // A request that must not run twice cannot be sent to another server, so it has no such timeout.
+  if (!isRepeatable) return Infinity
+  return isStream
+    ? Math.max(MINIMUM_FIRST_EVENT_TIMEOUT_MILLISECONDS, objective * FIRST_EVENT_TIMEOUT_OBJECTIVES)
+    : Math.max(MINIMUM_ANSWER_TIMEOUT_MILLISECONDS, objective * ANSWER_TIMEOUT_OBJECTIVES)
+}
+
+/** Milliseconds after an event without a further one after which the stream is continued elsewhere. */
+export function eventGapTimeoutOf ({ isRepeatable, eventGapObjective }: ForwardingRoute): number {
+  return isRepeatable ? Math.max(MINIMUM_EVENT_GAP_TIMEOUT_MILLISECONDS, eventGapObjective * EVENT_GAP_TIMEOUT_OBJECTIVES) : Infinity
+}
+
+/** Whether the request should go through another instance, or back to the one that it came from. */
+function isOutOfReach ({ reach, relays, relayedFrom, service, fields }: PlanContext, isDirect: boolean, now: number): boolean {
+  if (isDirect || relayedFrom !== undefined) return relayedFrom !== undefined && reach.isCut(service)
+  return relays.hasTargets && !reach.mayReach(service, fields.requestId ?? '', now)
+}
+
+/** Whether the route, the retry budget and the servers, or another instance, allow another attempt after the running one. */
 function isReplaceable (context: PlanContext, model: string | undefined, sentAttempts: number, triedServers: ReadonlySet<string>): boolean {
-  const { route, retryBudget, service, clock } = context
-  return route.isRepeatable && sentAttempts + 1 < route.maximumAttempts && retryBudget.hasRetryLeft(service, clock.monotonic()) && chooseServer(context, model, triedServers) !== undefined
+  const { route, retryBudget, service, clock, reach, relays, relayedFrom } = context
+  const now = clock.monotonic()
+  if (!route.isRepeatable || sentAttempts + 1 >= route.maximumAttempts || !retryBudget.hasRetryLeft(service, now)) return false
+  return reach.isCut(service) && relays.hasTargets ? relayedFrom === undefined && relays.isAvailable(service, now) : chooseServer(context, model, triedServers) !== undefined
 }
 
-function decideWithoutAnswer ({ selector, service, clock }: PlanContext, mayHaveRun: boolean, code: RefusalCode): FinalDecision {
+export function decideWithoutAnswer ({ selector, service, clock }: PlanContext, mayHaveRun: boolean, code: RefusalCode): FinalDecision {
   if (mayHaveRun) return { kind: 'fail', code: code === 'too_late' ? 'timeout' : 'answer_lost' }
   const limitDelay = code === 'too_late' ? undefined : selector.refuseForLimits(service)
   if (limitDelay !== undefined) return { kind: 'refuse', code: 'servers_limited', retryAfter: limitDelay }
--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -43,6 +43,8 @@
   minimumConfidence = 0
   /** Whether the attempt's server was found to have ended after its connection broke; undefined when it was not checked. */
   hasServerEnded: boolean | undefined
+  /** Whether the running attempt ended because this instance lost its path to the servers. */
+  private isPathLost = false
   private isPrefillRecorded = false
   /** Set for the running attempt when it may be continued at another server. */
   private zoneOutageDetector: ZoneOutageDetector | undefined
@@ -68,6 +70,7 @@
     this.rateLimit = undefined
     this.receivedEvents = 0
     this.hasServerEnded = undefined
+    this.isPathLost = false
     directory.recordSent(server.id, attempt.selection.prefillTime)
     this.context.limits.recordSent(server.id)
     this.context.prefillTimes.recordSent(attempt.selection.prefillTime)
@@ -105,7 +108,7 @@
   private async exchange (attempt: AttemptPlan, rawHeaders: readonly string[], startedAt: number): Promise<AttemptResult> {
     let exchange: BackendExchange | undefined
     const headPromise = new Promise<AnswerHead>((resolve, reject) => {
-      exchange = BackendExchange.open({ method: this.request.method, address: attempt.server.address, path: this.request.path, rawHeaders, body: this.request.body }, resolve, reject)
+      exchange = BackendExchange.open({ method: this.request.method, address: attempt.server.address, path: this.request.path, rawHeaders, body: this.request.body, onOpened: () => this.context.reachMonitor.recordOpened(attempt.server) }, resolve, reject)
     })
     try {
       const wait = await this.waitForAnswer(headPromise, attempt)
@@ -160,12 +163,14 @@
     if (this.answer.hasBegun) return { kind: 'broken', cause: `the stream could not be resumed: status ${head.status}` }
     this.timeToAnswer = this.context.clock.monotonic() - startedAt
     this.bufferedAnswer = { ...head, body }
+    this.answer.serverVersion = attempt.server.version
     if (head.status < 300) this.context.promptSuspicions.recordBegun(this.plan.identity)
     return head.status >= 500 ? { kind: 'failed', status: head.status } : { kind: 'answered' }
   }
 
   private async relayEvents (attempt: AttemptPlan, exchange: BackendExchange, head: AnswerHead, startedAt: number): Promise<AttemptResult> {
     const { clock } = this.context
+    this.answer.serverVersion = attempt.server.version
     const end = await new StreamRelay({
       exchange,
       head,
@@ -193,12 +198,18 @@
     return { kind: 'answered' }
   }
 
-  /** Records a crash of the server if it has ended before the answer began, as the request may be the cause. */
+  /**
+   * Finds out why a connection broke. If the server has ended before the answer began, the request may be the cause; if
+   * no server can be reached, this instance has lost its path.
+   */
   private async checkForCrash ({ server }: AttemptPlan): Promise<void> {
-    const { promptSuspicions, endedServerCheck, directory, clock } = this.context
-    if (this.receivedEvents > 0 || this.answer.lastEventId !== undefined || this.zoneOutageDetector?.signal.aborted === true) return
-    this.hasServerEnded = await endedServerCheck.hasEnded(server.address)
-    if (!this.hasServerEnded) return
+    const { promptSuspicions, connectionCheck, reachMonitor, directory, clock } = this.context
+    if (this.zoneOutageDetector?.signal.aborted === true) return
+    if (await connectionCheck.tryConnection(server.address) === 'refused') this.isPathLost = await reachMonitor.isCutOff(server)
+    else this.hasServerEnded = false
+    if (this.isPathLost || this.hasServerEnded === false) return
+    this.hasServerEnded = true
+    if (this.receivedEvents > 0 || this.answer.lastEventId !== undefined) return
     directory.recordUnreachable(server.id, clock.monotonic())
     promptSuspicions.recordCrash(this.plan.identity, server.id)
   }
@@ -249,11 +260,12 @@
         this.unattributedFailures.push(attempt)
         return
       case 'unsent':
+        this.context.reachMonitor.recordUnopened(attempt.server)
         return directory.recordUnreachable(attempt.server.id, clock.monotonic())
       case 'broken':
       case 'silent':
-        // The failure of an attempt in an unreachable zone is not attributed to the server.
-        if (this.zoneOutageDetector?.signal.aborted !== true) this.recordAttemptFailure(attempt)
+        // The failure of an attempt that lost its path, or in an unreachable zone, is not attributed to the server.
+        if (!this.isPathLost && !this.context.reach.isCut(attempt.server.service) && this.zoneOutageDetector?.signal.aborted !== true) this.recordAttemptFailure(attempt)
         return
       case 'answered':
       case 'unsure':
--- a/packages/forwarding/src/JayfallBackendExchange.ts
+++ b/packages/forwarding/src/JayfallBackendExchange.ts
@@ -21,6 +21,10 @@
   /** Names and values in turn. */
   readonly rawHeaders: readonly string[]
   readonly body: Buffer
+  /** Local IP address of the connection; chosen by the operating system by default. */
+  readonly localAddress?: string
+  /** Called when the connection was opened. */
+  readonly onOpened?: () => void
 }
 
 /** Why an exchange gave no complete answer: nothing was sent, or the connection failed after it had been opened. */
@@ -64,7 +68,7 @@
     this.parser = new AnswerParser(this, request.method === 'HEAD')
     const [host, port] = request.address.split(':')
     const onread = { buffer: READ_BUFFER, callback: (length: number, buffer: Uint8Array) => this.receive((buffer as Buffer).subarray(0, length)) }
-    this.socket = net.connect({ host, port: Number(port), noDelay: true, onread })
+    this.socket = net.connect({ host, port: Number(port), noDelay: true, localAddress: request.localAddress, onread })
     // After the process was paused, timers run before the connections that were opened meanwhile are noticed,
     // so the check is deferred until pending I/O events have been processed.
     const connectTimer = setTimeout(() => setImmediate(() => {
@@ -73,6 +77,7 @@
     this.socket.once('connect', () => {
       clearTimeout(connectTimer)
       this.isConnected = true
+      request.onOpened?.()
     })
     this.socket.once('end', () => this.finish())
     this.socket.once('error', error => this.fail(error.message, error))
--- a/packages/forwarding/src/JayfallCallerAnswer.ts
+++ b/packages/forwarding/src/JayfallCallerAnswer.ts
@@ -7,6 +7,7 @@
 import { type AnswerHead } from './JayfallAnswerParser'
 import { type StreamEvent } from './JayfallEventSplitter'
 import { endToEndHeaders } from './JayfallForwardingProtocol'
+import { encodeOutcome, type RelayOutcome } from './JayfallRelayEnvelope'
 
 /** A backend server's answer that has been received completely. */
 export interface BufferedAnswer extends Pick<AnswerHead, 'status' | 'rawHeaders' | 'isSelfDelimited'> {
@@ -18,6 +19,8 @@
 export class CallerAnswer {
   private readonly disconnectController = new AbortController()
   private hasEnded = false
+  /** The version of the server whose answer is sent. */
+  serverVersion: string | undefined
   /** Identifier of the last event that was written. */
   lastEventId: string | undefined
   eventsWritten = 0
@@ -27,7 +30,8 @@
   longestEventGap = 0
   private previousEventAt = 0
 
-  constructor (private readonly request: IncomingMessage, private readonly response: ServerResponse, private readonly clock: Clock, private readonly isClosing: () => boolean) {
+  /** @param isRelayed whether another instance receives the answer for its caller. */
+  constructor (private readonly request: IncomingMessage, private readonly response: ServerResponse, private readonly clock: Clock, private readonly isClosing: () => boolean, private readonly isRelayed = false) {
     const onDisconnect = (): void => {
       if (!this.hasEnded) this.disconnectController.abort()
     }
@@ -99,13 +103,16 @@
     this.response.destroy()
   }
 
-  /** Sends an answer that the router itself produced. */
-  sendRouterAnswer (status: number, headers: Readonly<Record<string, string>>, text: string): void {
+  /**
+   * Sends an answer that the router itself produced.
+   * @param outcome what it means to another instance that receives it.
+   */
+  sendRouterAnswer (status: number, headers: Readonly<Record<string, string>>, text: string, outcome?: RelayOutcome): void {
     this.hasEnded = true
     const body = Buffer.from(text)
     // The rest of the request's body is read and discarded, because closing with unread data would reset the connection before the answer arrives.
     this.request.resume()
-    this.response.writeHead(status, { ...headers, 'Content-Type': 'text/plain; charset=utf-8', 'Content-Length': String(body.length), ...(this.isClosing() ? { Connection: 'close' } : {}) })
+    this.response.writeHead(status, { ...headers, 'Content-Type': 'text/plain; charset=utf-8', 'Content-Length': String(body.length), ...(this.isRelayed && outcome !== undefined ? Object.fromEntries([encodeOutcome(outcome)]) : {}), ...(this.isClosing() ? { Connection: 'close' } : {}) })
     this.response.end(body)
   }
 
@@ -117,6 +124,7 @@
 
   private * copyHeaders (rawHeaders: readonly string[]): Generator<string> {
     for (const header of endToEndHeaders(rawHeaders, name => EXCLUDED_HEADERS.has(name))) yield * header
+    if (this.isRelayed) yield * encodeOutcome({ kind: 'answered', version: this.serverVersion })
     if (this.isClosing()) yield * ['Connection', 'close']
   }
 }
--- a/packages/forwarding/src/JayfallEndedServerCheck.ts
+++ b/packages/forwarding/src/JayfallEndedServerCheck.ts
@@ -1,7 +1,7 @@
 /**
- * Checks whether a server has ended, after a connection to it broke before an answer began.
+ * Tries to open connections to servers, without sending anything.
  *
- * A server that has ended refuses connections at once. One that only cut the connection accepts the next one, and one
+ * A server that has ended refuses connections at once. One that only cut a connection accepts the next one, and one
  * behind a partition answers nothing.
  */
 
@@ -9,32 +9,35 @@
 
 import { CONNECT_TIMEOUT_MILLISECONDS } from './JayfallForwardingConstants'
 
-export abstract class EndedServerCheck {
+export type ConnectionOutcome = 'opened' | 'refused' | 'silent'
+
+export abstract class ServerConnectionCheck {
   /** @param address IP address and port. */
-  abstract hasEnded (address: string): Promise<boolean>
+  abstract tryConnection (address: string): Promise<ConnectionOutcome>
 }
 
-/** Opens a connection to the server, one at a time for all requests that ask. */
-export class ConnectionCheck extends EndedServerCheck {
-  private readonly running = new Map<string, Promise<boolean>>()
+/** Opens connections, one at a time to each server for all that ask. */
+export class ConnectionCheck extends ServerConnectionCheck {
+  private readonly running = new Map<string, Promise<ConnectionOutcome>>()
 
-  override hasEnded (address: string): Promise<boolean> {
-    const running = this.running.get(address) ?? isRefused(address).finally(() => this.running.delete(address))
+  override tryConnection (address: string): Promise<ConnectionOutcome> {
+    const running = this.running.get(address) ?? openConnection(address).finally(() => this.running.delete(address))
     this.running.set(address, running)
     return running
   }
 }
 
-function isRefused (address: string): Promise<boolean> {
+function openConnection (address: string): Promise<ConnectionOutcome> {
   const [host, port] = address.split(':')
   return new Promise(resolve => {
-    const socket = net.connect({ host, port: Number(port), timeout: CONNECT_TIMEOUT_MILLISECONDS })
-    const settle = (isRefusal: boolean): void => {
+    const socket = net.connect({ host, port: Number(port) })
+    const settle = (outcome: ConnectionOutcome): void => {
+      clearTimeout(timer)
       socket.destroy()
-      resolve(isRefusal)
+      resolve(outcome)
     }
-    socket.once('connect', () => settle(false))
-    socket.once('timeout', () => settle(false))
-    socket.once('error', (error: NodeJS.ErrnoException) => settle(error.code === 'ECONNREFUSED'))
+    const timer = setTimeout(() => settle('silent'), CONNECT_TIMEOUT_MILLISECONDS)
+    socket.once('connect', () => settle('opened'))
+    socket.once('error', (error: NodeJS.ErrnoException) => settle(error.code === 'ECONNREFUSED' ? 'refused' : 'silent'))
   })
 }
--- a/packages/forwarding/src/JayfallForwardedCall.ts
+++ b/packages/forwarding/src/JayfallForwardedCall.ts
@@ -1,14 +1,18 @@
 /** Processes one caller's request up to its final answer. */
 
-import { planAttempts, type AttemptPlan, type AttemptResult, type FinalDecision, type PlanContext } from './JayfallAttemptPlan'
+import { type AttemptPlan, type AttemptResult, type FinalDecision, type PlanContext } from './JayfallAttemptPlan'
 import { AttemptRunner, NOT_RUN_GUARANTEE_STATUSES, type CallerRequest } from './JayfallAttemptRunner'
-import { type CallerAnswer } from './JayfallCallerAnswer'
+import { type BufferedAnswer, type CallerAnswer } from './JayfallCallerAnswer'
 import { type ForwardingContext } from './JayfallForwardingContext'
+import { planRequest, type RelayPlan, type RelayResult } from './JayfallRelayPlan'
+import { RelayRunner } from './JayfallRelayRunner'
 
 const FAILURE_STATUSES = { answer_lost: 502, suspect_prompt: 502, timeout: 504 } as const
 
 export class ForwardedCall {
   private readonly runner: AttemptRunner
+  private readonly relayRunner: RelayRunner
+  private relays = 0
 
   constructor (
     private readonly context: ForwardingContext,
@@ -18,38 +22,55 @@
     private readonly catalogueVersion: number
   ) {
     this.runner = new AttemptRunner(context, plan, request, answer)
+    this.relayRunner = new RelayRunner(context, plan, request, answer, catalogueVersion)
   }
 
   /** Runs attempts until the caller has its final answer. */
   async run (): Promise<void> {
-    const attempts = planAttempts(this.plan)
-    let step = attempts.next()
+    const steps = planRequest(this.plan)
+    let step = steps.next()
     while (step.done !== true) {
-      const result = await this.runner.run(step.value)
-      this.logAttempt(step.value, result)
-      step = attempts.next(result)
+      const { value } = step
+      step = steps.next(value.kind === 'attempt' ? await this.runAttempt(value.plan) : await this.runRelay(value.plan))
     }
     this.runner.finishObservations()
     this.finish(step.value)
     this.logOutcome(step.value)
   }
 
+  private async runAttempt (attempt: AttemptPlan): Promise<AttemptResult> {
+    const result = await this.runner.run(attempt)
+    this.logAttempt(attempt, result)
+    return result
+  }
+
+  private async runRelay (relay: RelayPlan): Promise<RelayResult> {
+    this.relays++
+    const result = await this.relayRunner.run(relay)
+    this.logRelay(relay, result)
+    return result
+  }
+
+  private get bufferedAnswer (): BufferedAnswer | undefined {
+    return this.relayRunner.bufferedAnswer ?? this.runner.bufferedAnswer
+  }
+
   private finish (decision: FinalDecision): void {
     if (decision.kind === 'none' || this.answer.callerDisconnected.aborted) return
     if (decision.kind === 'deliver') return this.deliverBufferedAnswer()
     if (this.answer.hasBegun) return this.answer.abortConnection()
     const { protocol } = this.context
     const { requestId } = this.request
-    if (decision.kind === 'refuse') this.answer.sendRouterAnswer(503, protocol.encodeRefusalHeaders(requestId, decision.retryAfter), `not run: ${decision.code}\n`)
-    else this.answer.sendRouterAnswer(FAILURE_STATUSES[decision.code], protocol.encodeRefusalHeaders(requestId, undefined), `failed: ${decision.code}\n`)
+    if (decision.kind === 'refuse') this.answer.sendRouterAnswer(503, protocol.encodeRefusalHeaders(requestId, decision.retryAfter), `not run: ${decision.code}\n`, { kind: 'refused', code: decision.code, retryAfter: decision.retryAfter, isUnable: decision.code === 'unreached' })
+    else this.answer.sendRouterAnswer(FAILURE_STATUSES[decision.code], protocol.encodeRefusalHeaders(requestId, undefined), `failed: ${decision.code}\n`, { kind: 'failed', code: decision.code })
   }
 
   private deliverBufferedAnswer (): void {
-    const { bufferedAnswer } = this.runner
+    const { bufferedAnswer } = this
     // The events of a stream were forwarded as they arrived.
     if (bufferedAnswer === undefined) return
     // The server ran the request, so a status that guarantees the opposite must not reach the caller.
-    if (NOT_RUN_GUARANTEE_STATUSES.has(bufferedAnswer.status)) this.answer.sendRouterAnswer(FAILURE_STATUSES.answer_lost, this.context.protocol.encodeRefusalHeaders(this.request.requestId, undefined), 'failed: server_failed\n')
+    if (NOT_RUN_GUARANTEE_STATUSES.has(bufferedAnswer.status)) this.answer.sendRouterAnswer(FAILURE_STATUSES.answer_lost, this.context.protocol.encodeRefusalHeaders(this.request.requestId, undefined), 'failed: server_failed\n', { kind: 'failed', code: 'answer_lost' })
     else this.answer.sendBuffered(bufferedAnswer)
   }
 
@@ -91,12 +112,32 @@
     })
   }
 
+  private logRelay ({ number, target }: RelayPlan, result: RelayResult): void {
+    const { log, metrics, clock } = this.context
+    metrics.count('jayfall_forwarding_relays_total', { service: this.plan.service, result: result.kind })
+    log.info('relay_ended', {
+      request: this.request.requestId,
+      relay: number,
+      through: target.id,
+      zone: target.zone,
+      result: result.kind,
+      cause: 'cause' in result ? result.cause : undefined,
+      code: 'code' in result ? result.code : undefined,
+      elapsed_ms: Math.round(clock.monotonic() - this.plan.arrivedAt)
+    })
+  }
+
   private logOutcome (decision: FinalDecision): void {
     const { log, metrics, clock } = this.context
     const elapsed = clock.monotonic() - this.plan.arrivedAt
     const outcome = decision.kind === 'refuse' || decision.kind === 'fail' ? decision.code : this.answer.callerDisconnected.aborted ? 'caller_left' : 'delivered'
-    metrics.count('jayfall_forwarding_requests_total', { route: this.plan.route.name, outcome })
-    metrics.record('jayfall_forwarding_request_seconds', { route: this.plan.route.name }, elapsed)
+    // A relayed request is counted by the instance that its caller reached.
+    if (this.plan.relayedFrom === undefined) {
+      metrics.count('jayfall_forwarding_requests_total', { route: this.plan.route.name, outcome })
+      metrics.record('jayfall_forwarding_request_seconds', { route: this.plan.route.name }, elapsed)
+    } else {
+      metrics.count('jayfall_forwarding_relayed_requests_total', { service: this.plan.service, outcome })
+    }
     log.info('request_ended', {
       request: this.request.requestId,
       route: this.plan.route.name,
@@ -105,7 +146,9 @@
       catalogue: this.catalogueVersion,
       decision: decision.kind,
       outcome,
-      status: this.runner.bufferedAnswer?.status,
+      relays: this.relays === 0 ? undefined : this.relays,
+      relayed_from: this.plan.relayedFrom,
+      status: this.bufferedAnswer?.status,
       events: this.answer.eventsWritten,
       first_event_ms: this.answer.firstEventAt === undefined ? undefined : Math.round(this.answer.firstEventAt - this.plan.arrivedAt),
       longest_pause_ms: Math.round(this.answer.longestEventGap),
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -25,6 +25,37 @@
 /** Minimum remaining time for another attempt. With less, the caller leaves before the attempt can end. */
 export const MINIMUM_ATTEMPT_MILLISECONDS = 30
 
+/** Different servers of a service that cannot be reached, with none reached since, at which the path of this instance is the likely cause; fewer when the service has fewer. */
+export const MAXIMUM_UNOPENED_SERVERS = 4
+/** Time for which a server that could not be reached counts. Rarely used services get a request a second. */
+export const REACH_WINDOW_MILLISECONDS = 5000
+/** Interval at which a server of a service that is out of reach is probed. */
+export const REACH_PROBE_INTERVAL_MILLISECONDS = 300
+/** Time over which requests return to the servers after a cut. */
+export const REACH_RETURN_MILLISECONDS = 1500
+/** Servers of other services that are tried to tell a cut of this instance from the end of a server. */
+export const PATH_CHECK_SERVERS = 3
+/** Instances that one request is offered to. Half of them may be cut off as well. */
+export const MAXIMUM_RELAYS_PER_REQUEST = 6
+/** Time for which an instance is left out that could not take a request of a service. */
+export const UNABLE_INSTANCE_MILLISECONDS = 1000
+/** Instances in a row that could not take a request of a service, after which none is asked for a while. */
+export const MAXIMUM_UNABLE_INSTANCES = 8
+export const RELAY_PAUSE_MILLISECONDS = 500
+/** Instances of the own zone and of other zones that an instance may hand requests to. */
+export const MAXIMUM_NEAR_TARGETS = 32
+export const MAXIMUM_FAR_TARGETS = 64
+/** Open relays by which an instance of another zone counts more. */
+export const OTHER_ZONE_RELAYS = 2
+/** Open relays that an offer in vain is worth: it delays the request by a round trip between zones. */
+export const UNABLE_INSTANCE_RELAYS = 4
+/** Multiple of the timeouts at servers after which a relay is given up. */
+export const RELAY_TIMEOUT_FACTOR = 2
+/** Requests of other instances that an instance takes at the same time; each uses two descriptors of the few thousand that a process has. */
+export const MAXIMUM_OPEN_RELAYED_REQUESTS = 500
+/** Maximum size of a relayed request. It equals the limit of other calls between instances. */
+export const MAXIMUM_RELAY_BYTES = 8 * 1024 * 1024
+
 /** Consecutive failures after which a server gets no new work for a while. */
 export const FAILURES_BEFORE_AVOIDANCE = 2
 /** First period for which a failing server is avoided. The period doubles each time the server fails again afterwards. */
--- a/packages/forwarding/src/JayfallForwardingContext.ts
+++ b/packages/forwarding/src/JayfallForwardingContext.ts
@@ -5,15 +5,18 @@
 
 import { type BackendSelector } from './JayfallBackendSelector'
 import { type BackendDirectory } from './JayfallBackendDirectory'
-import { type EndedServerCheck } from './JayfallEndedServerCheck'
+import { type ServerConnectionCheck } from './JayfallEndedServerCheck'
 import { type ForwardingProtocol } from './JayfallForwardingProtocol'
 import { type PromptCacheTracker } from './JayfallPromptCacheTracker'
 import { type PrefillHints } from './JayfallPrefillHints'
 import { type PrefillTimes } from './JayfallPrefillTimes'
 import { type PromptSuspicions } from './JayfallPromptSuspicions'
+import { type ReachMonitor } from './JayfallReachMonitor'
+import { type RelayTargets } from './JayfallRelayTargets'
 import { type RetryBudget } from './JayfallRetryBudget'
 import { type RolloutEvidence } from './JayfallRolloutEvidence'
 import { type ServerLimits } from './JayfallServerLimits'
+import { type ServiceReach } from './JayfallServiceReach'
 import { type VersionPolicy } from './JayfallVersionPolicy'
 
 export interface ForwardingContext {
@@ -27,7 +30,14 @@
   readonly hints: PrefillHints
   readonly limits: ServerLimits
   readonly promptSuspicions: PromptSuspicions
-  readonly endedServerCheck: EndedServerCheck
+  readonly connectionCheck: ServerConnectionCheck
+  readonly reach: ServiceReach
+  readonly reachMonitor: ReachMonitor
+  readonly relays: RelayTargets
+  /** This instance, as others name it. */
+  readonly instance: string
+  /** IP address from which this instance calls others; chosen by the operating system by default. */
+  readonly relayHost: string | undefined
   readonly selector: BackendSelector
   readonly retryBudget: RetryBudget
   readonly versionPolicy: VersionPolicy
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -4,6 +4,8 @@
  * All of its state comes from the store or from answers of servers, and ends with the process.
  */
 
+import { type IncomingMessage, type ServerResponse } from 'node:http'
+
 import { followTable, type FeedReading } from '#jayfall/feeds'
 import { NoRumors, type RumorChannel } from '#jayfall/peers'
 import { type Clock, delay, messageOf, type RandomSource, type ReadonlyTable } from '#jayfall/shared'
@@ -19,6 +21,9 @@
 import { ForwardingServer } from './JayfallForwardingServer'
 import { ForwardingState } from './JayfallForwardingState'
 import { ConnectionCheck } from './JayfallEndedServerCheck'
+import { ReachMonitor } from './JayfallReachMonitor'
+import { RelayTargets, type RelayTarget } from './JayfallRelayTargets'
+import { ServiceReach } from './JayfallServiceReach'
 import { HealthProbe } from './JayfallHealthProbe'
 import { PromptCacheTracker } from './JayfallPromptCacheTracker'
 import { NoPrefillHints, type PrefillHints } from './JayfallPrefillHints'
@@ -67,6 +72,8 @@
   readonly hints?: PrefillHints
   /** No news is exchanged by default. */
   readonly rumors?: RumorChannel
+  /** IP address from which other instances are called; chosen by the operating system by default. */
+  readonly relayHost?: string
 }
 
 export class ForwardingInstance {
@@ -78,6 +85,10 @@
   private readonly rolloutCoordinator: RolloutCoordinator
   private readonly server: ForwardingServer
   private readonly promptSuspicions: PromptSuspicions
+  private readonly reachMonitor: ReachMonitor
+  private readonly relays: RelayTargets
+  /** IP addresses of the other instances. */
+  private peerHosts: ReadonlySet<string> = new Set()
   /** Rollout orders by the keys of their rows. */
   private readonly ordersByRowKey = new Map<string, RolloutOrder>()
   /** Positions of the orders that were made while this instance followed them, by the keys of their rows. */
@@ -110,6 +121,9 @@
     const limits = new ServerLimits({ ...dependencies, rumors, storeTime, instance: settings.instance, instances })
     const promptSuspicions = this.promptSuspicions = new PromptSuspicions({ clock, log, metrics: this.metrics, rumors })
     const evidence = new RolloutEvidence(this.versionPolicy, clock)
+    const [reach, connectionCheck] = [new ServiceReach(), new ConnectionCheck()]
+    this.reachMonitor = new ReachMonitor({ ...dependencies, reach, directory: this.directory, check: connectionCheck, metrics: this.metrics })
+    this.relays = new RelayTargets(settings.instance, settings.zone)
     this.rolloutCoordinator = new RolloutCoordinator({
       ...dependencies,
       instance: settings.instance,
@@ -121,7 +135,7 @@
       storeTime
     })
     this.server = new ForwardingServer({
-      clock, log, protocol, evidence, promptCache, prefillTimes, hints, limits, promptSuspicions, endedServerCheck: new ConnectionCheck(), metrics: this.metrics, directory: this.directory, selector: new EstimatedTimeSelector(this.directory, promptCache, prefillTimes, settings.zone, limits), retryBudget: this.retryBudget, versionPolicy: this.versionPolicy
+      clock, log, protocol, evidence, promptCache, prefillTimes, hints, limits, promptSuspicions, connectionCheck, reach, reachMonitor: this.reachMonitor, relays: this.relays, instance: settings.instance, relayHost: dependencies.relayHost, metrics: this.metrics, directory: this.directory, selector: new EstimatedTimeSelector(this.directory, promptCache, prefillTimes, settings.zone, limits), retryBudget: this.retryBudget, versionPolicy: this.versionPolicy
     }, this.state)
     hints.subscribe(({ server, reading }) => this.directory.recordPeerPrefill(server, reading, clock.monotonic()))
   }
@@ -140,6 +154,22 @@
     return this.server.port
   }
 
+  /** Sets the other instances, which take requests that this one cannot bring to servers. */
+  setPeers (peers: readonly RelayTarget[]): void {
+    this.relays.setTargets(peers)
+    this.peerHosts = new Set(peers.map(({ address }) => address.split(':')[0]))
+  }
+
+  /** Takes a request of another instance. */
+  handleRelay (request: IncomingMessage, response: ServerResponse): void {
+    const { log } = this.dependencies
+    const isInstance = this.peerHosts.has(request.socket.remoteAddress ?? '')
+    this.server.handleRelay(request, response, isInstance).catch(error => {
+      log.error('relay_crashed', { message: error instanceof Error ? error.stack : String(error) })
+      response.destroy()
+    })
+  }
+
   /** Listens for callers and begins to follow the store. */
   async start (): Promise<void> {
     const { callers, instance, zone } = this.settings
@@ -190,6 +220,7 @@
   private updateState (): void {
     this.state.updateServers()
     this.promptSuspicions.update()
+    this.reachMonitor.probe()
   }
 
   private advanceRollouts (): void {
--- a/packages/forwarding/src/JayfallForwardingServer.ts
+++ b/packages/forwarding/src/JayfallForwardingServer.ts
@@ -5,14 +5,15 @@
 
 import { rendezvousShare } from '#jayfall/shared'
 
-import { type PlanContext } from './JayfallAttemptPlan'
+import { NO_PROGRESS, type PlanContext } from './JayfallAttemptPlan'
 import { readRequestBody } from './JayfallBodyReader'
 import { CallerAnswer } from './JayfallCallerAnswer'
 import { ForwardedCall } from './JayfallForwardedCall'
 import { type ForwardingRoute } from './JayfallForwardingCatalogue'
-import { STARTING_RETRY_AFTER_MILLISECONDS, MAXIMUM_STARTING_WAIT_MILLISECONDS, STARTING_WAIT_PATIENCE_SHARE, STOPPING_RETRY_AFTER_MILLISECONDS } from './JayfallForwardingConstants'
+import { DEFAULT_RETRY_AFTER_MILLISECONDS, MAXIMUM_OPEN_RELAYED_REQUESTS, MAXIMUM_RELAY_BYTES, STARTING_RETRY_AFTER_MILLISECONDS, MAXIMUM_STARTING_WAIT_MILLISECONDS, STARTING_WAIT_PATIENCE_SHARE, STOPPING_RETRY_AFTER_MILLISECONDS } from './JayfallForwardingConstants'
 import { type ForwardingContext } from './JayfallForwardingContext'
 import { type ForwardingState } from './JayfallForwardingState'
+import { decodeRelay, type RelayHead } from './JayfallRelayEnvelope'
 import { identifyRequest } from './JayfallRequestIdentity'
 
 /** Limit on headers for the HTTP parser of Node.js. The catalogue's limit may change, so it is checked for each request. */
@@ -25,6 +26,7 @@
   private isClosing = false
   private isClosed = false
   private openRequests = 0
+  private openRelayedRequests = 0
   /** Answers that were handed to their connections and have not been sent completely. */
   private unsentAnswers = 0
 
@@ -118,6 +120,8 @@
       fields,
       identity: identifyRequest({ method, host, path, workspace: workspace?.name, promptParts: fields.promptParts, body }),
       arrivedAt,
+      relayedFrom: undefined,
+      start: NO_PROGRESS,
       deadline: arrivedAt + Math.min(fields.patience ?? Infinity, route.timeout),
       lastDeliveredEventId: () => answer.lastEventId
     }
@@ -125,6 +129,59 @@
     await new ForwardedCall(this.context, plan, callerRequest, answer, version).run()
   }
 
+  /**
+   * Takes a request of another instance that cannot reach the servers itself.
+   * @param isInstance whether the call comes from an instance of the deployment.
+   */
+  async handleRelay (request: http.IncomingMessage, response: http.ServerResponse, isInstance: boolean): Promise<void> {
+    const { clock, log } = this.context
+    const receivedAt = clock.monotonic()
+    const answer = new CallerAnswer(request, response, clock, () => this.isClosing, true)
+    if (!isInstance) {
+      log.warn('relay_not_allowed', { address: request.socket.remoteAddress })
+      return answer.sendRouterAnswer(403, {}, 'not an instance of this deployment\n')
+    }
+    const bytes = await readRequestBody(request, MAXIMUM_RELAY_BYTES)
+    if (bytes === 'broken') return
+    const relayed = bytes === 'too_large' ? undefined : decodeRelay(bytes)
+    if (relayed === undefined) return answer.sendRouterAnswer(400, {}, 'no relayed request\n')
+    const { head, body } = relayed
+    if (this.isClosed || !this.state.isReady || this.openRelayedRequests >= MAXIMUM_OPEN_RELAYED_REQUESTS) {
+      log.info('relay_refused', { request: head.requestId, from: head.from, open: this.openRelayedRequests })
+      return answer.sendRouterAnswer(503, {}, 'not taken\n', { kind: 'refused', code: 'unreached', retryAfter: DEFAULT_RETRY_AFTER_MILLISECONDS, isUnable: true })
+    }
+    this.countUntilClosed(request, response)
+    this.openRelayedRequests++
+    const { requestId, method, path, rawHeaders, workspace, catalogueVersion } = head
+    const callerRequest = { requestId, method, path, rawHeaders, body, workspace: workspace === undefined ? undefined : { name: workspace.name, priority: workspace.priority } }
+    try {
+      await new ForwardedCall(this.context, this.planRelayed(head, answer, receivedAt), callerRequest, answer, catalogueVersion).run()
+    } finally {
+      this.openRelayedRequests--
+    }
+  }
+
+  private planRelayed (head: RelayHead, answer: CallerAnswer, receivedAt: number): PlanContext {
+    const { requestId, route, service, session, isSharedSession, sessionVersion, fingerprint, fields, from, age, left, sentAttempts, mayHaveRun, triedServers, resumeAfter } = head
+    const arrivedAt = receivedAt - age
+    if (sessionVersion !== undefined) this.context.versionPolicy.recordRun(service, session, sessionVersion, receivedAt)
+    return {
+      ...this.context,
+      route,
+      service,
+      session,
+      isSharedSession,
+      fields: { lastEventId: undefined, session: undefined, model: undefined, ...fields, requestId, patience: age + left, key: undefined },
+      identity: { fingerprint, promptParts: fields.promptParts },
+      arrivedAt,
+      deadline: receivedAt + left,
+      relayedFrom: from,
+      // The instance that the caller reached has taken a retry out of its budget where this is one.
+      start: { sentAttempts, mayHaveRun, triedServers, isRetry: false },
+      lastDeliveredEventId: () => answer.lastEventId ?? resumeAfter
+    }
+  }
+
   /** Counts the request as open until its answer was sent or its connection has ended. An answer that is only handed to the connection would end with the process. */
   private countUntilClosed ({ socket }: http.IncomingMessage, response: http.ServerResponse): void {
     this.openRequests++
--- a/packages/forwarding/src/__tests__/unit/JayfallAttemptPlan.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallAttemptPlan.test.ts
@@ -3,13 +3,13 @@
 import * as assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 
-import { planAttempts, type AttemptPlan, type AttemptResult, type FinalDecision } from '../../JayfallAttemptPlan'
+import { planAttempts, type AttemptPlan, type AttemptResult, type AttemptsEnd } from '../../JayfallAttemptPlan'
 import { DecisionFixture, fakeFields, fakeRoute, fakeServer, identityOf } from './JayfallDecisionFixture'
 
 const TWO_SERVERS = [fakeServer('a'), fakeServer('b')]
 
 /** Runs a plan with the given results. The last result is repeated. */
-function runPlan (fixture: DecisionFixture, route = fakeRoute(), results: readonly AttemptResult[], fields = fakeFields()): { readonly plans: readonly AttemptPlan[], readonly decision: FinalDecision } {
+function runPlan (fixture: DecisionFixture, route = fakeRoute(), results: readonly AttemptResult[], fields = fakeFields()): { readonly plans: readonly AttemptPlan[], readonly decision: AttemptsEnd } {
   const attempts = planAttempts(fixture.context(route, fields))
   const plans: AttemptPlan[] = []
   let step = attempts.next()
--- a/packages/forwarding/src/__tests__/unit/JayfallDecisionFixture.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallDecisionFixture.ts
@@ -15,7 +15,9 @@
 import { RetryBudget } from '../../JayfallRetryBudget'
 import { ServerLimits } from '../../JayfallServerLimits'
 import { VersionPolicy } from '../../JayfallVersionPolicy'
-import { type PlanContext } from '../../JayfallAttemptPlan'
+import { NO_PROGRESS, type PlanContext } from '../../JayfallAttemptPlan'
+import { RelayTargets } from '../../JayfallRelayTargets'
+import { ServiceReach } from '../../JayfallServiceReach'
 
 export const SERVICE = 'guide'
 
@@ -68,6 +70,8 @@
   readonly retryBudget = new RetryBudget(0.9)
   readonly versionPolicy = new VersionPolicy({ sessionGap: 5000, exposureShare: 0.15 }, () => this.clock.monotonic())
   readonly promptSuspicions = createSuspicions(this.clock)
+  readonly reach = new ServiceReach()
+  readonly relays = new RelayTargets('entry', 'valdivia')
   lastDeliveredEventId: string | undefined
 
   constructor (servers: readonly BackendServer[]) {
@@ -90,6 +94,10 @@
       retryBudget: this.retryBudget,
       versionPolicy: this.versionPolicy,
       promptSuspicions: this.promptSuspicions,
+      reach: this.reach,
+      relays: this.relays,
+      relayedFrom: undefined,
+      start: NO_PROGRESS,
       lastDeliveredEventId: () => this.lastDeliveredEventId
     }
   }
--- a/packages/peers/src/JayfallPeerServer.ts
+++ b/packages/peers/src/JayfallPeerServer.ts
@@ -13,17 +13,24 @@
 import { MAXIMUM_PEER_BODY_BYTES, PEER_KEEP_ALIVE_MILLISECONDS, PEER_PATH } from './JayfallPeerConstants'
 import { type PeerRouter } from './JayfallPeerRouter'
 
+/** Calls of other instances that are not procedures. */
+export interface PeerCallHandler {
+  readonly path: string
+  readonly handle: (request: http.IncomingMessage, response: http.ServerResponse) => void
+}
+
 export class PeerServer {
   private constructor (private readonly listener: http.Server) {}
 
   /** Starts the listener at `address` (IP address and port). */
-  static start (address: string, router: PeerRouter): Promise<PeerServer> {
+  static start (address: string, router: PeerRouter, calls?: PeerCallHandler): Promise<PeerServer> {
     const [host, port] = address.split(':')
     const handle = createHTTPHandler({ router, basePath: PEER_PATH, maxBodySize: MAXIMUM_PEER_BODY_BYTES })
     const listener = http.createServer({ keepAliveTimeout: PEER_KEEP_ALIVE_MILLISECONDS }, (request, response) => {
       // No instance reads the Date header, which costs 0.3 kB/s at some calls per second.
       response.sendDate = false
       if (request.method === 'POST' && request.url?.startsWith(PEER_PATH) === true) handle(request, response)
+      else if (calls !== undefined && request.method === 'POST' && request.url === calls.path) calls.handle(request, response)
       else response.writeHead(404).end()
     })
     return new Promise((resolve, reject) => {
