Refuse requests whose body comes after the instance has closed

What callers saw, as other operators reported it: a request that came late in a planned stop was taken, passed on and cut at the end. Cause: whether the instance had closed was checked when the head of a request came. A body that came seconds later was passed on to a server although the answer could not come before the process ended. Change: the same check after the body. Measured: the test failed before (the request reached a server) and passes.

--- a/packages/forwarding/src/JayfallForwardingServer.ts
+++ b/packages/forwarding/src/JayfallForwardingServer.ts
@@ -106,6 +106,7 @@
     const body = await readRequestBody(request, limits.bodyBytes)
     if (body === 'too_large') return this.refuse(answer, requestId, 413, 'body_too_large')
     if (body === 'broken') return
+    if (this.isClosed) return this.refuse(answer, requestId, 503, 'stopping', STOPPING_RETRY_AFTER_MILLISECONDS)
     const { route, workspace } = decision
     const sharedSession = fields.session ?? fields.promptParts.at(-1)?.id
     const session = sharedSession ?? requestId
