Do not suspect requests that are answered between crashes

Cause: what stood against a request was dropped at the instance that answered it only. The collectors kept the crashes of a request that callers send again and again, and suspected it after the third, until another instance cleared it; open attempts were cut off meanwhile. Change: a report names how long ago an answer to the request began at its instance, and older crashes are dropped with it. Measured: by reading, and a test of twenty crashes with answers between them.

--- a/packages/forwarding/src/JayfallPromptSuspicions.ts
+++ b/packages/forwarding/src/JayfallPromptSuspicions.ts
@@ -58,8 +58,8 @@
 
 const partsBody = z.object({ parts: z.array(z.string()).min(1) })
 const suspicionBody = partsBody.extend({ crashes: z.number().int().positive(), trialIn: z.number() }).readonly()
-/** `proven`: parts that the instance has seen answers with. */
-const crashBody = z.object({ request: z.string().refine(isFingerprint), parts: z.array(z.string()), server: z.string(), proven: z.array(z.string()) }).readonly()
+/** `begunAge`: milliseconds since an answer to the request began at the instance. `proven`: parts that it has seen answers with. */
+const crashBody = z.object({ request: z.string().refine(isFingerprint), begunAge: z.number().optional(), parts: z.array(z.string()), server: z.string(), proven: z.array(z.string()) }).readonly()
 const clearanceBody = z.object({ part: z.string() }).readonly()
 
 export class PromptSuspicions {
@@ -133,12 +133,14 @@
     const { clock, rumors, metrics } = this.parts
     const now = clock.monotonic()
     metrics.count('jayfall_forwarding_prompt_crashes_total', {})
+    const begunAt = this.begunRequests.get(fingerprint)
     this.addReport({ fingerprint, parts, server, at: now, isOwn: true })
-    rumors.report(this.crashTopic, COLLECTION_KEY, { request: fingerprint, parts, server, proven: parts.filter(part => this.evidence.isProven(part, now)) }, now)
+    rumors.report(this.crashTopic, COLLECTION_KEY, { request: fingerprint, ...(begunAt === undefined ? {} : { begunAge: Math.round(now - begunAt) }), parts, server, proven: parts.filter(part => this.evidence.isProven(part, now)) }, now)
   }
 
   private addReport (report: CrashReport): void {
     const now = this.parts.clock.monotonic()
+    this.requestCrashes.forget(report.fingerprint, this.begunRequests.get(report.fingerprint) ?? -Infinity)
     this.suspectRequest(this.requestCrashes.add(report, now), now)
     for (const found of this.evidence.add(report, now)) this.suspect(found, now + firstTrialDelay(found.crashes), 'found')
   }
@@ -211,7 +213,7 @@
   /** Ends all suspicions against a request or a part that are older than an answer to it. @returns whether there was one. */
   private clear (part: string, at: number): boolean {
     let hasCleared = false
-    if (isFingerprint(part)) this.requestCrashes.forget(part)
+    if (isFingerprint(part)) this.requestCrashes.forget(part, at)
     for (const [key, suspicion] of [...this.suspicions]) {
       if (!suspicion.parts.includes(part) || suspicion.firstCrashAt >= at) continue
       hasCleared = true
@@ -268,7 +270,8 @@
   private hearCrash (body: unknown, at: number): boolean {
     const { data } = crashBody.safeParse(body)
     if (data === undefined) return false
-    const { request, parts, server, proven } = data
+    const { request, begunAge = Infinity, parts, server, proven } = data
+    this.requestCrashes.forget(request, at - begunAge)
     for (const part of proven) this.evidence.recordProven(part, at)
     this.addReport({ fingerprint: request, parts, server, at, isOwn: false })
     return false
--- a/packages/forwarding/src/JayfallRequestCrashes.ts
+++ b/packages/forwarding/src/JayfallRequestCrashes.ts
@@ -82,12 +82,12 @@
     }
   }
 
-  /** Drops what stands against a request, because an answer to it began. */
-  forget (fingerprint: string): void {
+  /** Drops what stands against a request from before an answer to it began. */
+  forget (fingerprint: string, begunAt: number): void {
+    if (!this.incidentsOf(fingerprint).some(({ at }) => at < begunAt)) return
     this.suspects.delete(fingerprint)
     this.unsettled.delete(fingerprint)
-    if (this.incidentsOf(fingerprint).length === 0) return
-    this.incidents = this.incidents.map(incident => ({ ...incident, fingerprints: incident.fingerprints.filter(other => other !== fingerprint) }))
+    this.incidents = this.incidents.map(incident => incident.at < begunAt ? { ...incident, fingerprints: incident.fingerprints.filter(other => other !== fingerprint) } : incident)
   }
 
   private suspect (fingerprint: string): RequestFinding {
--- a/packages/forwarding/src/__tests__/unit/JayfallRequestSuspicions.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallRequestSuspicions.test.ts
@@ -112,6 +112,22 @@
       assert.deepEqual([here.admit(popular).kind, elsewhere.admit(popular).kind], ['admitted', 'admitted'])
     })
 
+    // Callers send the same sound request again and again, and some of it waits at each server that crashes.
+    it('never suspects a request that is answered between the crashes (guards against a popular request that is refused or cut off)', () => {
+      const { clock, suspicions } = start()
+      const popular = requestWith()
+      let cut = 0
+      suspicions.open(popular, () => { cut++ })
+      for (let index = 0; index < 20; index++) {
+        crash(suspicions, `s${index}`, popular)
+        clock.advance(300)
+        suspicions.recordBegun(popular)
+        clock.advance(300)
+        assert.equal(suspicions.admit(popular).kind, 'admitted')
+      }
+      assert.equal(cut, 0)
+    })
+
     // Each trial of a deadly request is a retry that comes to a server after the third crash.
     it('tries a request no more than three times after its third crash, and says when to come back (guards against trials without end)', () => {
       const { clock, suspicions } = start()
