Hand on what the servers in reach have no room for

Cause: an instance that reached a few servers of a service refused what these had no room for, although other instances reached the rest. Change: while half of a service's servers or more are out of reach, a request that no server in reach takes goes to another instance. Measured: a test of the plan without network, with its counterpart while all servers are in reach.

--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -12,7 +12,7 @@
 import { type BackendServer, type ForwardingRoute } from './JayfallForwardingCatalogue'
 import {
   ANSWER_TIMEOUT_OBJECTIVES, DEFAULT_RETRY_AFTER_MILLISECONDS, EVENT_GAP_TIMEOUT_OBJECTIVES, FIRST_EVENT_TIMEOUT_OBJECTIVES, MINIMUM_ANSWER_TIMEOUT_MILLISECONDS, MINIMUM_ATTEMPT_MILLISECONDS,
-  MINIMUM_EVENT_GAP_TIMEOUT_MILLISECONDS, MINIMUM_FIRST_EVENT_TIMEOUT_MILLISECONDS
+  MINIMUM_EVENT_GAP_TIMEOUT_MILLISECONDS, MINIMUM_FIRST_EVENT_TIMEOUT_MILLISECONDS, OUT_OF_REACH_SHARE_OF_RELAYS
 } from './JayfallForwardingConstants'
 import { type CallerFields } from './JayfallForwardingProtocol'
 import { confidenceThreshold } from './JayfallConfidenceThreshold'
@@ -130,7 +130,7 @@
 
 /** @param isDirect whether requests that return by degrees after a cut are sent to servers too. */
 export function * planAttempts (context: PlanContext, start = context.start, isDirect = false): Generator<AttemptPlan, AttemptsEnd, AttemptResult> {
-  const { route, clock, deadline, retryBudget, service, promptSuspicions, identity } = context
+  const { route, clock, deadline, retryBudget, service, promptSuspicions, identity, selector } = context
   const triedServers = new Set(start.triedServers)
   let { sentAttempts, mayHaveRun } = start
   let isTrial = false
@@ -149,6 +149,8 @@
     // Only an attempt that follows one that may have reached a server counts as a retry.
     if (chosen === undefined || (isRepeat && !retryBudget.trySpendRetry(service, now))) {
       if (previous?.kind === 'failed') return { kind: 'deliver' }
+      // The servers that are left have no room, and another instance may reach the others.
+      if (chosen === undefined && canBeRelayed(context) && selector.outOfReachShare(service, now) >= OUT_OF_REACH_SHARE_OF_RELAYS) return { kind: 'unreached', progress: { sentAttempts, mayHaveRun, triedServers: [...triedServers], isRetry: isRepeat } }
       return decideWithoutAnswer(context, mayHaveRun, triedServers.size === 0 ? 'no_server' : 'servers_full')
     }
     const result: AttemptResult = yield createPlan(context, chosen, model, number, sentAttempts, triedServers)
@@ -233,17 +235,23 @@
 }
 
 /** Whether the request should go through another instance, or back to the one that it came from. */
-function isOutOfReach ({ reach, relays, relayedFrom, service, fields }: PlanContext, isDirect: boolean, now: number): boolean {
-  if (isDirect || relayedFrom !== undefined) return relayedFrom !== undefined && reach.isCut(service)
-  return relays.hasTargets && !reach.mayReach(service, fields.requestId ?? '', now)
+function isOutOfReach (context: PlanContext, isDirect: boolean, now: number): boolean {
+  const { reach, relayedFrom, service, fields } = context
+  if (relayedFrom !== undefined) return reach.isCut(service)
+  return !isDirect && canBeRelayed(context) && !reach.mayReach(service, fields.requestId ?? '', now)
+}
+
+/** Whether the request may go through another instance; it does so once at most. */
+function canBeRelayed ({ relays, relayedFrom }: PlanContext): boolean {
+  return relayedFrom === undefined && relays.hasTargets
 }
 
 /** Whether the route, the retry budget and the servers, or another instance, allow another attempt after the running one. */
 function isReplaceable (context: PlanContext, model: string | undefined, sentAttempts: number, triedServers: ReadonlySet<string>): boolean {
-  const { route, retryBudget, service, clock, reach, relays, relayedFrom } = context
+  const { route, retryBudget, service, clock, reach, relays } = context
   const now = clock.monotonic()
   if (!route.isRepeatable || sentAttempts + 1 >= route.maximumAttempts || !retryBudget.hasRetryLeft(service, now)) return false
-  return reach.isCut(service) && relays.hasTargets ? relayedFrom === undefined && relays.isAvailable(service, now) : chooseServer(context, model, triedServers) !== undefined
+  return reach.isCut(service) && relays.hasTargets ? canBeRelayed(context) && relays.isAvailable(service, now) : chooseServer(context, model, triedServers) !== undefined
 }
 
 export function decideWithoutAnswer ({ selector, service, clock }: PlanContext, mayHaveRun: boolean, code: RefusalCode): FinalDecision {
--- a/packages/forwarding/src/JayfallBackendSelector.ts
+++ b/packages/forwarding/src/JayfallBackendSelector.ts
@@ -55,6 +55,8 @@
   abstract select (request: SelectionRequest, now: number): BackendSelection | undefined
   /** Milliseconds until a server that is out of reach is tried again; undefined when no server of the service is out of reach. */
   abstract timeUntilReach (service: string, now: number): number | undefined
+  /** The share of the service's servers in use that are out of reach. */
+  abstract outOfReachShare (service: string, now: number): number
   /** Milliseconds after which a refused caller may return because of limits that servers named; undefined when no server is kept from work by its limit. */
   abstract refuseForLimits (service: string): number | undefined
 }
@@ -94,6 +96,11 @@
     return times.length === 0 ? undefined : Math.min(...times)
   }
 
+  override outOfReachShare (service: string, now: number): number {
+    const rows = [...this.directory.rowsOfService(service)].filter(({ server }) => !server.isDraining)
+    return rows.length === 0 ? 0 : rows.filter(row => isOutOfReach(row, now)).length / rows.length
+  }
+
   override refuseForLimits (service: string): number | undefined {
     const limited = [...this.directory.rowsOfService(service)].filter(({ server }) => !server.isDraining && !this.limits.maySend(server.id))
     return this.limits.refuse(limited.map(({ server }) => server.id))
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -29,6 +29,8 @@
 export const MAXIMUM_UNOPENED_SERVERS = 4
 /** Time for which a server that could not be reached counts. Rarely used services get a request a second. */
 export const REACH_WINDOW_MILLISECONDS = 5000
+/** Share of a service's servers out of reach from which requests that the others have no room for are handed to another instance. */
+export const OUT_OF_REACH_SHARE_OF_RELAYS = 0.5
 /** Interval at which a server of a service that is out of reach is probed. */
 export const REACH_PROBE_INTERVAL_MILLISECONDS = 300
 /** Time over which requests return to the servers after a cut. */
--- a/packages/forwarding/src/JayfallForwardingContext.ts
+++ b/packages/forwarding/src/JayfallForwardingContext.ts
@@ -5,7 +5,7 @@
 
 import { type BackendSelector } from './JayfallBackendSelector'
 import { type BackendDirectory } from './JayfallBackendDirectory'
-import { type ServerConnectionCheck } from './JayfallEndedServerCheck'
+import { type ServerConnectionCheck } from './JayfallServerConnectionCheck'
 import { type ForwardingProtocol } from './JayfallForwardingProtocol'
 import { type PromptCacheTracker } from './JayfallPromptCacheTracker'
 import { type PrefillHints } from './JayfallPrefillHints'
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -20,7 +20,7 @@
 import { type ForwardingProtocol } from './JayfallForwardingProtocol'
 import { ForwardingServer } from './JayfallForwardingServer'
 import { ForwardingState } from './JayfallForwardingState'
-import { ConnectionCheck } from './JayfallEndedServerCheck'
+import { ConnectionCheck } from './JayfallServerConnectionCheck'
 import { ReachMonitor } from './JayfallReachMonitor'
 import { RelayTargets, type RelayTarget } from './JayfallRelayTargets'
 import { ServiceReach } from './JayfallServiceReach'
--- a/packages/forwarding/src/JayfallReachMonitor.ts
+++ b/packages/forwarding/src/JayfallReachMonitor.ts
@@ -4,7 +4,7 @@
 import { type Log, type Metrics } from '#jayfall/telemetry'
 
 import { type BackendDirectory } from './JayfallBackendDirectory'
-import { type ServerConnectionCheck } from './JayfallEndedServerCheck'
+import { type ServerConnectionCheck } from './JayfallServerConnectionCheck'
 import { type BackendServer } from './JayfallForwardingCatalogue'
 import { PATH_CHECK_SERVERS } from './JayfallForwardingConstants'
 import { type ReachChange, type ServiceReach } from './JayfallServiceReach'
--- a/packages/forwarding/src/__tests__/unit/JayfallRelayPlan.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallRelayPlan.test.ts
@@ -131,6 +131,20 @@
     assert.deepEqual(decision, { kind: 'deliver' })
   })
 
+  // An instance that reached a few servers refused what these had no room for.
+  it('hands on what the servers in reach have no room for, while most others are out of reach (guards against refusals with servers free)', () => {
+    for (const id of ['a', 'b', 'c']) for (let failure = 0; failure < 2; failure++) fixture.directory.recordUnreachable(id, fixture.clock.monotonic())
+    const { steps } = run(fixture.context(ONCE), [{ kind: 'not_run', status: 503 }, { kind: 'answered' }])
+    assert.deepEqual(kindsOf(steps), ['attempt', 'relay'])
+    assert.ok(steps[1].kind === 'relay' && !steps[1].plan.progress.mayHaveRun)
+  })
+
+  it('refuses what servers in reach have no room for, while all are in reach', () => {
+    const { steps, decision } = run(fixture.context(ONCE), [{ kind: 'not_run', status: 503 }])
+    assert.ok(steps.every(({ kind }) => kind === 'attempt'))
+    assert.ok(decision.kind === 'refuse' && decision.code === 'servers_full')
+  })
+
   it('resumes a stream after the last event that the caller has', () => {
     cut()
     fixture.lastDeliveredEventId = '7'
