Refuse requests whose head two parsers may read differently

What callers saw: a field line with a space before its colon was accepted; the forwarding face sent it on to servers as it came (the new test saw it arrive), and one test waited 4 s for each of thousands of such requests. Cause: the parser of Node.js 20 accepts a space or tab at the end of a field's name, and several Host fields. Change: both faces check that each field name is a token and that framing fields and Host come once. They answer 400, count and log it as head_malformed, and end the connection. The test of malformed requests asserts each refusal within a bound instead of waiting for the end of its connection; its numbers and its memory limit are as before.

--- a/packages/entry/src/JayfallCallerApi.ts
+++ b/packages/entry/src/JayfallCallerApi.ts
@@ -5,6 +5,7 @@
 
 import Hapi, { type Lifecycle, type Request, type ResponseObject, type ResponseToolkit, type Server } from '@hapi/hapi'
 import { isVersionAllowed } from '#jayfall/catalogue'
+import { findHeadFault } from '#jayfall/shared'
 
 import { ApiError, toApiError } from './JayfallApiError'
 import { authenticateCaller } from './JayfallAuthentication'
@@ -51,6 +52,11 @@
       autoListen: false,
       routes: { payload: { maxBytes: limits.bodyLimit, timeout: false, allow: 'application/json' } }
     })
+    this.server.ext('onRequest', (request, toolkit) => {
+      const fault = findHeadFault(request.raw.req.rawHeaders)
+      if (fault !== undefined) throw new ApiError('head_malformed', `the request is not valid HTTP/1.1: ${fault}`)
+      return toolkit.continue
+    })
     registerRoutes(this.server, context, readiness)
     registerOperatorRoutes(this.server, context)
     registerRequestTracing(this.server, context)
@@ -155,8 +161,8 @@
   log('request_refused', { request: requestId, trace: requestState(request).hop?.traceId, path: request.path, code: error.code, ran: error.ran, cause: error.code === 'internal' ? response.stack : undefined })
   context.metrics.count(REFUSALS_METRIC, { code: error.code })
   const errorResponse = toolkit.response(error.toBody(requestId)).code(error.status)
-  // The connection cannot be reused, as the rest of the body has not been read.
-  if (error.code === 'body_too_large') errorResponse.header('connection', 'close')
+  // The connection cannot be reused: the rest of the body has not been read, or it is not certain where the request ends.
+  if (error.code === 'body_too_large' || error.code === 'head_malformed') errorResponse.header('connection', 'close')
   if (error.retryAfter !== undefined) errorResponse.header('retry-after', String(Math.ceil(error.retryAfter / 1000)))
   return errorResponse
 }
--- a/packages/entry/src/__tests__/integration/JayfallRequestHygiene.test.ts
+++ b/packages/entry/src/__tests__/integration/JayfallRequestHygiene.test.ts
@@ -11,6 +11,8 @@
 const CONNECTION_LIMIT = 40
 const MALFORMED_REQUESTS = 10_000
 const WARM_UP_REQUESTS = 3000
+/** Below the 4 s after which a request without an answer is given up. */
+const REFUSAL_LIMIT_MILLISECONDS = 3000
 const MEMORY_GROWTH_LIMIT_BYTES = 48 * 1024 * 1024
 
 describe('requests that the HTTP server for callers refuses', () => {
@@ -87,6 +89,13 @@
     ['request smuggling by a folded header line', `${REQUEST_HEAD}transfer-encoding:\r\n chunked\r\n\r\n0\r\n\r\n`, /^HTTP\/1.1 400 /, 'head_malformed'],
     ['request smuggling by a folded unknown header', `${REQUEST_HEAD}x-a: b\r\n c\r\n\r\n`, /^HTTP\/1.1 400 /, 'head_malformed'],
     ['request smuggling by a space before the colon', `${REQUEST_HEAD}content-length : 5\r\n\r\nabcde`, /^HTTP\/1.1 400 /, 'head_malformed'],
+    ['request smuggling by a space after an unknown field name', `${REQUEST_HEAD}x : y\r\n\r\n`, /^HTTP\/1.1 400 /, 'head_malformed'],
+    ['request smuggling by a space after Host', `${REQUEST_HEAD}host : b\r\n\r\n`, /^HTTP\/1.1 400 /, 'head_malformed'],
+    ['request smuggling by two hosts', `${REQUEST_HEAD}host: b\r\n\r\n`, /^HTTP\/1.1 400 /, 'head_malformed'],
+    ['request smuggling by a length with a sign', `${REQUEST_HEAD}content-length: +5\r\n\r\nabcde`, /^HTTP\/1.1 400 /, 'head_malformed'],
+    ['request smuggling by a bare line feed', `${REQUEST_HEAD}x-a: b\nx-b: c\r\n\r\n`, /^HTTP\/1.1 400 /, 'head_malformed'],
+    ['request smuggling by a space in the target', 'POST /a b HTTP/1.1\r\nhost: a\r\n\r\n', /^HTTP\/1.1 400 /, 'head_malformed'],
+    ['request smuggling by a chunk size with an underscore', `${REQUEST_HEAD}transfer-encoding: chunked\r\n\r\n1_0\r\n`, /^(HTTP\/1.1 400 |$)/, 'head_malformed'],
     ['request smuggling by another transfer coding', `${REQUEST_HEAD}transfer-encoding: chunked, identity\r\n\r\n0\r\n\r\n`, /^HTTP\/1.1 400 /, 'head_malformed'],
     ['request smuggling by a chunk size that is not a number', `${REQUEST_HEAD}transfer-encoding: chunked\r\n\r\nzz\r\n`, /^(HTTP\/1.1 400 |$)/, 'head_malformed'],
     ['bytes that are not HTTP', 'GET / JAYFALL\r\n\r\n', /^HTTP\/1.1 400 /, 'head_malformed']
@@ -121,10 +130,22 @@
   it('needs no additional memory after many malformed requests (guards against a memory leak)', async () => {
     const { processId } = system.entryProcess('entry-1')
     const readResidentBytes = (): number => Number(/^VmRSS:\s+(\d+) kB$/m.exec(fs.readFileSync(`/proc/${processId}/status`, 'utf8'))?.[1]) * 1024
-    const malformed = [`${REQUEST_HEAD}content-length: 1\r\nconnection: close\r\n\r\n{`, `${REQUEST_HEAD}content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n`, 'NONSENSE\r\n\r\n', `${REQUEST_HEAD}x : y\r\n\r\n`]
+    const malformed: readonly (readonly [string, RegExp])[] = [
+      [`${REQUEST_HEAD}content-length: 1\r\nconnection: close\r\n\r\n{`, /^HTTP\/1.1 400 /],
+      [`${REQUEST_HEAD}content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n`, /^HTTP\/1.1 400 /],
+      ['NONSENSE\r\n\r\n', /^HTTP\/1.1 400 /],
+      [`${REQUEST_HEAD}x : y\r\n\r\n`, /^HTTP\/1.1 400 /]
+    ]
     const sendMany = async (total: number): Promise<void> => {
       let sent = 0
-      await Promise.all(Array.from({ length: 16 }, async () => { while (sent < total) await sendRaw(malformed[sent++ % malformed.length]) }))
+      await Promise.all(Array.from({ length: 16 }, async () => {
+        while (sent < total) {
+          const [bytes, expected] = malformed[sent++ % malformed.length]
+          const startedAt = performance.now()
+          assert.match(await sendRaw(bytes), expected)
+          assert.ok(performance.now() - startedAt < REFUSAL_LIMIT_MILLISECONDS, 'refused without a wait')
+        }
+      }))
     }
     await sendMany(WARM_UP_REQUESTS)
     const before = readResidentBytes()
--- a/packages/forwarding/src/JayfallForwardingServer.ts
+++ b/packages/forwarding/src/JayfallForwardingServer.ts
@@ -3,7 +3,7 @@
 import * as http from 'node:http'
 import * as net from 'node:net'
 
-import { rendezvousShare } from '#jayfall/shared'
+import { findHeadFault, rendezvousShare } from '#jayfall/shared'
 
 import { NO_PROGRESS, type PlanContext } from './JayfallAttemptPlan'
 import { readRequestBody } from './JayfallBodyReader'
@@ -39,6 +39,7 @@
     })
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       this.context.log.info('bad_request', { code: error.code, message: error.message })
+      if (error.code?.startsWith('HPE_') === true) this.context.metrics.count('jayfall_forwarding_refusals_total', { code: error.code === 'HPE_HEADER_OVERFLOW' ? 'headers_too_large' : 'head_malformed' })
       if (socket.writable) socket.end(`HTTP/1.1 ${error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
       else socket.destroy()
     })
@@ -88,6 +89,11 @@
     const answer = new CallerAnswer(request, response, this.context.clock, () => this.isClosing)
     const fields = this.context.protocol.decodeCallerHeaders(request.headers)
     const requestId = fields.requestId
+    if (findHeadFault(request.rawHeaders) !== undefined) {
+      // It is not certain where the request ends.
+      response.shouldKeepAlive = false
+      return this.refuse(answer, requestId, 400, 'head_malformed')
+    }
     if (!this.state.isReady) await this.state.waitUntilReady(Math.min(MAXIMUM_STARTING_WAIT_MILLISECONDS, (fields.patience ?? Infinity) * STARTING_WAIT_PATIENCE_SHARE))
     const { routes } = this.state
     if (routes === undefined || !this.state.isReady) return this.refuse(answer, requestId, 503, 'starting', STARTING_RETRY_AFTER_MILLISECONDS)
