Leave out instances longer that cannot take requests again and again

Cause: an instance behind a partition costs each request the time of a connection that does not open, and was asked again after a second. Change: the time doubles up to four seconds.

--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -39,8 +39,9 @@
 export const PATH_CHECK_SERVERS = 3
 /** Instances that one request is offered to. Half of them may be cut off as well. */
 export const MAXIMUM_RELAYS_PER_REQUEST = 6
-/** Time for which an instance is left out that could not take a request of a service. */
-export const UNABLE_INSTANCE_MILLISECONDS = 1000
+/** Time for which an instance is left out that could not take a request of a service. It doubles each time, because an instance behind a partition costs a request the time of a connection that does not open. */
+export const FIRST_UNABLE_MILLISECONDS = 1000
+export const MAXIMUM_UNABLE_MILLISECONDS = 4000
 /** Instances in a row that could not take a request of a service, after which none is asked for a while. */
 export const MAXIMUM_UNABLE_INSTANCES = 8
 export const RELAY_PAUSE_MILLISECONDS = 500
--- a/packages/forwarding/src/JayfallRelayTargets.ts
+++ b/packages/forwarding/src/JayfallRelayTargets.ts
@@ -13,7 +13,7 @@
 
 import { combineHashes, hashName, rendezvousRank } from '#jayfall/shared'
 
-import { MAXIMUM_FAR_TARGETS, MAXIMUM_NEAR_TARGETS, MAXIMUM_UNABLE_INSTANCES, OTHER_ZONE_RELAYS, RELAY_PAUSE_MILLISECONDS, UNABLE_INSTANCE_MILLISECONDS, UNABLE_INSTANCE_RELAYS } from './JayfallForwardingConstants'
+import { FIRST_UNABLE_MILLISECONDS, MAXIMUM_FAR_TARGETS, MAXIMUM_NEAR_TARGETS, MAXIMUM_UNABLE_INSTANCES, MAXIMUM_UNABLE_MILLISECONDS, OTHER_ZONE_RELAYS, RELAY_PAUSE_MILLISECONDS, UNABLE_INSTANCE_RELAYS } from './JayfallForwardingConstants'
 
 /** Another instance, with the IP address and port on which it accepts calls of instances. */
 export interface RelayTarget {
@@ -28,8 +28,8 @@
 }
 
 interface ServiceRow {
-  /** By instance, the monotonic time until which it is left out. */
-  readonly unableUntil: Map<string, number>
+  /** By instance, how long it is left out and until when, in monotonic milliseconds. */
+  readonly unable: Map<string, { readonly duration: number, readonly until: number }>
   /** Instances that have taken a request and were not unable since. */
   readonly able: Set<string>
   /** Instances in a row that could not take a request. */
@@ -54,10 +54,10 @@
     const known = [...ranked.filter(isNear).slice(0, MAXIMUM_NEAR_TARGETS), ...ranked.filter(target => !isNear(target)).slice(0, MAXIMUM_FAR_TARGETS)]
     this.targets = known.map(target => ({ ...target, hash: hashName(target.id) }))
     const ids = new Set(this.targets.map(({ id }) => id))
-    for (const { unableUntil, able } of this.services.values()) {
-      for (const id of [...unableUntil.keys(), ...able]) {
+    for (const { unable, able } of this.services.values()) {
+      for (const id of [...unable.keys(), ...able]) {
         if (ids.has(id)) continue
-        unableUntil.delete(id)
+        unable.delete(id)
         able.delete(id)
       }
     }
@@ -81,7 +81,7 @@
     let best: RelayTarget | undefined
     let [lowestCost, lowestOrder] = [Infinity, Infinity]
     for (const target of this.targets) {
-      if (excluded.has(target.id) || now < (row?.unableUntil.get(target.id) ?? -Infinity)) continue
+      if (excluded.has(target.id) || now < (row?.unable.get(target.id)?.until ?? -Infinity)) continue
       const risk = row?.able.has(target.id) === true ? 0 : unableShares?.get(target.zone) ?? 0
       const cost = (this.openRelays.get(target.id) ?? 0) + (target.zone === this.zone ? 0 : OTHER_ZONE_RELAYS) + risk * UNABLE_INSTANCE_RELAYS
       if (cost > lowestCost) continue
@@ -109,7 +109,7 @@
   recordAble (id: string, service: string): void {
     const row = this.rowOf(service)
     row.able.add(id)
-    row.unableUntil.delete(id)
+    row.unable.delete(id)
     row.unableInRow = 0
   }
 
@@ -117,17 +117,18 @@
   recordUnable (id: string, service: string, now: number): void {
     const row = this.rowOf(service)
     row.able.delete(id)
-    row.unableUntil.set(id, now + UNABLE_INSTANCE_MILLISECONDS)
+    const duration = Math.min(MAXIMUM_UNABLE_MILLISECONDS, (row.unable.get(id)?.duration ?? FIRST_UNABLE_MILLISECONDS / 2) * 2)
+    row.unable.set(id, { duration, until: now + duration })
     if (++row.unableInRow < MAXIMUM_UNABLE_INSTANCES || row.able.size > 0 || row.openRelays > 0) return
     row.unableInRow = 0
     row.pausedUntil = now + RELAY_PAUSE_MILLISECONDS
   }
 
   /** By zone, the share of the instances asked there that could not take a request. */
-  private unableShares ({ unableUntil, able }: ServiceRow): ReadonlyMap<string, number> {
+  private unableShares ({ unable: unableInstances, able }: ServiceRow): ReadonlyMap<string, number> {
     const counts = new Map<string, { readonly unable: number, readonly asked: number }>()
     for (const { id, zone } of this.targets) {
-      const isUnable = unableUntil.has(id)
+      const isUnable = unableInstances.has(id)
       if (!isUnable && !able.has(id)) continue
       const { unable, asked } = counts.get(zone) ?? { unable: 0, asked: 0 }
       counts.set(zone, { unable: unable + Number(isUnable), asked: asked + 1 })
@@ -136,7 +137,7 @@
   }
 
   private rowOf (service: string): ServiceRow {
-    const row = this.services.get(service) ?? { unableUntil: new Map<string, number>(), able: new Set<string>(), unableInRow: 0, openRelays: 0, pausedUntil: -Infinity }
+    const row = this.services.get(service) ?? { unable: new Map<string, { readonly duration: number, readonly until: number }>(), able: new Set<string>(), unableInRow: 0, openRelays: 0, pausedUntil: -Infinity }
     this.services.set(service, row)
     return row
   }
