Count a request once as ended when its connection closes

What callers saw: in a planned stop, answers were cut off seconds before the end of the grace, after other callers had left during their requests. Cause: a connection that closes calls its listeners, and the first of them, that of the HTTP server, closes the response. The response's listener ended the count and removed the one on the connection, which was called all the same, because removing does not affect a running emit. So each caller that left during its request was counted twice as gone, the number of open requests fell below zero, and the process ended while others were open. Change: the end is counted once.

--- a/packages/forwarding/src/JayfallForwardingServer.ts
+++ b/packages/forwarding/src/JayfallForwardingServer.ts
@@ -192,12 +192,15 @@
   /** Counts the request as open until its answer was sent or its connection has ended. An answer that is only handed to the connection would end with the process. */
   private countUntilClosed ({ socket }: http.IncomingMessage, response: http.ServerResponse): void {
     this.openRequests++
-    let isEnded = false
+    let [isEnded, isClosed] = [false, false]
     const onEnded = (): void => {
       isEnded = true
       this.unsentAnswers++
     }
     const onClosed = (): void => {
+      // A connection that closes also closes its response, while it calls its own listeners.
+      if (isClosed) return
+      isClosed = true
       response.off('close', onClosed)
       response.off('prefinish', onEnded)
       socket.off('close', onClosed)
