Find prompt parts that several suspected requests share from what all instances hear

Cause: since single requests are suspected, the crashes of one request count once against its prompt parts, and only a collector saw the crashes of several. Change: the crashes of one request alone still count once, and those of different requests count each. A suspicion against a request also names its shared prompt parts, so every instance that hears of several suspected requests finds what they share.

--- a/packages/forwarding/src/JayfallCrashEvidence.ts
+++ b/packages/forwarding/src/JayfallCrashEvidence.ts
@@ -88,6 +88,11 @@
     return (this.provenAt.get(part) ?? -Infinity) > now - PART_PROOF_LIFETIME_MILLISECONDS
   }
 
+  /** The parts of a request that was reported. */
+  partsOf (fingerprint: string): readonly string[] {
+    return this.reports.findLast(report => report.fingerprint === fingerprint)?.parts ?? []
+  }
+
   /** Adds a report and yields what it proves. */
   * add (report: CrashReport, now: number): Generator<CrashFinding> {
     const recent = this.reports.filter(({ at }) => now - at < CRASH_REPORT_LIFETIME_MILLISECONDS)
@@ -137,7 +142,7 @@
     return [...kinds].some(kind => this.countCrashes(reports.filter(({ parts }) => keyOf(parts) === kind)) === crashes)
   }
 
-  /** The number of crashes under different requests. The repeats of one request say as much of its parts as the first time. */
+  /** The number of crashes, as far as they speak against parts. One request alone, however often it is repeated, says no more than its first crash. */
   private countCrashes (reports: readonly CrashReport[]): number {
     const causes = new Set<string>()
     const incidents = groupByCrash(reports).filter(({ server, at }) => {
@@ -146,7 +151,7 @@
       if (cause !== undefined) causes.add(cause)
       return !isRepeated
     })
-    return Math.min(incidents.length, new Set(reports.map(({ fingerprint }) => fingerprint)).size)
+    return new Set(reports.map(({ fingerprint }) => fingerprint)).size < 2 ? Math.min(1, incidents.length) : incidents.length
   }
 
   private attemptsOf (now: number): number {
--- a/packages/forwarding/src/JayfallPromptSuspicions.ts
+++ b/packages/forwarding/src/JayfallPromptSuspicions.ts
@@ -33,6 +33,8 @@
   | { readonly kind: 'refused', readonly retryAfter: number }
 
 interface Suspicion extends CrashFinding {
+  /** The shared prompt parts of a suspected request; empty where parts are suspected. */
+  readonly requestParts: readonly string[]
   /** Monotonic milliseconds from which one prompt is let through. */
   readonly trialAt: number
   /** Monotonic milliseconds at which the suspicion was last told to others. */
@@ -57,7 +59,7 @@
 const COLLECTION_KEY = 'prompt-crashes'
 
 const partsBody = z.object({ parts: z.array(z.string()).min(1) })
-const suspicionBody = partsBody.extend({ crashes: z.number().int().positive(), trialIn: z.number() }).readonly()
+const suspicionBody = partsBody.extend({ requestParts: z.array(z.string()).prefault([]), crashes: z.number().int().positive(), trialIn: z.number() }).readonly()
 /** `begunAge`: milliseconds since an answer to the request began at the instance. `proven`: parts that it has seen answers with. */
 const crashBody = z.object({ request: z.string().refine(isFingerprint), begunAge: z.number().optional(), parts: z.array(z.string()), server: z.string(), proven: z.array(z.string()) }).readonly()
 const clearanceBody = z.object({ part: z.string() }).readonly()
@@ -141,20 +143,24 @@
   private addReport (report: CrashReport): void {
     const now = this.parts.clock.monotonic()
     this.requestCrashes.forget(report.fingerprint, this.begunRequests.get(report.fingerprint) ?? -Infinity)
-    this.suspectRequest(this.requestCrashes.add(report, now), now)
-    for (const found of this.evidence.add(report, now)) this.suspect(found, now + firstTrialDelay(found.crashes), 'found')
+    this.suspectRequest(this.requestCrashes.add(report, now), report.parts, now)
+    this.suspectParts(report, now)
+  }
+
+  private suspectParts (report: CrashReport, now: number): void {
+    for (const found of this.evidence.add(report, now)) this.suspect({ ...found, requestParts: [] }, now + firstTrialDelay(found.crashes), 'found')
   }
 
   /** Decides on a request that was at two crashes, if that is still open. */
   private settle (fingerprint: string, now: number): void {
     const requiredCrashes = (): number => this.evidence.requiredCrashes(other => other.fingerprint !== fingerprint, now)
-    this.suspectRequest(this.requestCrashes.settle(fingerprint, requiredCrashes), now)
+    this.suspectRequest(this.requestCrashes.settle(fingerprint, requiredCrashes), this.evidence.partsOf(fingerprint), now)
   }
 
-  private suspectRequest (finding: RequestFinding | undefined, now: number): void {
+  private suspectRequest (finding: RequestFinding | undefined, requestParts: readonly string[], now: number): void {
     if (finding === undefined) return
     const { fingerprint, crashes, firstCrashAt } = finding
-    this.suspect({ parts: [fingerprint], crashes, firstCrashAt }, now + firstTrialDelay(crashes), 'found')
+    this.suspect({ parts: [fingerprint], requestParts, crashes, firstCrashAt }, now + firstTrialDelay(crashes), 'found')
     if (crashes >= CERTAIN_CRASHES_OF_REQUEST) this.clearBystanders(fingerprint, now)
   }
 
@@ -166,7 +172,7 @@
   }
 
   /** @returns whether the suspicion was new, or has changed. */
-  private suspect (finding: CrashFinding, trialAt: number, origin: 'found' | 'told'): boolean {
+  private suspect (finding: Pick<Suspicion, keyof CrashFinding | 'requestParts'>, trialAt: number, origin: 'found' | 'told'): boolean {
     const now = this.parts.clock.monotonic()
     const key = keyOf(finding.parts)
     const known = this.suspicions.get(key)
@@ -253,7 +259,12 @@
       if ((this.clearances.get(part) ?? -Infinity) <= firstCrashAt) this.tellClearance(part, this.parts.clock.monotonic())
     }
     const parts = data.parts.filter(part => !begun.includes(part))
-    return parts.length > 0 && this.suspect({ parts, crashes: data.crashes, firstCrashAt }, this.parts.clock.monotonic() + data.trialIn, 'told') && begun.length === 0
+    const { requestParts, crashes, trialIn } = data
+    const now = this.parts.clock.monotonic()
+    // The collectors may have lost what they knew. What all instances hear of several requests tells them the parts that these share.
+    const [fingerprint] = parts
+    if (requestParts.length > 0 && parts.length === 1 && isFingerprint(fingerprint)) this.suspectParts({ fingerprint, parts: requestParts, server: fingerprint, at: firstCrashAt, isOwn: false }, now)
+    return parts.length > 0 && this.suspect({ parts, requestParts, crashes, firstCrashAt }, now + trialIn, 'told') && begun.length === 0
   }
 
   private hearClearance (body: unknown, at: number): boolean {
@@ -292,8 +303,8 @@
   }
 }
 
-function toBody ({ parts, crashes, trialAt }: Suspicion, now: number): z.infer<typeof suspicionBody> {
-  return { parts: [...parts], crashes, trialIn: Math.round(trialAt - now) }
+function toBody ({ parts, requestParts, crashes, trialAt }: Suspicion, now: number): z.infer<typeof suspicionBody> {
+  return { parts: [...parts], requestParts: [...requestParts], crashes, trialIn: Math.round(trialAt - now) }
 }
 
 function firstTrialDelay (crashes: number): number {
--- a/packages/forwarding/src/__tests__/unit/JayfallRequestSuspicions.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallRequestSuspicions.test.ts
@@ -92,6 +92,24 @@
       assert.equal(suspicions.admit(bystander).kind, 'admitted')
     })
 
+    // The collector of a zone was restarted between the crashes of different requests, and the part that they share stayed unknown.
+    it('finds the part that several suspected requests share, from what it was told of them (guards against collectors that lose what they knew)', () => {
+      const simulation = new Simulation()
+      const network = new RumorNetwork(simulation, 4, new RandomSource(2), 0)
+      network.losesReports = true
+      const { channels } = network
+      const [first, second, third, last] = channels.map(channel => createSuspicions(simulation.clock, channel))
+      for (const instance of [first, second, third, last]) for (let answer = 0; answer < 12; answer++) instance.recordBegun(requestWith('system', `book${answer}`, 'own'))
+      for (const [index, instance] of [first, second, third].entries()) {
+        const request = requestWith('system', `chapter${index}`, 'deadly', 'own')
+        for (const server of ['a', 'b']) instance.recordCrash(request, `${server}${index}`)
+        instance.admit(request)
+        simulation.runFor(3000)
+      }
+      assert.equal(last.admit(requestWith('system', 'chapter9', 'deadly', 'own')).kind, 'refused')
+      assert.equal(last.admit(requestWith('system', 'chapter9', 'own')).kind, 'admitted')
+    })
+
     it('suspects nobody when servers end under requests that differ', () => {
       const { suspicions } = start()
       const requests = Array.from({ length: 200 }, () => requestWith())
--- a/packages/forwarding/src/__tests__/unit/JayfallRumorNetwork.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallRumorNetwork.ts
@@ -32,6 +32,8 @@
   readonly channels: readonly SimulatedChannel[]
   /** Messages that instances sent. */
   sentMessages = 0
+  /** Whether reports to collectors are lost. */
+  losesReports = false
   /** A zone that no message enters or leaves. */
   cutZone: string | undefined
 
@@ -48,7 +50,7 @@
   send (from: SimulatedChannel, to: SimulatedChannel, news: News, isReport: boolean): void {
     this.sentMessages++
     from.sentMessages++
-    if (this.random.chance(this.loss) || to.isSilent || this.areApart(from.zone, to.zone)) return
+    if ((isReport && this.losesReports) || this.random.chance(this.loss) || to.isSilent || this.areApart(from.zone, to.zone)) return
     this.simulation.after(1 + this.random.uniform() * LONGEST_DELAY_MILLISECONDS, () => to.receive(news, isReport))
   }
 }
