--- a/review/common/deployment.mjs
+++ b/review/common/deployment.mjs
@@ -203,7 +203,7 @@
 }
 
 /** Sends a request as a client; resolves when its answer or its connection has ended. */
-export function call (instance, { id, path: target, method = 'POST', body = 'a body', headers = {}, deadline = 4000, agent = false, onRequest = () => {} }) {
+export function call (instance, { id, path: target, method = 'POST', body = 'a body', headers = {}, deadline = 4000, agent = false, isBodyDropped = false, onRequest = () => {} }) {
   return new Promise(resolve => {
     const request = http.request({ host: instance.host, port: instance.port, method, path: target, agent, headers: { Host: HOST, 'Request-Id': id, 'Deadline-Ms': String(deadline), Authorization: `Bearer ${KEY}`, ...(method === 'GET' ? {} : { 'Content-Length': Buffer.byteLength(body) }), ...headers } })
     const timer = setTimeout(() => request.destroy(new Error('the client gave up')), deadline + 1000)
@@ -215,9 +215,13 @@
     request.on('error', error => settle({ status: undefined, error: error.code ?? error.message, isWhole: false }))
     request.on('response', response => {
       const chunks = []
-      response.on('data', chunk => chunks.push(chunk))
+      let bytes = 0
+      response.on('data', chunk => {
+        bytes += chunk.length
+        if (!isBodyDropped) chunks.push(chunk)
+      })
       response.on('error', () => {})
-      response.on('close', () => settle({ status: response.statusCode, headers: response.headers, body: Buffer.concat(chunks).toString(), isWhole: response.complete, error: response.complete ? undefined : 'the answer broke off' }))
+      response.on('close', () => settle({ status: response.statusCode, headers: response.headers, bytes, body: Buffer.concat(chunks).toString(), isWhole: response.complete, error: response.complete ? undefined : 'the answer broke off' }))
     })
     request.end(method === 'GET' ? undefined : body)
   })
