--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,67 +1,79 @@
 /**
- * One of the four servers of the look-ups answers without end, in chunks of one byte. Other clients send orders that may
- * run once, over connections that they keep, and all servers of the orders are sound. Checked is LOST: connections that
- * are closed without an answer although their requests had been passed on to a sound server.
+ * One server gives one answer that is none: the value of a header is padded with blanks and ends with a NUL byte.
+ * Checked is CONFIG: requests that get no final answer within half a second after the time-out of their route, among
+ * them orders that run at sound servers of another service.
  */
 
-import * as http from 'node:http'
 import * as path from 'node:path'
 import { fileURLToPath } from 'node:url'
 
-import { HAS_TROUBLE, call, runCase, sleep } from '../common/deployment.mjs'
-import { startServer } from '../common/endless.mjs'
+import { HAS_TROUBLE, Server, call, runCase, sleep } from '../common/deployment.mjs'
 
-const ORDERING_CLIENTS = 12
-const ASKING_CLIENTS = 6
 /** More than `contact-ms`, so that the machine is in touch. */
-const CALM_MILLISECONDS = 7000
-const TROUBLE_MILLISECONDS = 25_000
-const ORDER_MILLISECONDS = 3000
-const LOOKUP_MILLISECONDS = 300
-/** Between the starts of two clients. */
-const STAGGER_MILLISECONDS = 250
-const DEADLINE_MILLISECONDS = 12_000
-const REST_MILLISECONDS = 200
-/** The rule allows three. */
-const ALLOWED = 3
+const CALM_MILLISECONDS = 4000
+const TROUBLE_MILLISECONDS = 20_000
+const ORDER_MILLISECONDS = 1000
+const LOOKUP_MILLISECONDS = 20
+const REQUESTS_PER_SECOND = 5
+const ORDER_TIMEOUT_MILLISECONDS = 4000
+const LOOKUP_TIMEOUT_MILLISECONDS = 1000
+/** The head stays below 16 KB. */
+const BLANKS = 12_000
+/** After the time-out of the route. */
+const GRACE_MILLISECONDS = 500
+const MINIMUM_COUNT = 8
+const ALLOWED_SHARE = 1 / 4
 
 runCase(path.dirname(fileURLToPath(import.meta.url)), async (deployment, record) => {
-  const startServers = async (service, work, ids) => {
-    const servers = []
-    for (const id of ids) servers.push(await startServer(deployment, record, { id, trouble: 'chunks', work }))
-    for (const { id, address } of servers) deployment.announce(id, address, { service })
-    return servers
+  let wrongAnswersLeft = 0
+  const startServer = async (service, id, options) => {
+    const server = await new Server(id, { record, ...options }).start()
+    deployment.stopAtEnd(() => server.stop())
+    deployment.announce(id, server.address, { service })
+    return server
   }
-  const orderServers = await startServers('orders', ORDER_MILLISECONDS, ['order-server-1', 'order-server-2', 'order-server-3'])
-  const lookupServers = await startServers('lookups', LOOKUP_MILLISECONDS, ['lookup-server-1', 'lookup-server-2', 'lookup-server-3', 'lookup-server-4'])
+  const answerLookup = ({ response, requestId }) => {
+    if (wrongAnswersLeft-- > 0) {
+      record.write(`${requestId} gets a wrong answer`)
+      return response.socket.end(`HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nResponse-Seal: seal-of-${requestId}\r\nX-Padded: ${' '.repeat(BLANKS)}\0\r\nContent-Length: 4\r\n\r\ndone`)
+    }
+    setTimeout(() => response.writeHead(200, { 'Request-Id': requestId, 'Response-Seal': `seal-of-${requestId}`, 'Server-Load': '1,0,8,100' }).end('done'), LOOKUP_MILLISECONDS)
+  }
+  const orderServers = []
+  for (const id of ['order-server-1', 'order-server-2', 'order-server-3']) orderServers.push(await startServer('orders', id, { work: ORDER_MILLISECONDS }))
+  for (const id of ['lookup-server-1', 'lookup-server-2', 'lookup-server-3', 'lookup-server-4']) await startServer('lookups', id, { answer: answerLookup })
   deployment.configure({
     services: ['orders', 'lookups'],
-    routes: [{ prefix: '/order/', kind: 'non_idempotent', service: 'orders', 'timeout-ms': DEADLINE_MILLISECONDS }, { prefix: '/lookup/', kind: 'idempotent', service: 'lookups', 'max-attempts': 2, 'timeout-ms': DEADLINE_MILLISECONDS }]
+    routes: [
+      { prefix: '/order/', kind: 'non_idempotent', service: 'orders', 'timeout-ms': ORDER_TIMEOUT_MILLISECONDS, 'slo-ms': 2000 },
+      { prefix: '/lookup/', kind: 'idempotent', service: 'lookups', 'max-attempts': 2, 'timeout-ms': LOOKUP_TIMEOUT_MILLISECONDS, 'slo-ms': 100 }
+    ]
   })
   const [instance] = await deployment.startInstances(1)
   const end = performance.now() + CALM_MILLISECONDS + TROUBLE_MILLISECONDS
   const results = []
-  const runClient = async (kind, client) => {
-    const agent = new http.Agent({ keepAlive: true, maxSockets: 1 })
-    await sleep(client * STAGGER_MILLISECONDS)
-    for (let count = 0; performance.now() < end && instance.exit === undefined; count++) {
-      let isKept = false
-      const result = await call(instance, { id: `${kind}-${client}-${count}`, path: `/${kind}/`, method: kind === 'order' ? 'POST' : 'GET', deadline: DEADLINE_MILLISECONDS, agent, onRequest: request => request.once('socket', () => { isKept = request.reusedSocket }) })
-      record.write(`${result.id} on a ${isKept ? 'kept' : 'new'} connection: ${result.status ?? ''} ${result.error ?? ''}`)
-      results.push({ ...result, isKept })
-      if (result.error !== undefined) await sleep(REST_MILLISECONDS)
+  const sendRequests = async (kind, timeout) => {
+    const open = []
+    for (let count = 0; performance.now() < end; count++) {
+      const sentAt = performance.now()
+      const id = `${kind}-${count}`
+      open.push(call(instance, { id, path: `/${kind}/`, method: kind === 'order' ? 'POST' : 'GET', deadline: 2 * timeout }).then(({ status, error }) => {
+        const elapsed = performance.now() - sentAt
+        record.write(`${id}: ${status ?? ''} ${error ?? 'whole'}, after ${Math.round(elapsed)} ms`)
+        results.push({ id, timeout, elapsed })
+      }))
+      await sleep(1000 / REQUESTS_PER_SECOND)
     }
-    agent.destroy()
+    await Promise.all(open)
   }
-  const clients = [...Array.from({ length: ORDERING_CLIENTS }, (_, client) => runClient('order', client)), ...Array.from({ length: ASKING_CLIENTS }, (_, client) => runClient('lookup', client))]
+  const clients = [sendRequests('order', ORDER_TIMEOUT_MILLISECONDS), sendRequests('lookup', LOOKUP_TIMEOUT_MILLISECONDS)]
   await sleep(CALM_MILLISECONDS)
-  if (HAS_TROUBLE) {
-    record.write('lookup-server-4 answers without end from now on')
-    lookupServers[3].beInTrouble()
-  }
+  if (HAS_TROUBLE) wrongAnswersLeft = 1
   await Promise.all(clients)
-  record.write(`the instance ${instance.exit === undefined ? `runs, with ${Math.round(instance.residentMegabytes())} MB` : `has ended by itself: code ${instance.exit.code}, signal ${instance.exit.signal}`}`)
-  const sound = new Set([...orderServers, ...lookupServers.slice(0, 3)].flatMap(({ runs }) => [...runs]))
-  const lost = results.filter(({ id, isKept, status }) => isKept && status === undefined && sound.has(id))
-  return lost.length > ALLOWED ? lost.map(({ id, error }) => `LOST: ${id} was passed on to a sound server, and its connection was closed without an answer (${error})`) : []
+  record.write(`asked whether it is ready, the instance says ${await instance.askReady() ?? 'nothing'}`)
+  const lasting = results.filter(({ elapsed, timeout }) => elapsed > timeout)
+  const unanswered = lasting.filter(({ elapsed, timeout }) => elapsed > timeout + GRACE_MILLISECONDS)
+  const run = new Set(orderServers.flatMap(({ runs }) => runs.map(({ id }) => id)))
+  record.write(`${lasting.length} requests lasted longer than the time-out of their route, ${unanswered.length} of them by more than ${GRACE_MILLISECONDS} ms, ${unanswered.filter(({ id }) => run.has(id)).length} of them orders that had run`)
+  return unanswered.length >= MINIMUM_COUNT && unanswered.length > lasting.length * ALLOWED_SHARE ? unanswered.map(({ id, elapsed, timeout }) => `CONFIG: ${id} had no final answer ${Math.round(elapsed - timeout)} ms after its time-out of ${timeout} ms`) : []
 })
