--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -8,8 +8,8 @@
 import * as path from 'node:path'
 import { fileURLToPath } from 'node:url'
 
-import { HAS_TROUBLE, call, runCase, sleep } from '../common/deployment.mjs'
-import { startServer } from '../common/endless.mjs'
+import { HAS_TROUBLE, assertRan, call, runCase, sleep } from '../deployment.mjs'
+import { startServer } from '../endless.mjs'
 
 const ORDERING_CLIENTS = 12
 const ASKING_CLIENTS = 6
@@ -59,7 +59,9 @@
     record.write('lookup-server-4 answers without end from now on')
     lookupServers[3].beInTrouble()
   }
+  const runsBefore = lookupServers[3].runs.size
   await Promise.all(clients)
+  assertRan(lookupServers[3].runs.size > runsBefore && orderServers.every(({ runs }) => runs.size > 0), 'a server got no requests')
   record.write(`the instance ${instance.exit === undefined ? `runs, with ${Math.round(instance.residentMegabytes())} MB` : `has ended by itself: code ${instance.exit.code}, signal ${instance.exit.signal}`}`)
   const sound = new Set([...orderServers, ...lookupServers.slice(0, 3)].flatMap(({ runs }) => [...runs]))
   const lost = results.filter(({ id, isKept, status }) => isKept && status === undefined && sound.has(id))
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -8,12 +8,12 @@
 import { monitorEventLoopDelay } from 'node:perf_hooks'
 import { fileURLToPath } from 'node:url'
 
-import { HAS_TROUBLE, call, runCase, sleep } from '../common/deployment.mjs'
-import { startServer } from '../common/endless.mjs'
+import { HAS_TROUBLE, assertRan, call, runCase, sleep } from '../deployment.mjs'
+import { startServer } from '../endless.mjs'
 
 /** More than `contact-ms`, so that the machine is in touch. */
 const CALM_MILLISECONDS = 4000
-const TROUBLE_MILLISECONDS = 30_000
+const TROUBLE_MILLISECONDS = 15_000
 const STREAM_MILLISECONDS = 3000
 const LOOKUP_MILLISECONDS = 20
 const STREAMS_PER_SECOND = 8
@@ -70,11 +70,13 @@
     record.write('engine-4 answers without end from now on')
     engines[3].beInTrouble()
   }
+  const runsBefore = engines[3].runs.size
   await Promise.all(clients)
+  assertRan(engines[3].runs.size > runsBefore, 'engine-4 got no requests')
   record.write(`readiness was asked for ${(await probes).asked} times, ${(await probes).missed} times without an answer within a second, ${(await probes).missedInRow} times in a row at most`)
   const longest = ownDelay.max / 1e6
   record.write(`the clients themselves were late by ${Math.round(longest)} ms at most`)
-  if (longest > MAXIMUM_OWN_DELAY_MILLISECONDS) throw new Error('the clients were too slow for the measurement')
+  assertRan(longest <= MAXIMUM_OWN_DELAY_MILLISECONDS, 'the clients were too slow for the measurement')
   const lasting = results.filter(({ elapsed, timeout }) => elapsed > timeout)
   const unanswered = lasting.filter(({ elapsed, timeout }) => elapsed > timeout + GRACE_MILLISECONDS)
   record.write(`${lasting.length} requests lasted longer than the time-out of their route, ${unanswered.length} of them by more than ${GRACE_MILLISECONDS} ms`)
--- a/review/common/deployment.mjs
+++ b/review/deployment.mjs
@@ -12,7 +12,7 @@
 import * as path from 'node:path'
 import { fileURLToPath } from 'node:url'
 
-export const ROOT = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../..')
+export const ROOT = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '..')
 export const KEY = 'key-of-review'
 export const HOST = 'review.example'
 export const ZONE = 'valdivia'
@@ -30,6 +30,9 @@
 }
 export const MEMORY_MEGABYTES = 350
 const HEARTBEAT_MILLISECONDS = 1200
+const MAXIMUM_RUN_MILLISECONDS = 115_000
+/** Exit status. */
+const CANNOT_RUN = 2
 
 export const HAS_TROUBLE = process.env.TROUBLE !== '0'
 
@@ -98,9 +101,16 @@
     return started
   }
 
-  async end () {
-    for (const instance of this.instances) await instance.kill()
-    for (const stop of this.stops.reverse()) await stop()
+  /** Ends all processes that were started, without a wait. */
+  endAtOnce () {
+    for (const instance of this.instances) instance.child?.kill('SIGKILL')
+    for (const stop of this.stops) {
+      try {
+        stop()
+      } catch (error) {
+        this.record.write(`not stopped: ${error.message}`)
+      }
+    }
     fs.rmSync(this.folder, { recursive: true, force: true })
   }
 }
@@ -165,12 +175,6 @@
     this.child.kill(signal)
   }
 
-  async kill () {
-    if (this.child === undefined || this.exit !== undefined) return
-    this.child.kill('SIGKILL')
-    await this.exited
-  }
-
   /** Asks as the platform does; resolves to the status, or undefined when there is no answer in time. */
   askReady (timeout = 1000) {
     return new Promise(resolve => {
@@ -278,12 +282,26 @@
   })
 }
 
-/** Runs a case: exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. */
+/**
+ * Runs a case: exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. However it ends, the
+ * processes that it started end first.
+ */
 export async function runCase (folder, play) {
+  let deployment
+  const cleanUp = () => deployment?.endAtOnce()
+  process.on('exit', cleanUp)
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(signal, () => process.exit(CANNOT_RUN))
+  for (const event of ['uncaughtException', 'unhandledRejection']) {
+    process.on(event, error => {
+      process.stderr.write(`could not run: ${error.stack}\n`)
+      process.exit(CANNOT_RUN)
+    })
+  }
+  setTimeout(() => process.exit(CANNOT_RUN), MAXIMUM_RUN_MILLISECONDS).unref()
   const record = new Record(folder)
-  const deployment = new Deployment(record)
-  let status = 2
+  let status = CANNOT_RUN
   try {
+    deployment = new Deployment(record)
     await deployment.start()
     const violations = await play(deployment, record)
     for (const text of violations) record.write(`BROKEN ${text}`)
@@ -292,6 +310,10 @@
   } catch (error) {
     record.write(`could not run: ${error.stack}`)
   }
-  await deployment.end()
   process.exit(status)
 }
+
+/** Ends a case that could not run as intended. */
+export function assertRan (condition, text) {
+  if (!condition) throw new Error(text)
+}
