Parse answers in time in line with their bytes

Cause: the expression for a header line matched the same blanks in three places, so a line that did not match took time in the third power of its blanks, on the only thread. Besides, each read was joined with all that was pending of a head, and each chunk of a body was handed out alone. Change: the parser looks at each byte a fixed number of times, trims blanks by hand and hands out the chunks of one read together.

--- a/packages/command/src/__tests__/unit/JayfallRequestTimeline.test.ts
+++ b/packages/command/src/__tests__/unit/JayfallRequestTimeline.test.ts
@@ -57,4 +57,11 @@
     assert.equal(createTimeline('r3', RECORDS), undefined)
     assert.equal(RECORDS.length, LINES.length - 1)
   })
+
+  // The time grew with the square of the line's length where a quotation mark was not closed, or a name had no value.
+  it('reads odd lines in time in line with their length (guards against a command that does not end)', () => {
+    const startedAt = performance.now()
+    for (const text of ['a="'.repeat(100_000), 'a'.repeat(300_000)]) assert.equal(readLogLine(`event=odd ${text}`)?.event, 'odd')
+    assert.ok(performance.now() - startedAt < 1000)
+  })
 })
--- a/packages/forwarding/src/JayfallAnswerParser.ts
+++ b/packages/forwarding/src/JayfallAnswerParser.ts
@@ -4,8 +4,13 @@
  * Every event of a stream passes through this code. It hands out the bytes of the body as they arrive and without
  * a stream in between, which costs a third of what the HTTP client of Node.js takes for an event. It is strict,
  * because a faulty server may send anything: what is no answer, or has two meanings, is an error.
+ *
+ * Each byte is looked at a fixed number of times, however the bytes are cut. All chunks of one read are handed out
+ * together, because a call for each chunk costs many times as much as a chunk of a few bytes itself.
  */
 
+import { GrowingBuffer } from '#jayfall/shared'
+
 import { MAXIMUM_ANSWER_HEAD_BYTES, MAXIMUM_CHUNK_LINE_BYTES } from './JayfallForwardingConstants'
 
 /** The head of an answer. */
@@ -35,25 +40,47 @@
   }
 }
 
-type ParserState = 'head' | 'sized' | 'chunk_size' | 'chunk_data' | 'chunk_end' | 'trailers' | 'until_close' | 'complete'
+type ParserState = 'head' | 'sized' | 'chunk_line' | 'chunk_data' | 'chunk_end' | 'trailers' | 'until_close' | 'complete'
+/** The part of a chunk line that the next byte belongs to. */
+type ChunkLinePart = 'size' | 'blank' | 'extension'
 
 const HEAD_END = Buffer.from('\r\n\r\n')
-const LINE_END = Buffer.from('\r\n')
+const LINE_FEED = 0x0a
+const CARRIAGE_RETURN = 0x0d
+const TAB = 0x09
+const SPACE = 0x20
+const SEMICOLON = 0x3b
 const STATUS_LINE = /^HTTP\/1\.[01] ([1-9]\d\d)(?: [^\0\r\n]*)?$/
-const HEADER_LINE = /^([!#$%&'*+\-.^_`|~\dA-Za-z]+):[ \t]*([^\0\r\n]*?)[ \t]*$/
+const HEADER_NAME = /^[!#$%&'*+\-.^_`|~\dA-Za-z]+$/
+const FORBIDDEN_IN_VALUE = /[\0\r\n]/
 const CONTENT_LENGTH = /^\d{1,15}$/
-const CHUNK_LINE = /^([\da-f]{1,12})[ \t]*(?:;.*)?$/i
-const NO_BYTES = Buffer.alloc(0)
+const MAXIMUM_CHUNK_SIZE_DIGITS = 12
+/** Portions of fewer bytes are copied faster by a loop than by a call. */
+const LOOP_COPY_BYTES = 16
 const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
+/** The value of each byte as a hexadecimal digit; -1 when it is none. */
+const HEXADECIMAL_DIGITS = Int8Array.from({ length: 256 }, (_, byte) => /[\da-f]/i.test(String.fromCharCode(byte)) ? Number.parseInt(String.fromCharCode(byte), 16) : -1)
+/** Where the chunks of one read are joined. All parsers share it, because each read is handed out before the next one. */
+let joinedChunks: Buffer = Buffer.alloc(0)
 
 export class AnswerParser {
   private state: ParserState = 'head'
-  /** Received bytes of a head or line that is not complete yet. */
-  private pending: Buffer = NO_BYTES
+  /** Received bytes of a head that is not complete yet. */
+  private readonly pendingHead = new GrowingBuffer()
   /** Bytes that are left of a body or chunk of known size. */
   private remaining = 0
   /** Bytes of heads and trailers so far, with those of interim answers. */
   private headBytes = 0
+  /** Bytes of the current chunk line or trailer. */
+  private lineBytes = 0
+  private linePart: ChunkLinePart = 'size'
+  private sizeDigits = 0
+  /** Whether the last byte of the current line was a carriage return. */
+  private isAtLineEnd = false
+  /** The body of the current read: a part of the received bytes, or of the joined chunks. */
+  private body: Buffer | undefined
+  private bodyStart = 0
+  private bodyEnd = 0
 
   /** @param isHeadRequest whether the request was a HEAD request, whose answer has no body. */
   constructor (private readonly consumer: AnswerConsumer, private readonly isHeadRequest: boolean) {}
@@ -64,18 +91,12 @@
 
   /** Parses received bytes. @throws AnswerParseError */
   push (bytes: Buffer): void {
-    let rest = this.pending.length === 0 ? bytes : Buffer.concat([this.pending, bytes])
-    this.pending = NO_BYTES
-    while (rest.length > 0 && this.state !== 'complete') {
-      const next = this.parse(rest)
-      if (next === undefined) {
-        // The received bytes are in a buffer that is used again.
-        this.pending = Buffer.from(rest)
-        return
-      }
-      rest = next
+    try {
+      for (let position = 0; position < bytes.length && this.state !== 'complete';) position = this.parse(bytes, position)
+      // Bytes after an answer belong to no request. The connection that they came on carries no further one.
+    } finally {
+      this.handOutBody()
     }
-    // Bytes after an answer belong to no request. The connection that they came on carries no further one.
   }
 
   /** Ends the answer with its connection. @throws AnswerParseError when it is not complete. */
@@ -85,33 +106,49 @@
     this.complete()
   }
 
-  /** Parses the next element and returns the bytes after it; undefined when the element is not complete. */
-  private parse (bytes: Buffer): Buffer | undefined {
+  /** Parses up to the end of the next element, or of the bytes, and returns the position after what it has parsed. */
+  private parse (bytes: Buffer, start: number): number {
     switch (this.state) {
-      case 'head': return this.parseHead(bytes)
+      case 'head': return this.parseHead(bytes, start)
       case 'sized':
-      case 'chunk_data': return this.parseSized(bytes)
-      case 'chunk_size': return this.parseChunkSize(bytes)
-      case 'chunk_end': return this.parseChunkEnd(bytes)
-      case 'trailers': return this.parseTrailer(bytes)
+      case 'chunk_data': return this.parseSized(bytes, start)
+      case 'chunk_line': return this.parseChunkLine(bytes, start)
+      case 'chunk_end': return this.parseChunkEnd(bytes, start)
+      case 'trailers': return this.parseTrailers(bytes, start)
       default:
-        this.consumer.onBody(bytes)
-        return NO_BYTES
+        this.addBody(bytes, start, bytes.length)
+        return bytes.length
+    }
+  }
+
+  private parseHead (bytes: Buffer, start: number): number {
+    const known = this.pendingHead.length
+    if (known === 0) {
+      const end = bytes.indexOf(HEAD_END, start)
+      this.checkHeadBytes(this.headBytes + (end === -1 ? bytes.length : end) - start)
+      if (end !== -1) return this.readHead(bytes.toString('latin1', start, end)) + start
     }
+    // What goes on beyond the limit needs not be kept.
+    this.pendingHead.append(bytes.subarray(start, start + MAXIMUM_ANSWER_HEAD_BYTES + HEAD_END.length))
+    const head = this.pendingHead.bytes
+    const end = head.indexOf(HEAD_END, Math.max(0, known - HEAD_END.length + 1))
+    this.checkHeadBytes(this.headBytes + (end === -1 ? head.length : end))
+    if (end === -1) return bytes.length
+    const text = head.toString('latin1', 0, end)
+    this.pendingHead.discard(head.length)
+    return this.readHead(text) - known + start
   }
 
-  private parseHead (bytes: Buffer): Buffer | undefined {
-    const end = bytes.indexOf(HEAD_END)
-    this.checkHeadBytes(this.headBytes + (end === -1 ? bytes.length : end))
-    if (end === -1) return undefined
-    this.headBytes += end + HEAD_END.length
-    const [statusLine, ...lines] = bytes.toString('latin1', 0, end).split('\r\n')
+  /** Reads a complete head and returns its number of bytes. */
+  private readHead (text: string): number {
+    const length = text.length + HEAD_END.length
+    this.headBytes += length
+    const [statusLine, ...lines] = text.split('\r\n')
     const status = Number(STATUS_LINE.exec(statusLine)?.[1] ?? NaN)
     if (Number.isNaN(status)) throw new AnswerParseError('the answer has no status line')
-    const rest = bytes.subarray(end + HEAD_END.length)
     if (status === 101) throw new AnswerParseError('the answer switches protocols')
     // An interim answer; the final one follows.
-    if (status < 200) return rest
+    if (status < 200) return length
     const rawHeaders = lines.flatMap(readHeaderLine)
     const headers = joinHeaders(rawHeaders)
     const isSelfDelimited = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
@@ -119,7 +156,7 @@
     this.beginBody(headers, hasNoBody)
     this.consumer.onHead({ status, rawHeaders, headers, isSelfDelimited: isSelfDelimited || hasNoBody })
     if (hasNoBody || (this.state === 'sized' && this.remaining === 0)) this.complete()
-    return rest
+    return length
   }
 
   private beginBody (headers: Readonly<Record<string, string>>, hasNoBody: boolean): void {
@@ -127,7 +164,7 @@
     if (hasNoBody) return
     if (coding !== undefined) {
       if (coding.toLowerCase() !== 'chunked' || length !== undefined) throw new AnswerParseError('the length of the answer is ambiguous')
-      this.state = 'chunk_size'
+      this.beginLine('chunk_line')
       return
     }
     if (length !== undefined && !CONTENT_LENGTH.test(length)) throw new AnswerParseError('the length of the answer is invalid')
@@ -135,46 +172,113 @@
     this.remaining = Number(length ?? 0)
   }
 
-  private parseSized (bytes: Buffer): Buffer {
-    const length = Math.min(this.remaining, bytes.length)
-    this.remaining -= length
+  private parseSized (bytes: Buffer, start: number): number {
+    const end = start + Math.min(this.remaining, bytes.length - start)
+    this.remaining -= end - start
     const isSized = this.state === 'sized'
-    if (this.remaining === 0 && !isSized) this.state = 'chunk_end'
-    this.consumer.onBody(bytes.subarray(0, length))
+    if (this.remaining === 0 && !isSized) this.beginLine('chunk_end')
+    this.addBody(bytes, start, end)
     if (this.remaining === 0 && isSized) this.complete()
-    return bytes.subarray(length)
+    return end
   }
 
-  private parseChunkSize (bytes: Buffer): Buffer | undefined {
-    const end = this.findLineEnd(bytes)
-    if (end === -1) return undefined
-    const size = CHUNK_LINE.exec(bytes.toString('latin1', 0, end))?.[1]
-    if (size === undefined) throw new AnswerParseError('a chunk of the answer has no size')
-    this.remaining = Number.parseInt(size, 16)
-    this.state = this.remaining === 0 ? 'trailers' : 'chunk_data'
-    return bytes.subarray(end + LINE_END.length)
+  private beginLine (state: 'chunk_line' | 'chunk_end' | 'trailers'): void {
+    this.state = state
+    this.lineBytes = 0
+    this.linePart = 'size'
+    this.sizeDigits = 0
+    this.isAtLineEnd = false
   }
 
-  private parseChunkEnd (bytes: Buffer): Buffer | undefined {
-    if (bytes.length < LINE_END.length) return undefined
-    if (!bytes.subarray(0, LINE_END.length).equals(LINE_END)) throw new AnswerParseError('a chunk of the answer is longer than its size')
-    this.state = 'chunk_size'
-    return bytes.subarray(LINE_END.length)
+  private parseChunkLine (bytes: Buffer, start: number): number {
+    for (let position = start; position < bytes.length; position++) {
+      const byte = bytes[position]
+      if (this.isAtLineEnd) {
+        if (byte !== LINE_FEED || this.sizeDigits === 0) throw new AnswerParseError('a chunk of the answer has no size')
+        if (this.remaining === 0) this.beginLine('trailers')
+        else this.state = 'chunk_data'
+        return position + 1
+      }
+      if (byte === CARRIAGE_RETURN) this.isAtLineEnd = true
+      else this.readChunkLineByte(byte)
+    }
+    return bytes.length
   }
 
-  private parseTrailer (bytes: Buffer): Buffer | undefined {
-    const end = this.findLineEnd(bytes)
-    if (end === -1) return undefined
-    this.headBytes += end + LINE_END.length
-    this.checkHeadBytes(this.headBytes)
-    if (end === 0) this.complete()
-    return bytes.subarray(end + LINE_END.length)
+  private readChunkLineByte (byte: number): void {
+    this.countLineByte()
+    if (this.linePart === 'extension') {
+      if (byte === LINE_FEED) throw new AnswerParseError('a chunk of the answer has no size')
+      return
+    }
+    const digit = this.linePart === 'size' ? HEXADECIMAL_DIGITS[byte] : -1
+    if (digit !== -1) {
+      this.remaining = this.remaining * 16 + digit
+      this.sizeDigits++
+    } else if (byte === SPACE || byte === TAB) this.linePart = 'blank'
+    else if (byte === SEMICOLON) this.linePart = 'extension'
+    else throw new AnswerParseError('a chunk of the answer has no size')
+    if (this.sizeDigits === 0 || this.sizeDigits > MAXIMUM_CHUNK_SIZE_DIGITS) throw new AnswerParseError('a chunk of the answer has no size')
   }
 
-  private findLineEnd (bytes: Buffer): number {
-    const end = bytes.indexOf(LINE_END)
-    if ((end === -1 ? bytes.length : end) > MAXIMUM_CHUNK_LINE_BYTES) throw new AnswerParseError('a line of the answer is too long')
-    return end
+  private parseChunkEnd (bytes: Buffer, start: number): number {
+    if (bytes[start] !== (this.isAtLineEnd ? LINE_FEED : CARRIAGE_RETURN)) throw new AnswerParseError('a chunk of the answer is longer than its size')
+    if (this.isAtLineEnd) this.beginLine('chunk_line')
+    else this.isAtLineEnd = true
+    return start + 1
+  }
+
+  /** Passes over trailers up to the empty line that ends them. */
+  private parseTrailers (bytes: Buffer, start: number): number {
+    for (let position = start; position < bytes.length; position++) {
+      const byte = bytes[position]
+      this.checkHeadBytes(++this.headBytes)
+      if (this.isAtLineEnd && byte === LINE_FEED) {
+        if (this.lineBytes === 1) {
+          this.complete()
+          return position + 1
+        }
+        this.beginLine('trailers')
+        continue
+      }
+      this.isAtLineEnd = byte === CARRIAGE_RETURN
+      this.countLineByte()
+    }
+    return bytes.length
+  }
+
+  private countLineByte (): void {
+    if (++this.lineBytes > MAXIMUM_CHUNK_LINE_BYTES) throw new AnswerParseError('a line of the answer is too long')
+  }
+
+  /** Adds a part of the received bytes to the body of this read. */
+  private addBody (bytes: Buffer, start: number, end: number): void {
+    if (this.body === undefined) {
+      this.body = bytes
+      this.bodyStart = start
+      this.bodyEnd = end
+      return
+    }
+    if (this.body === bytes) {
+      if (joinedChunks.length < bytes.length) joinedChunks = Buffer.allocUnsafeSlow(bytes.length)
+      this.body = joinedChunks
+      const { bodyStart, bodyEnd } = this
+      this.bodyStart = this.bodyEnd = 0
+      this.copyToBody(bytes, bodyStart, bodyEnd)
+    }
+    this.copyToBody(bytes, start, end)
+  }
+
+  private copyToBody (bytes: Buffer, start: number, end: number): void {
+    if (end - start < LOOP_COPY_BYTES) for (let position = start; position < end; position++) joinedChunks[this.bodyEnd + position - start] = bytes[position]
+    else bytes.copy(joinedChunks, this.bodyEnd, start, end)
+    this.bodyEnd += end - start
+  }
+
+  private handOutBody (): void {
+    const { body, bodyStart, bodyEnd } = this
+    this.body = undefined
+    if (body !== undefined && bodyEnd > bodyStart) this.consumer.onBody(body.subarray(bodyStart, bodyEnd))
   }
 
   private checkHeadBytes (length: number): void {
@@ -182,15 +286,25 @@
   }
 
   private complete (): void {
+    this.handOutBody()
     this.state = 'complete'
     this.consumer.onEnd()
   }
 }
 
 function readHeaderLine (line: string): readonly [string, string] {
-  const match = HEADER_LINE.exec(line)
-  if (match === null) throw new AnswerParseError('a header of the answer is invalid')
-  return [match[1], match[2]]
+  const colon = line.indexOf(':')
+  const name = line.slice(0, Math.max(0, colon))
+  let [start, end] = [colon + 1, line.length]
+  while (start < end && isBlank(line.charCodeAt(start))) start++
+  while (end > start && isBlank(line.charCodeAt(end - 1))) end--
+  const value = line.slice(start, end)
+  if (!HEADER_NAME.test(name) || FORBIDDEN_IN_VALUE.test(value)) throw new AnswerParseError('a header of the answer is invalid')
+  return [name, value]
+}
+
+function isBlank (code: number): boolean {
+  return code === SPACE || code === TAB
 }
 
 function joinHeaders (rawHeaders: readonly string[]): Readonly<Record<string, string>> {
--- a/packages/forwarding/src/__tests__/unit/JayfallAnswerParser.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallAnswerParser.test.ts
@@ -125,4 +125,54 @@
       it(`gives up ${name} (guards against a process that runs out of memory)`, () => { assert.throws(() => parse([...text]), AnswerParseError) })
     }
   })
+
+  describe('with bytes that cost more than they weigh', () => {
+    /** Far more than linear time takes, and far less than the time before. */
+    const maximumMilliseconds = 1000
+    const padding = ' '.repeat(MAXIMUM_ANSWER_HEAD_BYTES - 100)
+
+    function measure (work: () => void): number {
+      const startedAt = performance.now()
+      work()
+      return performance.now() - startedAt
+    }
+
+    // One answer with a padded header kept the instance busy for longer than anybody waited: the time grew with the third power of the blanks.
+    it('rejects a padded header that is invalid in time in line with its bytes (guards against an instance that hangs)', () => {
+      const head = `HTTP/1.1 200 OK\r\nX-Padded: ${padding}\0\r\n\r\n`
+      assert.ok(measure(() => assert.throws(() => parse([head]), AnswerParseError)) < maximumMilliseconds)
+    })
+
+    it('reads blanks within and around a value in time in line with its bytes', () => {
+      const half = padding.slice(0, padding.length / 2)
+      for (const value of [`a${half}b`, `${half}a${half}`]) {
+        let answer: RecordingConsumer | undefined
+        assert.ok(measure(() => { answer = parse([`HTTP/1.1 200 OK\r\nX: ${value}\r\nContent-Length: 0\r\n\r\n`]) }) < maximumMilliseconds)
+        assert.equal(answer?.head?.headers.x, value.trim())
+      }
+    })
+
+    it('reads a head in pieces of one byte in time in line with its bytes', () => {
+      const head = `HTTP/1.1 200 OK\r\nX: ${'y'.repeat(padding.length - 100)}\r\nContent-Length: 0\r\n\r\n`
+      assert.ok(measure(() => assert.equal(parse([...head]).ends, 1)) < maximumMilliseconds)
+    })
+
+    // Each chunk of one byte became a call and a buffer of its own, and the heap was full after some megabytes.
+    it('hands out the chunks of one read together (guards against a process that ends for want of memory)', () => {
+      class CountingConsumer extends RecordingConsumer {
+        calls = 0
+
+        override onBody (bytes: Buffer): void {
+          this.calls++
+          super.onBody(bytes)
+        }
+      }
+      const consumer = new CountingConsumer()
+      const parser = new AnswerParser(consumer, false)
+      parser.push(Buffer.from('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'))
+      const chunks = Buffer.from('1\r\nx\r\n'.repeat(10_000) + '20\r\n01234567890123456789012345678901\r\n')
+      assert.ok(measure(() => parser.push(chunks)) < maximumMilliseconds)
+      assert.deepEqual([consumer.calls, consumer.body], [1, 'x'.repeat(10_000) + '01234567890123456789012345678901'])
+    })
+  })
 })
--- a/packages/telemetry/src/JayfallLogReader.ts
+++ b/packages/telemetry/src/JayfallLogReader.ts
@@ -9,7 +9,8 @@
   readonly fields: Readonly<Record<string, unknown>>
 }
 
-const KEY_VALUE_PAIR = /([a-z_]+)=("(?:[^"\\]|\\.)*"|\S+)/g
+/** Does not begin within a key, and takes a value that is not closed up to the end, so that each character is looked at once. */
+const KEY_VALUE_PAIR = /(?<![a-z_])([a-z_]+)=("(?:[^"\\]|\\.)*(?:"|$)|\S+)/g
 
 /** Parses a log line; undefined when it is not a complete log line. Text before a JSON object is skipped. */
 export function readLogLine (line: string): LogRecord | undefined {
