Count only events with content as progress of a stream

Cause: two line ends were a whole event. A read of 64 KB became 32,768 events with their objects, calls and log values; each counted as progress, so such a stream was neither silent nor too long. An event that was not complete was joined and searched anew with each read: in pieces of one byte, 250 KB were not done after 90 s. Events without a number counted as later than any other, and pieces of two runs could follow each other. Change: the splitter looks at each byte once and hands out the events of a read as one batch. Blank lines, comments and unknown fields are kept back and go in front of the next event, up to 256 KB; where another server may continue the stream, so do events without a number. A number is digits only, as it is written into the next request. A stream ends at 16 MiB.

--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -180,13 +180,15 @@
       firstEventTimeout: attempt.answerTimeout,
       eventGapTimeout: attempt.eventGapTimeout,
       stopSignals: this.stopSignals,
+      isResumable: this.plan.route.isRepeatable,
       isReplaceable: attempt.isReplaceable,
       onBytes: () => this.zoneOutageDetector?.recordActivity(),
-      onEvent: () => {
-        if (this.receivedEvents++ === 0) this.context.promptSuspicions.recordBegun(this.plan.identity)
+      onEvents: count => {
+        if (this.receivedEvents === 0) this.context.promptSuspicions.recordBegun(this.plan.identity)
+        this.receivedEvents += count
         this.timeToAnswer ??= clock.monotonic() - startedAt
         this.recordPrefillEnd(attempt, this.timeToAnswer)
-        this.observations.get(attempt)?.recordEvent(clock.monotonic())
+        this.observations.get(attempt)?.recordEvent(clock.monotonic(), count)
       }
     }).run()
     if (end.kind === 'stopped') return this.resultOfStop()
--- a/packages/forwarding/src/JayfallCallerAnswer.ts
+++ b/packages/forwarding/src/JayfallCallerAnswer.ts
@@ -5,7 +5,7 @@
 import { beginChunkedResponse, encodeChunk, LAST_CHUNK, type Clock } from '#jayfall/shared'
 
 import { type AnswerHead } from './JayfallAnswerParser'
-import { type StreamEvent } from './JayfallEventSplitter'
+import { type EventBatch } from './JayfallEventSplitter'
 import { endToEndHeaders } from './JayfallForwardingProtocol'
 import { encodeOutcome, type RelayOutcome } from './JayfallRelayEnvelope'
 
@@ -71,14 +71,19 @@
   }
 
   /** @returns false when the caller reads more slowly than events arrive; the next events should wait for `onceDrained`. */
-  writeEvents (events: readonly StreamEvent[]): boolean {
+  writeEvents ({ later, bytes, lastId }: EventBatch): boolean {
     const now = this.clock.monotonic()
     if (this.firstEventAt === undefined) this.firstEventAt = now
     else this.longestEventGap = Math.max(this.longestEventGap, now - this.previousEventAt)
     this.previousEventAt = now
-    this.eventsWritten += events.length
-    for (const { id } of events) this.lastEventId = id ?? this.lastEventId
-    return this.response.write(encodeChunk(events.length === 1 ? events[0].bytes : Buffer.concat(events.map(({ bytes }) => bytes))))
+    this.eventsWritten += later
+    this.lastEventId = lastId ?? this.lastEventId
+    return this.response.write(encodeChunk(bytes))
+  }
+
+  /** Writes what a stream has after its last event. */
+  writeRest (bytes: Buffer): void {
+    this.response.write(encodeChunk(bytes))
   }
 
   /** Calls `callback` when the caller has read what was written, or has disconnected. */
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -22,6 +22,10 @@
 export const MAXIMUM_ANSWER_BYTES = 4 * 1024 * 1024
 /** Size above which one event is treated as endless. It equals several hundred usual events. */
 export const MAXIMUM_EVENT_BYTES = 256 * 1024
+/** Size above which a stream is treated as endless. It equals a hundred thousand usual events. */
+export const MAXIMUM_STREAM_BYTES = 16 * 1024 * 1024
+/** Digits of the number of an event; more are not exact as numbers. */
+export const MAXIMUM_EVENT_NUMBER_DIGITS = 15
 /** Minimum remaining time for another attempt. With less, the caller leaves before the attempt can end. */
 export const MINIMUM_ATTEMPT_MILLISECONDS = 30
 
--- a/packages/forwarding/src/JayfallRelayRunner.ts
+++ b/packages/forwarding/src/JayfallRelayRunner.ts
@@ -126,9 +126,10 @@
       firstEventTimeout: answerTimeout,
       eventGapTimeout,
       stopSignals: [this.answer.callerDisconnected],
+      isResumable: this.plan.route.isRepeatable,
       isReplaceable,
       onBytes: () => {},
-      onEvent: () => { this.receivedEvents++ }
+      onEvents: count => { this.receivedEvents += count }
     }).run()
     if (end.kind === 'stopped') return { kind: 'caller_left' }
     if (end.kind !== 'ended') return end
--- a/packages/forwarding/src/JayfallStreamRelay.ts
+++ b/packages/forwarding/src/JayfallStreamRelay.ts
@@ -5,7 +5,7 @@
  * iteration with a wait for each event costs several times as much as the relay itself.
  *
  * Only complete events that the caller does not have yet count as progress: a stalled server may go on sending
- * single bytes or comments. A stream without progress ends as silent when another server can continue it.
+ * single bytes, comments or blank lines. A stream without progress ends as silent when another server can continue it.
  * Otherwise it may go on until its deadline, because a slow stream is better than none.
  */
 
@@ -14,8 +14,8 @@
 import { type AnswerHead } from './JayfallAnswerParser'
 import { type BackendExchange, type BodyReceiver } from './JayfallBackendExchange'
 import { type CallerAnswer } from './JayfallCallerAnswer'
-import { EventSplitter, type StreamEvent } from './JayfallEventSplitter'
-import { MAXIMUM_EVENT_BYTES } from './JayfallForwardingConstants'
+import { EventSplitter, type EventBatch } from './JayfallEventSplitter'
+import { MAXIMUM_EVENT_BYTES, MAXIMUM_STREAM_BYTES } from './JayfallForwardingConstants'
 
 /** How a relay ended. */
 export type RelayEnd =
@@ -40,16 +40,18 @@
   /** Milliseconds without a further event after which the stream counts as silent. */
   readonly eventGapTimeout: number
   readonly stopSignals: readonly AbortSignal[]
+  /** Whether another server may continue the stream after an event, so that each event needs a number. */
+  readonly isResumable: boolean
   /** Whether another server can continue the stream now. */
   readonly isReplaceable: () => boolean
   /** Called when bytes arrive from the server. */
   readonly onBytes: () => void
-  /** Called for each event of the server. */
-  readonly onEvent: () => void
+  /** Called with the number of events that the server has sent. */
+  readonly onEvents: (count: number) => void
 }
 
 export class StreamRelay implements BodyReceiver {
-  private readonly splitter = new EventSplitter()
+  private readonly splitter: EventSplitter
   private readonly onStop = (): void => this.finish({ kind: 'stopped' })
   private resolve!: (end: RelayEnd) => void
   private isFinished = false
@@ -58,8 +60,11 @@
   private progressAt: number
   private timeout: number
   private timer: NodeJS.Timeout | undefined
+  private receivedBytes = 0
+  private hasEvents = false
 
   constructor (private readonly parts: StreamRelayParts) {
+    this.splitter = new EventSplitter(parts.isResumable)
     this.progressAt = parts.clock.monotonic()
     this.timeout = parts.firstEventTimeout
   }
@@ -78,29 +83,42 @@
 
   onBytes (bytes: Buffer): void {
     if (this.isFinished) return
-    const { answer, onBytes, onEvent } = this.parts
+    const { answer, onBytes, onEvents } = this.parts
     onBytes()
-    const events = this.splitter.push(bytes)
-    for (let index = 0; index < events.length; index++) onEvent()
-    const laterEvents = events.filter(event => isLaterEvent(event, answer.lastEventId))
-    if (laterEvents.length > 0) this.passOn(laterEvents)
+    this.receivedBytes += bytes.length
+    const batch = this.splitter.push(bytes, answer.lastEventId)
+    if (batch.received > 0) {
+      this.hasEvents = true
+      onEvents(batch.received)
+    }
+    if (batch.later > 0) this.passOn(batch)
     if (this.splitter.pendingBytes > MAXIMUM_EVENT_BYTES) this.finish({ kind: 'broken', cause: `an event goes on after ${this.splitter.pendingBytes} bytes` })
+    else if (this.receivedBytes > MAXIMUM_STREAM_BYTES) this.finish({ kind: 'broken', cause: `the stream goes on after ${this.receivedBytes} bytes` })
   }
 
   onEnd (): void {
-    this.finish({ kind: 'ended', isWhole: this.splitter.pendingBytes === 0 })
+    if (this.isFinished) return
+    const { head, answer } = this.parts
+    const isWhole = this.splitter.isAtBlockEnd
+    // Comments after the last event belong to the body. Without an event and a stated end, the stream may have been broken off.
+    const rest = this.splitter.takeRest()
+    if (isWhole && rest.length > 0 && (head.isSelfDelimited || this.hasEvents)) {
+      answer.beginStream(head)
+      answer.writeRest(rest)
+    }
+    this.finish({ kind: 'ended', isWhole })
   }
 
   onFailure ({ message }: Error): void {
     this.finish({ kind: 'broken', cause: message })
   }
 
-  private passOn (events: readonly StreamEvent[]): void {
+  private passOn (batch: EventBatch): void {
     const { exchange, head, answer, clock, eventGapTimeout } = this.parts
     this.progressAt = clock.monotonic()
     this.timeout = eventGapTimeout
     answer.beginStream(head)
-    if (answer.writeEvents(events)) return
+    if (answer.writeEvents(batch)) return
     this.isCallerSlow = true
     exchange.pause()
     answer.onceDrained(() => {
@@ -137,9 +155,3 @@
     this.resolve(end)
   }
 }
-
-/** Whether an event comes after the last one that the caller has received; the events of a stream have increasing numbers. */
-function isLaterEvent ({ id }: StreamEvent, lastEventId: string | undefined): boolean {
-  if (id === undefined || lastEventId === undefined) return true
-  return Number(id) > Number(lastEventId)
-}
--- a/packages/forwarding/src/JayfallVersionObservation.ts
+++ b/packages/forwarding/src/JayfallVersionObservation.ts
@@ -47,10 +47,10 @@
     return this.endedAt !== undefined
   }
 
-  recordEvent (now: number): void {
+  recordEvent (now: number, count = 1): void {
     this.firstEventAt ??= now
     this.lastEventAt = now
-    this.events++
+    this.events += count
   }
 
   /** A plain answer arrives with its end. */
