Limit the answers of the store and of other instances

Answers of the store and of other instances were read without a limit on their bytes, each of their pieces was kept as a buffer of its own, and a packed change could become any number of megabytes. Change: both are read up to 32 MiB and 8 MiB and 65,536 pieces, and a packed change to what a reader sends at most. Evidence: on the answer of one-byte chunks in the test did not end; it is rejected after 65,536 pieces now.

--- a/packages/feeds/src/JayfallRelayedChange.ts
+++ b/packages/feeds/src/JayfallRelayedChange.ts
@@ -9,7 +9,7 @@
 
 import { type TableChange } from '#jayfall/store'
 
-import { MAXIMUM_COMPRESSION_RATIO, MINIMUM_COMPRESSIBLE_VALUE_BYTES } from './JayfallFeedConstants'
+import { MAXIMUM_COMPRESSION_RATIO, MAXIMUM_RELAYED_BYTES, MINIMUM_COMPRESSIBLE_VALUE_BYTES } from './JayfallFeedConstants'
 
 /** A change as it is sent. */
 export interface RelayedChange {
@@ -50,7 +50,7 @@
 
 /** Decodes a change that a reader encoded. */
 export function decodeChange ({ packed, key, value, revision, era = 0 }: RelayedChange): TableChange {
-  return { key, position: { era, revision }, value: packed === undefined ? value : JSON.parse(gunzipSync(Buffer.from(packed, 'base64')).toString()) }
+  return { key, position: { era, revision }, value: packed === undefined ? value : JSON.parse(gunzipSync(Buffer.from(packed, 'base64'), { maxOutputLength: MAXIMUM_RELAYED_BYTES * MAXIMUM_COMPRESSION_RATIO }).toString()) }
 }
 
 function encodeChange (change: TableChange, limit: number): EncodedChange {
--- a/packages/feeds/src/__tests__/unit/JayfallLargeChanges.test.ts
+++ b/packages/feeds/src/__tests__/unit/JayfallLargeChanges.test.ts
@@ -2,6 +2,7 @@
 
 import * as assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
+import { gzipSync } from 'node:zlib'
 
 import { ManualClock } from '#jayfall/shared'
 
@@ -55,4 +56,10 @@
     const { op } = await createServer({ routes: [] }).answer({ tables: { op: at(10) }, wait: 100, latestEra: 1, acceptsRows: false })
     assert.equal(op.kind === 'changes' ? op.reading.changes.length : undefined, 1)
   })
+
+  // Failure: some kilobytes from another instance could become any number of megabytes.
+  it('does not unpack a value beyond what readers send (guards against a process that ends for want of memory)', () => {
+    const packed = gzipSync(JSON.stringify('x'.repeat(64 * 1024 * 1024))).toString('base64')
+    assert.throws(() => decodeChange({ key: 'config', revision: 1, value: undefined, packed }), RangeError)
+  })
 })
--- a/packages/peers/src/JayfallPeerClient.ts
+++ b/packages/peers/src/JayfallPeerClient.ts
@@ -3,9 +3,10 @@
 import * as http from 'node:http'
 
 import Wreck from '@hapi/wreck'
+import { readBounded } from '#jayfall/shared'
 import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client'
 
-import { DEFAULT_PEER_TIMEOUT_MILLISECONDS, MAXIMUM_IDLE_PEER_CONNECTIONS, PEER_PATH } from './JayfallPeerConstants'
+import { DEFAULT_PEER_TIMEOUT_MILLISECONDS, MAXIMUM_IDLE_PEER_CONNECTIONS, PEER_ANSWER_LIMITS, PEER_PATH } from './JayfallPeerConstants'
 import { type PeerRouter } from './JayfallPeerRouter'
 
 export interface PeerClientSettings {
@@ -54,7 +55,8 @@
       headers: { ...options.headers as Record<string, string> },
       payload: options.body as string | undefined
     })
-    const body = await Wreck.read(response, { timeout }) as Buffer
+    const timer = setTimeout(() => response.destroy(new Error(`the answer did not end within ${timeout} ms`)), timeout)
+    const body = await readBounded(response, PEER_ANSWER_LIMITS).finally(() => clearTimeout(timer))
     return new Response(new Uint8Array(body), { status: response.statusCode, headers: { 'content-type': 'application/json' } })
   }
 }
--- a/packages/peers/src/JayfallPeerConstants.ts
+++ b/packages/peers/src/JayfallPeerConstants.ts
@@ -1,9 +1,13 @@
 /** Constants of the calls between entry instances. */
 
+import { type ReadLimits } from '#jayfall/shared'
+
 /** Path prefix of the procedures on the listener for other instances. */
 export const PEER_PATH = '/trpc/'
 /** Maximum size of a request body in bytes. */
 export const MAXIMUM_PEER_BODY_BYTES = 8 * 1024 * 1024
+/** Limits of one answer. */
+export const PEER_ANSWER_LIMITS: ReadLimits = { bytes: MAXIMUM_PEER_BODY_BYTES, pieces: 65_536 }
 /** Default time limit of one call, in milliseconds. */
 export const DEFAULT_PEER_TIMEOUT_MILLISECONDS = 1000
 /** Maximum number of idle connections to one instance. */
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,4 +1,5 @@
 export { beginChunkedResponse, encodeChunk, LAST_CHUNK } from './JayfallChunkedCoding'
+export { readBounded, type ReadLimits } from './JayfallBoundedRead'
 export { Clock, ManualClock, SystemClock, delay } from './JayfallClock'
 export { isSocketAddress } from './JayfallSocketAddress'
 export { EventQueue } from './JayfallEventQueue'
--- a/packages/store/src/JayfallPlatformHttp.ts
+++ b/packages/store/src/JayfallPlatformHttp.ts
@@ -3,8 +3,9 @@
 import * as http from 'node:http'
 
 import Wreck from '@hapi/wreck'
+import { readBounded } from '#jayfall/shared'
 
-import { DEFAULT_PLATFORM_TIMEOUT_MILLISECONDS, MAXIMUM_ANSWER_PAUSE_MILLISECONDS, MAXIMUM_PLATFORM_CONNECTIONS } from './JayfallStoreConstants'
+import { DEFAULT_PLATFORM_TIMEOUT_MILLISECONDS, MAXIMUM_ANSWER_PAUSE_MILLISECONDS, MAXIMUM_PLATFORM_CONNECTIONS, PLATFORM_ANSWER_LIMITS } from './JayfallStoreConstants'
 import { PlatformError } from './JayfallPlatformError'
 
 /** The address of the platform and the properties of the connections. */
@@ -87,7 +88,7 @@
     const timer = setTimeout(() => response.destroy(new Error(`nothing came for ${pause} ms`)), pause)
     response.on('data', () => timer.refresh())
     try {
-      const body = await this.client.read(response, {})
+      const body = await readBounded(response, PLATFORM_ANSWER_LIMITS)
       return body.toString()
     } catch (error) {
       this.dropIdleConnections()
--- a/packages/store/src/JayfallStoreConstants.ts
+++ b/packages/store/src/JayfallStoreConstants.ts
@@ -1,5 +1,7 @@
 /** Constants of the platform clients. */
 
+import { type ReadLimits } from '#jayfall/shared'
+
 /** Default time limit until the answer to a call begins, in milliseconds. */
 export const DEFAULT_PLATFORM_TIMEOUT_MILLISECONDS = 2000
 /** Maximum number of simultaneous connections to the platform. */
@@ -7,6 +9,9 @@
 /** Pause within an answer at which the answer counts as broken off, in milliseconds. A single lost packet is retransmitted within a few hundred milliseconds. */
 export const MAXIMUM_ANSWER_PAUSE_MILLISECONDS = 1000
 
+/** Limits of one answer: several hundred of the largest rows, in pieces of some hundred bytes. */
+export const PLATFORM_ANSWER_LIMITS: ReadLimits = { bytes: 32 * 1024 * 1024, pieces: 65_536 }
+
 /** Number of rows in one page of a listing. */
 export const LISTING_PAGE_ROWS = 500
 
--- a/packages/store/src/__tests__/unit/JayfallPlatformHttp.test.ts
+++ b/packages/store/src/__tests__/unit/JayfallPlatformHttp.test.ts
@@ -65,4 +65,13 @@
     await assert.rejects(client.call('GET', '/'))
     assert.deepEqual((await client.call('GET', '/')).body, {})
   })
+
+  // Failure: an answer of the store had no limit, and each of its chunks was kept as a buffer of its own.
+  it('rejects an answer in chunks of one byte without end (guards against a process that ends for want of memory)', async () => {
+    const client = await serve(async response => {
+      response.socket?.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n')
+      while (response.socket?.destroyed === false) if (response.socket.write('1\r\nx\r\n'.repeat(10_000)) !== true) await delay(1)
+    })
+    await assert.rejects(client.call('GET', '/'), /broke off/)
+  })
 })
