Limit what bodies and bytes without end cost the heap and the thread

Cause: limits counted bytes. A body was kept as a list of its pieces, at about a hundred bytes for each; the sum of all bodies had no limit; and a peer that sent without end was read as fast as it sent, so it took all of the one thread. Change: bodies grow in one buffer. All bodies together may use a fifth of the memory limit, one server a quarter of that, and large bodies leave a quarter of it to small ones; a caller's request that there is no memory for is refused as not run, before its body is read where its length is known. The time spent on received bytes is measured and charged to its peer: each has 2% of the thread, and those that use more divide 20%. A plain answer that is held up goes to another server where one can be tried. `peer_held_up` names the peer in the log.

--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -5,7 +5,7 @@
 import { type AnswerHead } from './JayfallAnswerParser'
 import { type AttemptPlan, type AttemptResult, type PlanContext } from './JayfallAttemptPlan'
 import { BackendExchange, ExchangeError } from './JayfallBackendExchange'
-import { BodyReader } from './JayfallBodyReader'
+import { BodyReader, NO_ANSWER_YET } from './JayfallBodyReader'
 import { waitFor, type WaitResult } from './JayfallBoundedWait'
 import { type CallerAnswer, type BufferedAnswer } from './JayfallCallerAnswer'
 import { ZoneOutageDetector } from './JayfallZoneOutageDetector'
@@ -108,7 +108,7 @@
   private async exchange (attempt: AttemptPlan, rawHeaders: readonly string[], startedAt: number): Promise<AttemptResult> {
     let exchange: BackendExchange | undefined
     const headPromise = new Promise<AnswerHead>((resolve, reject) => {
-      exchange = BackendExchange.open({ method: this.request.method, address: attempt.server.address, path: this.request.path, rawHeaders, body: this.request.body, onOpened: () => this.context.reachMonitor.recordOpened(attempt.server) }, resolve, reject)
+      exchange = BackendExchange.open({ method: this.request.method, address: attempt.server.address, path: this.request.path, rawHeaders, body: this.request.body, pacer: this.context.pacer, onOpened: () => this.context.reachMonitor.recordOpened(attempt.server) }, resolve, reject)
     })
     try {
       const wait = await this.waitForAnswer(headPromise, attempt)
@@ -152,11 +152,18 @@
   }
 
   private async readCompleteAnswer (attempt: AttemptPlan, exchange: BackendExchange, head: AnswerHead, startedAt: number): Promise<AttemptResult> {
-    const reader = new BodyReader(MAXIMUM_ANSWER_BYTES)
+    const length = Number(head.headers['content-length'] ?? 0)
+    if (length > MAXIMUM_ANSWER_BYTES && !exchange.isComplete) return { kind: 'broken', cause: `the answer has ${length} bytes` }
+    const held = this.answer.releaseWhenSent(this.context.memory.open(attempt.server.id))
+    const reader = new BodyReader({ bytes: MAXIMUM_ANSWER_BYTES, held })
     exchange.readBody(reader)
-    const wait = await this.waitForAnswer(reader.result, attempt, () => reader.receivedBytes)
-    if (wait.kind !== 'value') return this.resultOfInterruptedWait(wait, attempt)
+    const wait = await this.waitForAnswer(reader.result, attempt, { receivedBytes: () => reader.receivedBytes, isHeldUp: () => exchange.isHeldUp })
+    if (wait.kind !== 'value') {
+      held.release()
+      return this.resultOfInterruptedWait(wait, attempt)
+    }
     const body = wait.value
+    if (body === 'no_memory') return { kind: 'broken', cause: `there is no memory for more than ${reader.receivedBytes} bytes of the answer` }
     if (body === 'too_large') return { kind: 'broken', cause: `the answer goes on after ${reader.receivedBytes} bytes` }
     if (body === 'broken') return { kind: 'broken', cause: 'the answer broke off' }
     // A stream that has begun cannot be replaced by another answer.
@@ -217,13 +224,13 @@
   }
 
   /** Waits for a part of the answer until the attempt's deadline, or until the answer makes no progress and another server can be tried. */
-  private async waitForAnswer<Value> (promise: Promise<Value>, attempt: AttemptPlan, progress = () => 0): Promise<WaitResult<Value>> {
+  private async waitForAnswer<Value> (promise: Promise<Value>, attempt: AttemptPlan, progress = NO_ANSWER_YET): Promise<WaitResult<Value>> {
     // The promise may be rejected after the wait has ended.
     promise.catch(() => {})
-    for (let known = progress(); ; known = progress()) {
+    for (let known = progress.receivedBytes(); ; known = progress.receivedBytes()) {
       const wait = await waitFor(promise, Math.min(attempt.answerTimeout, attempt.deadline - this.context.clock.monotonic()), this.stopSignals)
       if (wait.kind !== 'timeout' || this.isExpired(attempt)) return wait
-      if (progress() === known && attempt.isReplaceable()) return wait
+      if ((progress.receivedBytes() === known || progress.isHeldUp()) && attempt.isReplaceable()) return wait
     }
   }
 
--- a/packages/forwarding/src/JayfallBackendExchange.ts
+++ b/packages/forwarding/src/JayfallBackendExchange.ts
@@ -7,10 +7,11 @@
 
 import * as net from 'node:net'
 
-import { messageOf } from '#jayfall/shared'
+import { GrowingBuffer, messageOf } from '#jayfall/shared'
 
 import { AnswerConsumer, AnswerParser, type AnswerHead } from './JayfallAnswerParser'
 import { CONNECT_TIMEOUT_MILLISECONDS } from './JayfallForwardingConstants'
+import { type PacedReader, type ReadPacer } from './JayfallReadPacer'
 
 export interface ExchangeRequest {
   readonly method: string
@@ -23,6 +24,8 @@
   readonly body: Buffer
   /** Local IP address of the connection; chosen by the operating system by default. */
   readonly localAddress?: string
+  /** Divides the time for received bytes between peers; bytes are read as they come by default. */
+  readonly pacer?: ReadPacer
   /** Called when the connection was opened. */
   readonly onOpened?: () => void
 }
@@ -52,18 +55,20 @@
 const READ_BUFFER = Buffer.allocUnsafe(READ_BUFFER_BYTES)
 const METHODS_WITHOUT_BODY: ReadonlySet<string> = new Set(['GET', 'HEAD'])
 
-export class BackendExchange extends AnswerConsumer {
+export class BackendExchange extends AnswerConsumer implements PacedReader {
   private readonly socket: net.Socket
   private readonly parser: AnswerParser
   private isConnected = false
   private head: AnswerHead | undefined
   private receiver: BodyReceiver | undefined
   /** Parts of the body that arrived before their receiver was known. */
-  private earlyBytes: readonly Buffer[] = []
+  private readonly earlyBytes = new GrowingBuffer()
   private failure: ExchangeError | undefined
   private isDestroyed = false
+  private isPausedByReceiver = false
+  private isPausedByPacer = false
 
-  private constructor (request: ExchangeRequest, private readonly onAnswer: (head: AnswerHead) => void, private readonly onFailure: (error: ExchangeError) => void) {
+  private constructor (private readonly request: ExchangeRequest, private readonly onAnswer: (head: AnswerHead) => void, private readonly onFailure: (error: ExchangeError) => void) {
     super()
     this.parser = new AnswerParser(this, request.method === 'HEAD')
     const [host, port] = request.address.split(':')
@@ -93,30 +98,50 @@
     return new BackendExchange(request, onAnswer, onFailure)
   }
 
+  /** Whether the whole answer has arrived. */
+  get isComplete (): boolean {
+    return this.parser.isComplete
+  }
+
+  /** Whether the rest of the answer waits because its server has used up its time of the thread. */
+  get isHeldUp (): boolean {
+    return this.isPausedByPacer
+  }
+
   /** Passes the body of the answer to a receiver, beginning with what has arrived already. */
   readBody (receiver: BodyReceiver): void {
     this.receiver = receiver
-    const { earlyBytes } = this
-    this.earlyBytes = []
-    for (const bytes of earlyBytes) receiver.onBytes(bytes)
+    if (this.earlyBytes.length > 0) receiver.onBytes(this.earlyBytes.take())
     if (this.parser.isComplete) receiver.onEnd()
     else if (this.failure !== undefined) receiver.onFailure(this.failure)
   }
 
   /** Stops reading until `resume`, so that the server has to wait. */
   pause (): void {
+    this.isPausedByReceiver = true
     this.socket.pause()
   }
 
   resume (): void {
-    this.socket.resume()
+    this.isPausedByReceiver = false
+    this.resumeSocket()
+  }
+
+  pauseReading (): void {
+    this.isPausedByPacer = true
+    this.socket.pause()
+  }
+
+  resumeReading (): void {
+    this.isPausedByPacer = false
+    this.resumeSocket()
   }
 
   /** Ends the exchange and closes its connection immediately, in any state. */
   destroy (): void {
     this.isDestroyed = true
     this.receiver = undefined
-    this.socket.destroy()
+    this.closeSocket()
   }
 
   override onHead (head: AnswerHead): void {
@@ -125,7 +150,7 @@
   }
 
   override onBody (bytes: Buffer): void {
-    if (this.receiver === undefined) this.earlyBytes = [...this.earlyBytes, Buffer.from(bytes)]
+    if (this.receiver === undefined) this.earlyBytes.append(bytes)
     else this.receiver.onBytes(bytes)
   }
 
@@ -148,7 +173,10 @@
   /** @returns true, so that the socket goes on reading. */
   private receive (bytes: Buffer): boolean {
     if (this.isDestroyed) return true
-    this.tryParse(() => this.parser.push(bytes))
+    const { pacer, address } = this.request
+    const parse = (): void => this.tryParse(() => this.parser.push(bytes))
+    if (pacer === undefined) parse()
+    else pacer.process(address, this, bytes.length, parse)
     return true
   }
 
@@ -167,8 +195,17 @@
   private fail (message: string, cause?: unknown): void {
     if (this.isDestroyed || this.failure !== undefined || this.parser.isComplete) return
     this.failure = new ExchangeError(this.isConnected ? 'broken' : 'unsent', message, cause)
-    this.socket.destroy()
+    this.closeSocket()
     if (this.head === undefined) this.onFailure(this.failure)
     else this.receiver?.onFailure(this.failure)
   }
+
+  private resumeSocket (): void {
+    if (!this.isPausedByReceiver && !this.isPausedByPacer) this.socket.resume()
+  }
+
+  private closeSocket (): void {
+    this.request.pacer?.forget(this.request.address, this)
+    this.socket.destroy()
+  }
 }
--- a/packages/forwarding/src/JayfallBodyReader.ts
+++ b/packages/forwarding/src/JayfallBodyReader.ts
@@ -2,20 +2,41 @@
 
 import { type IncomingMessage } from 'node:http'
 
+import { GrowingBuffer } from '#jayfall/shared'
+
 import { type BodyReceiver } from './JayfallBackendExchange'
+import { type HeldBody } from './JayfallHeldMemory'
+import { type PacedReader, type ReadPacer } from './JayfallReadPacer'
+
+/** A body, or why there is none: it is longer than allowed, there is no memory for it, or the connection ended before it did. */
+export type BodyResult = Buffer | 'too_large' | 'no_memory' | 'broken'
+
+/** What a body that is being read has come to. */
+export interface BodyProgress {
+  readonly receivedBytes: () => number
+  /** Whether the rest waits because its server has used up its time of the thread. */
+  readonly isHeldUp: () => boolean
+}
 
-/** A body, or why there is none: it is longer than allowed, or the connection ended before it did. */
-export type BodyResult = Buffer | 'too_large' | 'broken'
+export const NO_ANSWER_YET: BodyProgress = { receivedBytes: () => 0, isHeldUp: () => false }
+
+/** Limits on what a body may use. */
+export interface BodyLimits {
+  /** Maximum number of bytes; further ones are dropped. */
+  readonly bytes: number
+  /** The memory of the body. */
+  readonly held: HeldBody
+}
 
 export class BodyReader implements BodyReceiver {
   /** Resolves when the body has ended or cannot be read. */
   readonly result: Promise<BodyResult>
-  private readonly chunks: Buffer[] = []
+  private readonly body = new GrowingBuffer()
   private length = 0
+  private isSettled = false
   private resolve!: (result: BodyResult) => void
 
-  /** @param limit maximum number of bytes; further ones are dropped. */
-  constructor (private readonly limit: number) {
+  constructor (private readonly limits: BodyLimits) {
     this.result = new Promise(resolve => { this.resolve = resolve })
   }
 
@@ -26,25 +47,59 @@
 
   onBytes (bytes: Buffer): void {
     this.length += bytes.length
-    if (this.length <= this.limit) this.chunks.push(Buffer.from(bytes))
-    else this.resolve('too_large')
+    if (this.isSettled) return
+    if (this.length > this.limits.bytes) return this.fail('too_large')
+    if (!this.limits.held.resize(Math.max(this.length, this.body.capacity))) return this.fail('no_memory')
+    this.body.append(bytes)
   }
 
   onEnd (): void {
-    this.resolve(Buffer.concat(this.chunks))
+    if (this.isSettled) return
+    this.isSettled = true
+    this.resolve(this.body.take())
   }
 
   onFailure (): void {
-    this.resolve('broken')
+    this.fail('broken')
+  }
+
+  private fail (result: Exclude<BodyResult, Buffer>): void {
+    if (this.isSettled) return
+    this.isSettled = true
+    this.body.take()
+    this.limits.held.release()
+    this.resolve(result)
+  }
+}
+
+/** The body of a caller's request, which is not read while its connection has used up its time of the thread. */
+class RequestBody implements PacedReader {
+  constructor (private readonly request: IncomingMessage) {}
+
+  pauseReading (): void {
+    this.request.pause()
+  }
+
+  resumeReading (): void {
+    this.request.resume()
   }
 }
 
 /** Reads the body of a caller's request. */
-export function readRequestBody (request: IncomingMessage, limit: number): Promise<BodyResult> {
-  const reader = new BodyReader(limit)
-  request.on('data', (bytes: Buffer) => reader.onBytes(bytes))
+export function readRequestBody (request: IncomingMessage, limits: BodyLimits, pacer: ReadPacer): Promise<BodyResult> {
+  const reader = new BodyReader(limits)
+  const declared = Number(request.headers['content-length'] ?? 0)
+  if (declared > limits.bytes) return Promise.resolve('too_large')
+  // A body that there is no memory for is refused before it is read.
+  if (!limits.held.resize(declared)) return Promise.resolve('no_memory')
+  const body = new RequestBody(request)
+  const peer = `${request.socket.remoteAddress}:${request.socket.remotePort}`
+  request.on('data', (bytes: Buffer) => pacer.process(peer, body, bytes.length, () => reader.onBytes(bytes)))
   request.once('end', () => request.complete ? reader.onEnd() : reader.onFailure())
   request.once('error', () => reader.onFailure())
-  request.once('close', () => reader.onFailure())
+  request.once('close', () => {
+    pacer.forget(peer, body)
+    reader.onFailure()
+  })
   return reader.result
 }
--- a/packages/forwarding/src/JayfallCallerAnswer.ts
+++ b/packages/forwarding/src/JayfallCallerAnswer.ts
@@ -7,6 +7,7 @@
 import { type AnswerHead } from './JayfallAnswerParser'
 import { type EventBatch } from './JayfallEventSplitter'
 import { endToEndHeaders } from './JayfallForwardingProtocol'
+import { type HeldBody } from './JayfallHeldMemory'
 import { encodeOutcome, type RelayOutcome } from './JayfallRelayEnvelope'
 
 /** A backend server's answer that has been received completely. */
@@ -18,6 +19,7 @@
 
 export class CallerAnswer {
   private readonly disconnectController = new AbortController()
+  private readonly heldBodies: HeldBody[] = []
   private hasEnded = false
   /** The version of the server whose answer is sent. */
   serverVersion: string | undefined
@@ -56,6 +58,22 @@
     return this.response.headersSent
   }
 
+  /** Gives the memory of a body back when the answer was sent or its connection has ended. */
+  releaseWhenSent (held: HeldBody): HeldBody {
+    if (this.heldBodies.length === 0) {
+      const { socket } = this.request
+      const release = (): void => {
+        socket.off('close', release)
+        for (const body of this.heldBodies) body.release()
+      }
+      this.response.once('close', release)
+      // The response to a pipelined request has no connection of its own that could close it.
+      socket.once('close', release)
+    }
+    this.heldBodies.push(held)
+    return held
+  }
+
   sendBuffered ({ status, rawHeaders, body, isSelfDelimited }: BufferedAnswer): void {
     this.hasEnded = true
     const headers = [...this.copyHeaders(rawHeaders)]
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -305,3 +305,34 @@
 export const SERVER_LIMIT_LIFETIME_MILLISECONDS = 600_000
 /** Longest time after which a caller is told to return because of limits, as other servers may take its request by then. */
 export const MAXIMUM_LIMIT_RETRY_AFTER_MILLISECONDS = 5000
+
+/** Share of the thread's time that the received bytes of one peer may use, whatever others use. */
+export const READ_PEER_SHARE = 0.02
+/** Share of the thread's time that the own shares of all active peers come to at most. */
+export const READ_OWN_SHARES = 0.2
+/** Time of the thread that a peer may use at once: several megabytes in large pieces. */
+export const READ_PEER_BURST_MILLISECONDS = 20
+/** Share of the thread's time that peers may use beyond their own. The rest is left for callers, timers and the store. */
+export const READ_POOL_SHARE = 0.2
+export const READ_POOL_BURST_MILLISECONDS = 100
+/** Interval at which waiting readers are resumed. */
+export const READ_PACE_INTERVAL_MILLISECONDS = 5
+/** What a resumed reader is expected to use: the time for one full read. */
+export const EXPECTED_READ_MILLISECONDS = 0.5
+/** Least charge for one call with received bytes, and for each byte, which the operating system and the runtime spend outside the measured time. */
+export const READ_PRICE_PER_CALL_MILLISECONDS = 0.003
+export const READ_PRICE_PER_BYTE_MILLISECONDS = 3e-7
+/** Highest measured charge for one call. A process that is paused meanwhile measures the pause too. */
+export const MAXIMUM_READ_CHARGE_MILLISECONDS = 20
+/** Interval at which peers that have used nothing lately are forgotten. */
+export const READ_ACCOUNT_SWEEP_MILLISECONDS = 1000
+
+/** Share of a process's memory limit that bodies of requests and answers may use together. The rest is for the heap, the runtime and the buffers of connections. */
+export const HELD_BYTES_SHARE_OF_MEMORY = 0.2
+/** What bodies may use together where the limit of the process is not known. */
+export const DEFAULT_HELD_BYTES = 64 * 1024 * 1024
+/** Share of that which one server may hold. */
+export const HELD_BYTES_SHARE_OF_PEER = 0.25
+/** Share of that which bodies above `SMALL_BODY_BYTES` may use. */
+export const HELD_BYTES_SHARE_OF_LARGE_BODIES = 0.75
+export const SMALL_BODY_BYTES = 64 * 1024
--- a/packages/forwarding/src/JayfallForwardingContext.ts
+++ b/packages/forwarding/src/JayfallForwardingContext.ts
@@ -7,11 +7,13 @@
 import { type BackendDirectory } from './JayfallBackendDirectory'
 import { type ServerConnectionCheck } from './JayfallServerConnectionCheck'
 import { type ForwardingProtocol } from './JayfallForwardingProtocol'
+import { type HeldMemory } from './JayfallHeldMemory'
 import { type PromptCacheTracker } from './JayfallPromptCacheTracker'
 import { type PrefillHints } from './JayfallPrefillHints'
 import { type PrefillTimes } from './JayfallPrefillTimes'
 import { type PromptSuspicions } from './JayfallPromptSuspicions'
 import { type ReachMonitor } from './JayfallReachMonitor'
+import { type ReadPacer } from './JayfallReadPacer'
 import { type RelayTargets } from './JayfallRelayTargets'
 import { type RetryBudget } from './JayfallRetryBudget'
 import { type RolloutEvidence } from './JayfallRolloutEvidence'
@@ -34,6 +36,8 @@
   readonly reach: ServiceReach
   readonly reachMonitor: ReachMonitor
   readonly relays: RelayTargets
+  readonly memory: HeldMemory
+  readonly pacer: ReadPacer
   /** This instance, as others name it. */
   readonly instance: string
   /** IP address from which this instance calls others; chosen by the operating system by default. */
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -16,14 +16,16 @@
 import { BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
 import { type DeploymentSource } from './JayfallDeploymentSource'
 import { type RolloutOrder } from './JayfallForwardingCatalogue'
-import { EVIDENCE_COALESCE_MILLISECONDS, RAMP_EVIDENCE_COALESCE_MILLISECONDS, ROLLOUT_INTERVAL_MILLISECONDS, STATE_INTERVAL_MILLISECONDS, MINIMUM_STOP_MILLISECONDS, STOP_RESERVE_MILLISECONDS } from './JayfallForwardingConstants'
+import { DEFAULT_HELD_BYTES, EVIDENCE_COALESCE_MILLISECONDS, HELD_BYTES_SHARE_OF_MEMORY, RAMP_EVIDENCE_COALESCE_MILLISECONDS, ROLLOUT_INTERVAL_MILLISECONDS, STATE_INTERVAL_MILLISECONDS, MINIMUM_STOP_MILLISECONDS, STOP_RESERVE_MILLISECONDS } from './JayfallForwardingConstants'
 import { type ForwardingProtocol } from './JayfallForwardingProtocol'
 import { ForwardingServer } from './JayfallForwardingServer'
 import { ForwardingState } from './JayfallForwardingState'
 import { ConnectionCheck } from './JayfallServerConnectionCheck'
+import { ReadPacer } from './JayfallReadPacer'
 import { ReachMonitor } from './JayfallReachMonitor'
 import { RelayTargets, type RelayTarget } from './JayfallRelayTargets'
 import { ServiceReach } from './JayfallServiceReach'
+import { HeldMemory } from './JayfallHeldMemory'
 import { HealthProbe } from './JayfallHealthProbe'
 import { PromptCacheTracker } from './JayfallPromptCacheTracker'
 import { NoPrefillHints, type PrefillHints } from './JayfallPrefillHints'
@@ -56,6 +58,8 @@
   readonly serverEntryLifetime: number
   /** Time between SIGTERM and SIGKILL, in milliseconds. */
   readonly terminationGracePeriod: number
+  /** Memory that the process may use, in bytes; undefined when it is unknown. */
+  readonly memoryLimit?: number
 }
 
 export interface ForwardingDependencies {
@@ -124,6 +128,11 @@
     const [reach, connectionCheck] = [new ServiceReach(), new ConnectionCheck()]
     this.reachMonitor = new ReachMonitor({ ...dependencies, reach, directory: this.directory, check: connectionCheck, metrics: this.metrics })
     this.relays = new RelayTargets(settings.instance, settings.zone)
+    const memory = new HeldMemory(settings.memoryLimit === undefined ? DEFAULT_HELD_BYTES : settings.memoryLimit * HELD_BYTES_SHARE_OF_MEMORY)
+    const pacer = new ReadPacer(clock, peer => {
+      log.warn('peer_held_up', { peer })
+      this.metrics.count('jayfall_forwarding_peers_held_up_total', {})
+    })
     this.rolloutCoordinator = new RolloutCoordinator({
       ...dependencies,
       instance: settings.instance,
@@ -135,7 +144,7 @@
       storeTime
     })
     this.server = new ForwardingServer({
-      clock, log, protocol, evidence, promptCache, prefillTimes, hints, limits, promptSuspicions, connectionCheck, reach, reachMonitor: this.reachMonitor, relays: this.relays, instance: settings.instance, relayHost: dependencies.relayHost, metrics: this.metrics, directory: this.directory, selector: new EstimatedTimeSelector(this.directory, promptCache, prefillTimes, settings.zone, limits), retryBudget: this.retryBudget, versionPolicy: this.versionPolicy
+      clock, log, protocol, evidence, promptCache, prefillTimes, hints, limits, promptSuspicions, connectionCheck, reach, reachMonitor: this.reachMonitor, relays: this.relays, memory, pacer, instance: settings.instance, relayHost: dependencies.relayHost, metrics: this.metrics, directory: this.directory, selector: new EstimatedTimeSelector(this.directory, promptCache, prefillTimes, settings.zone, limits), retryBudget: this.retryBudget, versionPolicy: this.versionPolicy
     }, this.state)
     hints.subscribe(({ server, reading }) => this.directory.recordPeerPrefill(server, reading, clock.monotonic()))
   }
--- a/packages/forwarding/src/JayfallForwardingServer.ts
+++ b/packages/forwarding/src/JayfallForwardingServer.ts
@@ -109,8 +109,10 @@
     const decision = routes.find(host, path, fields.key)
     if (decision.kind === 'unknown_route') return this.refuse(answer, requestId, 404, 'unknown_route', undefined, version)
     if (decision.kind === 'unknown_key') return this.refuse(answer, requestId, 401, 'unknown_key', undefined, version)
-    const body = await readRequestBody(request, limits.bodyBytes)
+    const held = answer.releaseWhenSent(this.context.memory.open())
+    const body = await readRequestBody(request, { bytes: limits.bodyBytes, held }, this.context.pacer)
     if (body === 'too_large') return this.refuse(answer, requestId, 413, 'body_too_large')
+    if (body === 'no_memory') return this.refuse(answer, requestId, 503, 'no_memory', DEFAULT_RETRY_AFTER_MILLISECONDS)
     if (body === 'broken') return
     if (this.isClosed) return this.refuse(answer, requestId, 503, 'stopping', STOPPING_RETRY_AFTER_MILLISECONDS)
     const { route, workspace } = decision
@@ -148,15 +150,14 @@
       log.warn('relay_not_allowed', { address: request.socket.remoteAddress })
       return answer.sendRouterAnswer(403, {}, 'not an instance of this deployment\n')
     }
-    const bytes = await readRequestBody(request, MAXIMUM_RELAY_BYTES)
+    const held = answer.releaseWhenSent(this.context.memory.open())
+    const bytes = await readRequestBody(request, { bytes: MAXIMUM_RELAY_BYTES, held }, this.context.pacer)
     if (bytes === 'broken') return
+    if (bytes === 'no_memory') return this.refuseRelay(answer, request, 'no_memory')
     const relayed = bytes === 'too_large' ? undefined : decodeRelay(bytes)
     if (relayed === undefined) return answer.sendRouterAnswer(400, {}, 'no relayed request\n')
     const { head, body } = relayed
-    if (this.isClosed || !this.state.isReady || this.openRelayedRequests >= MAXIMUM_OPEN_RELAYED_REQUESTS) {
-      log.info('relay_refused', { request: head.requestId, from: head.from, open: this.openRelayedRequests })
-      return answer.sendRouterAnswer(503, {}, 'not taken\n', { kind: 'refused', code: 'unreached', retryAfter: DEFAULT_RETRY_AFTER_MILLISECONDS, isUnable: true })
-    }
+    if (this.isClosed || !this.state.isReady || this.openRelayedRequests >= MAXIMUM_OPEN_RELAYED_REQUESTS) return this.refuseRelay(answer, request, this.isClosed ? 'stopping' : 'no_room', head.requestId)
     this.countUntilClosed(request, response)
     this.openRelayedRequests++
     const { requestId, method, path, rawHeaders, workspace, catalogueVersion } = head
@@ -168,6 +169,12 @@
     }
   }
 
+  /** Refuses a request of another instance, which may hand it to a third one. */
+  private refuseRelay (answer: CallerAnswer, { socket }: http.IncomingMessage, reason: string, requestId?: string): void {
+    this.context.log.info('relay_refused', { request: requestId, address: socket.remoteAddress, reason, open: this.openRelayedRequests })
+    answer.sendRouterAnswer(503, {}, 'not taken\n', { kind: 'refused', code: 'unreached', retryAfter: DEFAULT_RETRY_AFTER_MILLISECONDS, isUnable: true })
+  }
+
   private planRelayed (head: RelayHead, answer: CallerAnswer, receivedAt: number): PlanContext {
     const { requestId, route, service, session, isSharedSession, sessionVersion, fingerprint, fields, from, age, left, sentAttempts, mayHaveRun, triedServers, resumeAfter } = head
     const arrivedAt = receivedAt - age
--- a/packages/forwarding/src/JayfallRelayRunner.ts
+++ b/packages/forwarding/src/JayfallRelayRunner.ts
@@ -6,7 +6,7 @@
 import { type PlanContext } from './JayfallAttemptPlan'
 import { type CallerRequest } from './JayfallAttemptRunner'
 import { BackendExchange, ExchangeError } from './JayfallBackendExchange'
-import { BodyReader } from './JayfallBodyReader'
+import { BodyReader, NO_ANSWER_YET } from './JayfallBodyReader'
 import { waitFor, type WaitResult } from './JayfallBoundedWait'
 import { type BufferedAnswer, type CallerAnswer } from './JayfallCallerAnswer'
 import { MAXIMUM_ANSWER_BYTES } from './JayfallForwardingConstants'
@@ -44,10 +44,12 @@
 
   private async exchange (relay: RelayPlan): Promise<RelayResult> {
     const body = encodeRelay(this.createHead(relay), this.request.body)
+    const held = this.context.memory.open()
+    if (!held.resize(body.length)) return { kind: 'unable', cause: 'there is no memory for a copy of the request' }
     const { address } = relay.target
     let exchange: BackendExchange | undefined
     const headPromise = new Promise<AnswerHead>((resolve, reject) => {
-      exchange = BackendExchange.open({ method: RELAY_METHOD, address, path: RELAY_PATH, rawHeaders: ['Host', address], body, localAddress: this.context.relayHost }, resolve, reject)
+      exchange = BackendExchange.open({ method: RELAY_METHOD, address, path: RELAY_PATH, rawHeaders: ['Host', address], body, localAddress: this.context.relayHost, pacer: this.context.pacer }, resolve, reject)
     })
     try {
       const wait = await this.waitForAnswer(headPromise, relay)
@@ -56,6 +58,7 @@
     } catch (error) {
       return { kind: error instanceof ExchangeError && error.failure === 'unsent' ? 'unable' : 'broken', cause: messageOf(error) }
     } finally {
+      held.release()
       exchange?.destroy()
     }
   }
@@ -105,12 +108,18 @@
   }
 
   private async readCompleteAnswer (relay: RelayPlan, exchange: BackendExchange, head: AnswerHead): Promise<RelayResult> {
-    const reader = new BodyReader(MAXIMUM_ANSWER_BYTES)
+    const length = Number(head.headers['content-length'] ?? 0)
+    if (length > MAXIMUM_ANSWER_BYTES && !exchange.isComplete) return { kind: 'broken', cause: `the answer has ${length} bytes` }
+    const held = this.answer.releaseWhenSent(this.context.memory.open(relay.target.id))
+    const reader = new BodyReader({ bytes: MAXIMUM_ANSWER_BYTES, held })
     exchange.readBody(reader)
-    const wait = await this.waitForAnswer(reader.result, relay, () => reader.receivedBytes)
-    if (wait.kind !== 'value') return this.resultOfInterruptedWait(wait, relay)
+    const wait = await this.waitForAnswer(reader.result, relay, { receivedBytes: () => reader.receivedBytes, isHeldUp: () => exchange.isHeldUp })
+    if (wait.kind !== 'value') {
+      held.release()
+      return this.resultOfInterruptedWait(wait, relay)
+    }
     const body = wait.value
-    if (body === 'too_large' || body === 'broken') return { kind: 'broken', cause: `the answer was ${body}` }
+    if (!Buffer.isBuffer(body)) return { kind: 'broken', cause: `the answer was ${body}` }
     if (this.answer.hasBegun) return { kind: 'broken', cause: `the stream could not be resumed: status ${head.status}` }
     this.bufferedAnswer = { ...head, body }
     return { kind: 'answered' }
@@ -139,14 +148,14 @@
     return { kind: 'answered' }
   }
 
-  private async waitForAnswer<Value> (promise: Promise<Value>, relay: RelayPlan, progress = () => 0): Promise<WaitResult<Value>> {
+  private async waitForAnswer<Value> (promise: Promise<Value>, relay: RelayPlan, progress = NO_ANSWER_YET): Promise<WaitResult<Value>> {
     // The promise may be rejected after the wait has ended.
     promise.catch(() => {})
-    for (let known = progress(); ; known = progress()) {
+    for (let known = progress.receivedBytes(); ; known = progress.receivedBytes()) {
       const left = relay.deadline - this.context.clock.monotonic()
       const wait = await waitFor(promise, Math.min(relay.answerTimeout, left), [this.answer.callerDisconnected])
       if (wait.kind !== 'timeout' || this.isExpired(relay)) return wait
-      if (progress() === known && relay.isReplaceable()) return wait
+      if ((progress.receivedBytes() === known || progress.isHeldUp()) && relay.isReplaceable()) return wait
     }
   }
 
