Finish the requests of an instance that is told twice to stop

Cause: the second call of stop returned at once instead of waiting for the first, and the program exits when stop has ended. Change: all calls of stop wait for the same stop.

--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -105,6 +105,8 @@
   /** The era of the store whose clock was read. */
   private storeEra = 0
   private isStopping = false
+  /** The stop that is in progress. */
+  private stopped: Promise<void> | undefined
   private isFollowingRollouts = false
   private settings: ForwardingSettings
 
@@ -198,8 +200,12 @@
   }
 
   /** Accepts no new callers, waits for open requests within the termination grace period, and ends. */
-  async stop (): Promise<void> {
-    if (this.isStopping) return
+  stop (): Promise<void> {
+    this.stopped ??= this.finishRequests()
+    return this.stopped
+  }
+
+  private async finishRequests (): Promise<void> {
     const { clock, log } = this.dependencies
     const startedAt = clock.monotonic()
     this.isStopping = true
