--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -323,7 +323,7 @@
 export const READ_PRICE_PER_CALL_MILLISECONDS = 0.003
 export const READ_PRICE_PER_BYTE_MILLISECONDS = 3e-7
 /** Highest measured charge for one call. A process that is paused meanwhile measures the pause too. */
-export const MAXIMUM_READ_CHARGE_MILLISECONDS = 20
+export const MAXIMUM_READ_CHARGE_MILLISECONDS = 10
 /** Interval at which peers that have used nothing lately are forgotten. */
 export const READ_ACCOUNT_SWEEP_MILLISECONDS = 1000
 
--- a/packages/forwarding/src/JayfallForwardingServer.ts
+++ b/packages/forwarding/src/JayfallForwardingServer.ts
@@ -3,7 +3,7 @@
 import * as http from 'node:http'
 import * as net from 'node:net'
 
-import { findHeadFault, rendezvousShare } from '#jayfall/shared'
+import { findHeadFault, listenPersistently, rendezvousShare } from '#jayfall/shared'
 
 import { NO_PROGRESS, type PlanContext } from './JayfallAttemptPlan'
 import { readRequestBody } from './JayfallBodyReader'
@@ -54,11 +54,10 @@
     return (this.server.address() as net.AddressInfo).port
   }
 
-  listen (host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject)
-      this.server.listen({ host, port, backlog: LISTEN_BACKLOG }, resolve)
-    })
+  /** Listens for callers; waits as long as another process uses the address. */
+  async listen (host: string, port: number): Promise<void> {
+    await listenPersistently(this.server, { host, port, backlog: LISTEN_BACKLOG }, error => this.context.log.warn('address_in_use', { for: 'callers', message: error.message }))
+    this.server.on('error', error => this.context.log.error('listener_failed', { for: 'callers', message: error.message }))
   }
 
   /** From now on, each connection is closed after its next answer. */
--- a/packages/peers/src/JayfallPeerDatagrams.ts
+++ b/packages/peers/src/JayfallPeerDatagrams.ts
@@ -54,12 +54,16 @@
     return this.boundPort
   }
 
-  /** Binds the socket to the host and port. */
+  /** Binds the socket to the host and port. @throws Error when they cannot be used. */
   listen (): Promise<void> {
-    return new Promise(resolve => this.socket.bind(this.parts.port, this.parts.host, () => {
-      this.boundPort = this.socket.address().port
-      resolve()
-    }))
+    return new Promise((resolve, reject) => {
+      this.socket.once('error', reject)
+      this.socket.bind(this.parts.port, this.parts.host, () => {
+        this.socket.off('error', reject)
+        this.boundPort = this.socket.address().port
+        resolve()
+      })
+    })
   }
 
   /** Adds a handler of received messages. Handlers are called in order until one returns that the message is of its kind. */
