Hold the bodies of callers up in their connections

What callers saw: ten bodies in chunks of one byte kept others waiting for 0.8 s and took 200 MB; what a refused request still sent was read without a limit, and in such chunks took the whole thread. Cause: a paused request keeps its pieces in a list, at a hundred times their size, and goes on reading until 16 KB of them are there. The rest of a refused body was not charged to its caller. Change: the connection is paused instead, and the pieces that were read are taken. The rest of a refused body is charged too, and its connection closed after 8 MiB.

--- a/packages/forwarding/src/JayfallBodyReader.ts
+++ b/packages/forwarding/src/JayfallBodyReader.ts
@@ -5,6 +5,7 @@
 import { GrowingBuffer } from '#jayfall/shared'
 
 import { type BodyReceiver } from './JayfallBackendExchange'
+import { MAXIMUM_DISCARDED_BYTES } from './JayfallForwardingConstants'
 import { type HeldBody } from './JayfallHeldMemory'
 import { type PacedReader, type ReadPacer } from './JayfallReadPacer'
 
@@ -72,34 +73,72 @@
   }
 }
 
-/** The body of a caller's request, which is not read while its connection has used up its time of the thread. */
-class RequestBody implements PacedReader {
-  constructor (private readonly request: IncomingMessage) {}
+/**
+ * The connection of a caller whose body arrives. Its bytes wait in the connection: in the request they would be kept in
+ * the pieces in which they came, at a hundred times the size of the smallest.
+ */
+class BodyConnection implements PacedReader {
+  private readonly peer: string
+  private readonly socket: IncomingMessage['socket']
+
+  private isPaused = false
+
+  constructor (private readonly request: IncomingMessage, private readonly pacer: ReadPacer, private readonly onBytes: (bytes: Buffer) => void) {
+    this.socket = request.socket
+    this.peer = `${this.socket.remoteAddress}:${this.socket.remotePort}`
+  }
+
+  /** Begins to read. */
+  start (): void {
+    const { request, pacer } = this
+    request.on('data', (bytes: Buffer) => pacer.process(this.peer, this, bytes.length, () => this.onBytes(bytes)))
+    // A request that flows resumes its connection after each piece.
+    const read = request._read.bind(request)
+    request._read = size => { if (!this.isPaused) read(size) }
+    request.once('close', () => this.release())
+  }
 
   pauseReading (): void {
-    this.request.pause()
+    this.isPaused = true
+    this.socket.pause()
   }
 
   resumeReading (): void {
-    this.request.resume()
+    this.isPaused = false
+    this.socket.resume()
+  }
+
+  /** The next request on the connection does not wait for this one. */
+  private release (): void {
+    this.pacer.forget(this.peer, this)
+    if (this.isPaused) this.resumeReading()
   }
 }
 
 /** Reads the body of a caller's request. */
 export function readRequestBody (request: IncomingMessage, limits: BodyLimits, pacer: ReadPacer): Promise<BodyResult> {
-  const reader = new BodyReader(limits)
   const declared = Number(request.headers['content-length'] ?? 0)
   if (declared > limits.bytes) return Promise.resolve('too_large')
   // A body that there is no memory for is refused before it is read.
   if (!limits.held.resize(declared)) return Promise.resolve('no_memory')
-  const body = new RequestBody(request)
-  const peer = `${request.socket.remoteAddress}:${request.socket.remotePort}`
-  request.on('data', (bytes: Buffer) => pacer.process(peer, body, bytes.length, () => reader.onBytes(bytes)))
+  const reader = new BodyReader(limits)
+  new BodyConnection(request, pacer, bytes => reader.onBytes(bytes)).start()
   request.once('end', () => request.complete ? reader.onEnd() : reader.onFailure())
   request.once('error', () => reader.onFailure())
-  request.once('close', () => {
-    pacer.forget(peer, body)
-    reader.onFailure()
-  })
+  request.once('close', () => reader.onFailure())
   return reader.result
 }
+
+/** Reads and drops what is left of a body after its request was answered, because closing with unread bytes would reset the connection before the answer arrives. */
+export function discardRequestBody (request: IncomingMessage, pacer: ReadPacer): void {
+  // The reader of the body drops the rest itself.
+  if (request.complete || request.listenerCount('data') > 0) {
+    request.resume()
+    return
+  }
+  let discarded = 0
+  new BodyConnection(request, pacer, bytes => {
+    discarded += bytes.length
+    if (discarded > MAXIMUM_DISCARDED_BYTES) request.destroy()
+  }).start()
+}
--- a/packages/forwarding/src/JayfallCallerAnswer.ts
+++ b/packages/forwarding/src/JayfallCallerAnswer.ts
@@ -5,9 +5,11 @@
 import { beginChunkedResponse, encodeChunk, LAST_CHUNK, type Clock } from '#jayfall/shared'
 
 import { type AnswerHead } from './JayfallAnswerParser'
+import { discardRequestBody } from './JayfallBodyReader'
 import { type EventBatch } from './JayfallEventSplitter'
 import { endToEndHeaders } from './JayfallForwardingProtocol'
 import { type HeldBody } from './JayfallHeldMemory'
+import { type ReadPacer } from './JayfallReadPacer'
 import { encodeOutcome, type RelayOutcome } from './JayfallRelayEnvelope'
 
 /** A backend server's answer that has been received completely. */
@@ -33,7 +35,7 @@
   private previousEventAt = 0
 
   /** @param isRelayed whether another instance receives the answer for its caller. */
-  constructor (private readonly request: IncomingMessage, private readonly response: ServerResponse, private readonly clock: Clock, private readonly isClosing: () => boolean, private readonly isRelayed = false) {
+  constructor (private readonly request: IncomingMessage, private readonly response: ServerResponse, private readonly clock: Clock, private readonly pacer: ReadPacer, private readonly isClosing: () => boolean, private readonly isRelayed = false) {
     const onDisconnect = (): void => {
       if (!this.hasEnded) this.disconnectController.abort()
     }
@@ -133,8 +135,7 @@
   sendRouterAnswer (status: number, headers: Readonly<Record<string, string>>, text: string, outcome?: RelayOutcome): void {
     this.hasEnded = true
     const body = Buffer.from(text)
-    // The rest of the request's body is read and discarded, because closing with unread data would reset the connection before the answer arrives.
-    this.request.resume()
+    discardRequestBody(this.request, this.pacer)
     this.response.writeHead(status, { ...headers, 'Content-Type': 'text/plain; charset=utf-8', 'Content-Length': String(body.length), ...(this.isRelayed && outcome !== undefined ? Object.fromEntries([encodeOutcome(outcome)]) : {}), ...(this.isClosing() ? { Connection: 'close' } : {}) })
     this.response.end(body)
   }
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -336,3 +336,5 @@
 /** Share of that which bodies above `SMALL_BODY_BYTES` may use. */
 export const HELD_BYTES_SHARE_OF_LARGE_BODIES = 0.75
 export const SMALL_BODY_BYTES = 64 * 1024
+/** Bytes of a refused body that are read before its connection is closed. */
+export const MAXIMUM_DISCARDED_BYTES = 8 * 1024 * 1024
--- a/packages/forwarding/src/JayfallForwardingServer.ts
+++ b/packages/forwarding/src/JayfallForwardingServer.ts
@@ -85,7 +85,7 @@
   private async handle (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const arrivedAt = this.context.clock.monotonic()
     this.countUntilClosed(request, response)
-    const answer = new CallerAnswer(request, response, this.context.clock, () => this.isClosing)
+    const answer = new CallerAnswer(request, response, this.context.clock, this.context.pacer, () => this.isClosing)
     const fields = this.context.protocol.decodeCallerHeaders(request.headers)
     const requestId = fields.requestId
     if (findHeadFault(request.rawHeaders) !== undefined) {
@@ -144,7 +144,7 @@
   async handleRelay (request: http.IncomingMessage, response: http.ServerResponse, isInstance: boolean): Promise<void> {
     const { clock, log } = this.context
     const receivedAt = clock.monotonic()
-    const answer = new CallerAnswer(request, response, clock, () => this.isClosing, true)
+    const answer = new CallerAnswer(request, response, clock, this.context.pacer, () => this.isClosing, true)
     if (!isInstance) {
       log.warn('relay_not_allowed', { address: request.socket.remoteAddress })
       return answer.sendRouterAnswer(403, {}, 'not an instance of this deployment\n')
