--- a/packages/forwarding/src/__tests__/unit/JayfallReadPacer.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallReadPacer.test.ts
@@ -46,6 +46,14 @@
   }
 }
 
+/** Runs peers with a connection each. */
+function runPeers (count: number): readonly BusyReader[] {
+  const clock = new ManualClock()
+  const readers = Array.from({ length: count }, (_, index) => new BusyReader(`peer-${index}`, clock, 0.5))
+  run(new ReadPacer(clock), clock, readers)
+  return readers
+}
+
 function total (readers: readonly BusyReader[]): number {
   return readers.reduce((sum, { usedMilliseconds }) => sum + usedMilliseconds, 0)
 }
@@ -55,19 +63,14 @@
     // Servers that answered without end took the whole thread, and nothing else was answered.
     for (const count of [1, 4, 100]) {
       it(`leaves most of the thread to others with ${count} of them (guards against an instance that hangs)`, () => {
-        const clock = new ManualClock()
-        const readers = Array.from({ length: count }, (_, index) => new BusyReader(`peer-${index}`, clock, 0.5))
-        run(new ReadPacer(clock), clock, readers)
+        const readers = runPeers(count)
         const shares = READ_POOL_SHARE + Math.min(READ_OWN_SHARES, count * READ_PEER_SHARE)
         assert.ok(total(readers) <= (shares * SECONDS * 1000 + READ_POOL_BURST_MILLISECONDS + count * READ_PEER_BURST_MILLISECONDS) * ROUNDING, `${total(readers)} ms`)
       })
     }
 
     it('gives each of them about the same', () => {
-      const clock = new ManualClock()
-      const readers = Array.from({ length: 5 }, (_, index) => new BusyReader(`peer-${index}`, clock, 0.5))
-      run(new ReadPacer(clock), clock, readers)
-      const used = readers.map(({ usedMilliseconds }) => usedMilliseconds)
+      const used = runPeers(5).map(({ usedMilliseconds }) => usedMilliseconds)
       assert.ok(Math.max(...used) < 1.5 * Math.min(...used), used.join(', '))
     })
 
