Tell instances that came to an era earlier that rows may have changed

Cause: a reader that read all rows of the new era and found none that differed from its own went on to name a change of the era before as the newest. An instance that had come to the new era before the row was written again took that for no change and went on past the row. Change: after such a reading the newest change is at least its position.

--- a/packages/feeds/src/JayfallFeedHistory.ts
+++ b/packages/feeds/src/JayfallFeedHistory.ts
@@ -74,7 +74,11 @@
     // Within an era, the rows that were added and removed since are unknown, so instances behind cannot be served.
     const isNewEra = this.completeAfter !== END_POSITION && position.era > this.latest.era
     if (!isNewEra) this.begin(rows, position)
-    else for (const change of this.differencesTo(rows, position)) this.retain(change)
+    else {
+      for (const change of this.differencesTo(rows, position)) this.retain(change)
+      // A row that was lost and written again is the same here, and unknown to an instance that came to the era before it.
+      this.newestChange = laterPosition(this.newestChange, position)
+    }
     this.setLatest(position, storeTime, readAt)
   }
 
--- a/packages/feeds/src/__tests__/unit/JayfallFeedEras.test.ts
+++ b/packages/feeds/src/__tests__/unit/JayfallFeedEras.test.ts
@@ -116,6 +116,14 @@
       assert.deepEqual(history.changesAfter(at(20), 2)?.position, at(19, 2))
     })
 
+    // Failure: soak seed 3 in CI. A reader knew a version from before the copy and read it again unchanged; its notice said that nothing had changed since, and an instance that had come to the era before the version was written again never got it.
+    it('does not say that nothing has changed to an instance that came to the new era earlier (guards against a version that is not in force after the store came back from a copy)', () => {
+      const history = createHistory()
+      history.replace(createReading(at(30, 2), [createChange('a', 5, 5, 2), createChange('b', 28, 15, 2), createChange('c', 29, 16, 2)]), 2)
+      assert.ok(isAfter(history.changedPosition, at(27, 2)))
+      assert.equal(history.changesAfter(at(27, 2), 2), undefined)
+    })
+
     it('passes on a row whose revision was given out again for another value', () => {
       const history = createHistory()
       history.replace(createReading(at(20, 2), [createChange('a', 5, 5, 2), createChange('b', 15, 'other', 2), createChange('c', 16, 16, 2)]), 2)
