--- a/packages/capacity/src/JayfallZoneEvacuations.ts
+++ b/packages/capacity/src/JayfallZoneEvacuations.ts
@@ -27,11 +27,6 @@
     this.onEnded(zone)
   }
 
-  /** Ends all evacuations but those of the given zones. */
-  keepOnly (zones: ReadonlySet<string>): void {
-    for (const zone of [...this.zones]) if (!zones.has(zone)) this.end(zone)
-  }
-
   isEvacuated (zone: string): boolean {
     return this.zones.has(zone)
   }
--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -6,13 +6,13 @@
  * only when it certainly did not run.
  */
 
-import { type Clock } from '#jayfall/shared'
+import { rendezvousShare, type Clock } from '#jayfall/shared'
 
 import { type BackendSelector, type BackendSelection } from './JayfallBackendSelector'
 import { type BackendServer, type ForwardingRoute } from './JayfallForwardingCatalogue'
 import {
-  ANSWER_TIMEOUT_OBJECTIVES, DEFAULT_RETRY_AFTER_MILLISECONDS, EVENT_GAP_TIMEOUT_OBJECTIVES, FIRST_EVENT_TIMEOUT_OBJECTIVES, MINIMUM_ANSWER_TIMEOUT_MILLISECONDS, MINIMUM_ATTEMPT_MILLISECONDS,
-  MINIMUM_EVENT_GAP_TIMEOUT_MILLISECONDS, MINIMUM_FIRST_EVENT_TIMEOUT_MILLISECONDS, OUT_OF_REACH_SHARE_OF_RELAYS
+  ANSWER_TIMEOUT_OBJECTIVES, DEFAULT_RETRY_AFTER_MILLISECONDS, EVENT_GAP_TIMEOUT_OBJECTIVES, FIRST_EVENT_TIMEOUT_OBJECTIVES, LOWEST_OPERATOR_PRIORITY, MINIMUM_ANSWER_TIMEOUT_MILLISECONDS, MINIMUM_ATTEMPT_MILLISECONDS,
+  MINIMUM_EVENT_GAP_TIMEOUT_MILLISECONDS, MINIMUM_FIRST_EVENT_TIMEOUT_MILLISECONDS, OUT_OF_REACH_SHARE_OF_RELAYS, RETURN_SPREAD_MILLISECONDS
 } from './JayfallForwardingConstants'
 import { type CallerFields } from './JayfallForwardingProtocol'
 import { confidenceThreshold } from './JayfallConfidenceThreshold'
@@ -51,6 +51,11 @@
   readonly versionRule: VersionRule
 }
 
+/** Milliseconds until this instance has a share of a cold server. */
+interface ColdWait {
+  readonly wait: number
+}
+
 /** How an attempt ended. */
 export type AttemptResult =
   /** The caller has the whole answer, or the answer is ready to be sent. */
@@ -80,7 +85,7 @@
   | { readonly kind: 'none' }
 
 /** A refusal guarantees that the request has not run. */
-export type RefusalCode = 'no_server' | 'unreached' | 'servers_full' | 'too_late' | 'suspect_prompt' | 'servers_limited'
+export type RefusalCode = 'no_server' | 'unreached' | 'servers_full' | 'too_late' | 'suspect_prompt' | 'servers_limited' | 'servers_cold'
 export type FailureCode = 'answer_lost' | 'timeout' | 'suspect_prompt'
 
 /** What has been done for a request so far. */
@@ -91,6 +96,8 @@
   readonly triedServers: readonly string[]
   /** Whether the next sending is a retry that has not been taken out of the budget. */
   readonly isRetry: boolean
+  /** The model to go on with; undefined for the one that the plan begins with. */
+  readonly model?: string
 }
 
 export const NO_PROGRESS: AttemptProgress = { sentAttempts: 0, mayHaveRun: false, triedServers: [], isRetry: false }
@@ -100,6 +107,8 @@
   | FinalDecision
   /** The servers are out of this instance's reach. */
   | { readonly kind: 'unreached', readonly progress: AttemptProgress }
+  /** Every server that could take the request is cold; this instance has a share of one after `wait` milliseconds. */
+  | { readonly kind: 'cold', readonly progress: AttemptProgress, readonly wait: number }
 
 export interface PlanContext {
   readonly route: ForwardingRoute
@@ -113,6 +122,8 @@
   /** Monotonic milliseconds. */
   readonly arrivedAt: number
   readonly deadline: number
+  /** The operators' priority of the request: that of its workspace, or else of its route; 0 is the most urgent. */
+  readonly priority: number
   readonly clock: Clock
   readonly selector: BackendSelector
   readonly retryBudget: RetryBudget
@@ -134,7 +145,7 @@
   const triedServers = new Set(start.triedServers)
   let { sentAttempts, mayHaveRun } = start
   let isTrial = false
-  let model = route.models[0] ?? context.fields.model
+  let model = start.model ?? route.models[0] ?? context.fields.model
   let previous: AttemptResult | undefined
   for (let number = 1; ; number++) {
     const now = clock.monotonic()
@@ -145,7 +156,9 @@
     const admission: PromptAdmission | undefined = isTrial && sentAttempts === 0 ? undefined : promptSuspicions.admit(identity)
     if (admission?.kind === 'refused') return mayHaveRun ? { kind: 'fail', code: 'suspect_prompt' } : { kind: 'refuse', code: 'suspect_prompt', retryAfter: Math.max(DEFAULT_RETRY_AFTER_MILLISECONDS, admission.retryAfter) }
     isTrial ||= admission?.kind === 'trial'
-    const chosen = chooseServer(context, model, triedServers)
+    const choice = chooseServer(context, model, triedServers)
+    if (choice !== undefined && 'wait' in choice) return { kind: 'cold', wait: choice.wait, progress: { sentAttempts, mayHaveRun, triedServers: [...triedServers], isRetry: isRepeat, model } }
+    const chosen = choice
     // Only an attempt that follows one that may have reached a server counts as a retry.
     if (chosen === undefined || (isRepeat && !retryBudget.trySpendRetry(service, now))) {
       if (previous?.kind === 'failed') return { kind: 'deliver' }
@@ -190,16 +203,22 @@
   if (largest === undefined || model === largest || !route.isRepeatable || sentAttempts + 1 >= route.maximumAttempts || lastDeliveredEventId() !== undefined) return 0
   const now = clock.monotonic()
   const next = retryBudget.hasRetryLeft(service, now) ? chooseServer(context, largest, new Set()) : undefined
-  return next === undefined ? 0 : confidenceThreshold(next.selection.timeToFirstEvent, arrivedAt + route.objective - now)
+  return next === undefined || 'wait' in next ? 0 : confidenceThreshold(next.selection.timeToFirstEvent, arrivedAt + route.objective - now)
 }
 
-function chooseServer (context: PlanContext, model: string | undefined, triedServers: ReadonlySet<string>): ChosenServer | undefined {
+/** Chooses a server, or says how long to wait for a share of a cold one. A request does not change its version to avoid that wait. */
+function chooseServer (context: PlanContext, model: string | undefined, triedServers: ReadonlySet<string>): ChosenServer | ColdWait | undefined {
   const { service, session, isSharedSession, fields, clock, selector, versionPolicy } = context
   const now = clock.monotonic()
   const versionRule = versionPolicy.ruleFor(service, session, now, isSharedSession)
   const request = { service, model, promptTokens: fields.promptTokens, outputTokens: fields.maximumOutputTokens, promptParts: fields.promptParts, triedServers }
-  const selection = selector.select({ ...request, allowsVersion: versionRule.isPreferred }, now) ?? selector.select({ ...request, allowsVersion: version => versionRule.isAllowed(version, triedServers.size > 0) }, now)
-  return selection === undefined ? undefined : { selection, versionRule }
+  for (const allowsVersion of [versionRule.isPreferred, (version: string) => versionRule.isAllowed(version, triedServers.size > 0)]) {
+    const selection = selector.select({ ...request, allowsVersion }, now)
+    if (selection !== undefined) return { selection, versionRule }
+    const wait = selector.timeUntilColdShare({ ...request, allowsVersion }, now)
+    if (wait !== undefined) return { wait }
+  }
+  return undefined
 }
 
 function createPlan (context: PlanContext, { selection, versionRule }: ChosenServer, model: string | undefined, number: number, sentAttempts: number, triedServers: ReadonlySet<string>): AttemptPlan {
@@ -251,12 +270,24 @@
   const { route, retryBudget, service, clock, reach, relays } = context
   const now = clock.monotonic()
   if (!route.isRepeatable || sentAttempts + 1 >= route.maximumAttempts || !retryBudget.hasRetryLeft(service, now)) return false
-  return reach.isCut(service) && relays.hasTargets ? canBeRelayed(context) && relays.isAvailable(service, now) : chooseServer(context, model, triedServers) !== undefined
+  return reach.isCut(service) && relays.hasTargets ? canBeRelayed(context) && relays.isAvailable(service, now) : isServerChosen(chooseServer(context, model, triedServers))
 }
 
-export function decideWithoutAnswer ({ selector, service, clock }: PlanContext, mayHaveRun: boolean, code: RefusalCode): FinalDecision {
+function isServerChosen (choice: ChosenServer | ColdWait | undefined): boolean {
+  return choice !== undefined && !('wait' in choice)
+}
+
+export function decideWithoutAnswer (context: PlanContext, mayHaveRun: boolean, code: RefusalCode): FinalDecision {
+  const { selector, service, clock } = context
   if (mayHaveRun) return { kind: 'fail', code: code === 'too_late' ? 'timeout' : 'answer_lost' }
   const limitDelay = code === 'too_late' ? undefined : selector.refuseForLimits(service)
   if (limitDelay !== undefined) return { kind: 'refuse', code: 'servers_limited', retryAfter: limitDelay }
+  if (code === 'servers_cold') return { kind: 'refuse', code, retryAfter: returnTime(context) }
   return { kind: 'refuse', code, retryAfter: Math.max(DEFAULT_RETRY_AFTER_MILLISECONDS, selector.timeUntilReach(service, clock.monotonic()) ?? 0) }
 }
+
+/** Milliseconds after which a refused caller returns. The most urgent return first, and callers of one urgency spread over a second. */
+function returnTime ({ priority, fields }: PlanContext): number {
+  const urgency = Math.min(LOWEST_OPERATOR_PRIORITY, Math.max(0, priority))
+  return DEFAULT_RETRY_AFTER_MILLISECONDS * (1 + urgency) + rendezvousShare(fields.requestId ?? '', 'return') * RETURN_SPREAD_MILLISECONDS
+}
--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -73,6 +73,7 @@
     this.isPathLost = false
     directory.recordSent(server.id, attempt.selection.prefillTime)
     this.context.limits.recordSent(server.id)
+    this.context.coldServers.recordSent(server.id)
     this.context.prefillTimes.recordSent(attempt.selection.prefillTime)
     if (attempt.selection.prefillTime >= MINIMUM_PUBLISHED_PREFILL_MILLISECONDS) this.context.hints.publish({ server: server.id, reading: attempt.selection.prefillTime })
     this.isPrefillRecorded = false
@@ -85,7 +86,7 @@
       workspace: this.request.workspace,
       model,
       lastEventId: attempt.resumeAfter ?? this.plan.fields.lastEventId,
-      priority: enginePriority({ prefillTime: attempt.selection.prefillTime, operatorPriority: this.request.workspace?.priority ?? this.plan.route.priority, isResumed: attempt.resumeAfter !== undefined }),
+      priority: enginePriority({ prefillTime: attempt.selection.prefillTime, operatorPriority: this.plan.priority, isResumed: attempt.resumeAfter !== undefined }),
       bodyLength: this.request.body.length
     })
     this.zoneOutageDetector = this.plan.route.isRepeatable ? new ZoneOutageDetector(directory, clock, server.zone) : undefined
@@ -124,8 +125,9 @@
   }
 
   private async readAnswer (attempt: AttemptPlan, exchange: BackendExchange, head: AnswerHead, startedAt: number): Promise<AttemptResult> {
-    const { protocol, directory, clock, limits } = this.context
+    const { protocol, directory, clock, limits, coldServers } = this.context
     directory.recordReachable(attempt.server.id)
+    coldServers.recordReached(attempt.server.id)
     this.zoneOutageDetector?.recordActivity()
     const { status } = head
     const fields = protocol.decodeAnswerHeaders(head.headers)
@@ -133,6 +135,7 @@
     // Only what the server itself answered to this request shows that its limit has ended.
     if (fields.rateLimit !== undefined || (fields.isSigned && fields.requestId === this.request.requestId)) limits.recordAnswer(attempt.server.id, fields.rateLimit, startedAt)
     if (fields.load !== undefined && (fields.server === undefined || fields.server === attempt.server.id)) directory.recordLoad(attempt.server.id, fields.load, clock.monotonic())
+    if (fields.coldTime !== undefined && (fields.server === undefined || fields.server === attempt.server.id)) coldServers.recordReport(attempt.server.id, attempt.server.service, fields.coldTime)
     // A refusal of another request says nothing about this one, which may be running.
     const isOfAnotherRequest = fields.requestId !== undefined && fields.requestId !== this.request.requestId
     if (!isOfAnotherRequest && (fields.isNotRun || NOT_RUN_STATUSES.has(status))) return { kind: 'not_run', status }
@@ -270,6 +273,7 @@
         return
       case 'unsent':
         this.context.reachMonitor.recordUnopened(attempt.server)
+        this.context.coldServers.recordUnreached(attempt.server.id, attempt.server.service)
         return directory.recordUnreachable(attempt.server.id, clock.monotonic())
       case 'broken':
       case 'silent':
--- a/packages/forwarding/src/JayfallBackendSelector.ts
+++ b/packages/forwarding/src/JayfallBackendSelector.ts
@@ -7,6 +7,7 @@
  * instances, so that few servers process the part although the instances exchange no messages.
  */
 
+import { type ColdServers, type ZoneEvacuations } from '#jayfall/capacity'
 import { combineHashes, hashName } from '#jayfall/shared'
 
 import { currentFailureRate, estimateLoad, estimateWaitingRequests, isOutOfReach, remainingPeerPrefillTime, slotsOf, type BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
@@ -57,6 +58,8 @@
   abstract timeUntilReach (service: string, now: number): number | undefined
   /** The share of the service's servers in use that are out of reach. */
   abstract outOfReachShare (service: string, now: number): number
+  /** Milliseconds until this instance gets a new share of a cold server that could take the request; undefined when no server waits for that. */
+  abstract timeUntilColdShare (request: SelectionRequest, now: number): number | undefined
   /** Milliseconds after which a refused caller may return because of limits that servers named; undefined when no server is kept from work by its limit. */
   abstract refuseForLimits (service: string): number | undefined
 }
@@ -72,9 +75,17 @@
 
 const NO_SERVER: WeightedServer = { id: '', weight: -1 }
 
+/** What keeps requests from servers for a while. */
+export interface SendingLimits {
+  /** Limits that servers name. */
+  readonly limits: ServerLimits
+  readonly coldServers: ColdServers
+  readonly evacuations: ZoneEvacuations
+}
+
 /** Selects the server with the lowest estimated time to the first event, plus costs for other requests and for leaving the zone. */
 export class EstimatedTimeSelector extends BackendSelector {
-  constructor (private readonly directory: BackendDirectory, private readonly promptCache: PromptCacheTracker, private readonly prefillTimes: PrefillTimes, private readonly ownZone: string, private readonly limits: ServerLimits) {
+  constructor (private readonly directory: BackendDirectory, private readonly promptCache: PromptCacheTracker, private readonly prefillTimes: PrefillTimes, private readonly ownZone: string, private readonly sendingLimits: SendingLimits) {
     super()
   }
 
@@ -102,13 +113,26 @@
   }
 
   override refuseForLimits (service: string): number | undefined {
-    const limited = [...this.directory.rowsOfService(service)].filter(({ server }) => !server.isDraining && !this.limits.maySend(server.id))
-    return this.limits.refuse(limited.map(({ server }) => server.id))
+    const limited = [...this.directory.rowsOfService(service)].filter(({ server }) => !server.isDraining && !this.sendingLimits.limits.maySend(server.id))
+    return this.sendingLimits.limits.refuse(limited.map(({ server }) => server.id))
+  }
+
+  override timeUntilColdShare (request: SelectionRequest, now: number): number | undefined {
+    const { coldServers } = this.sendingLimits
+    for (const { server } of this.findRowsInUse(request, now)) if (!coldServers.maySend(server.id)) return coldServers.untilNextShare
+    return undefined
+  }
+
+  private * findUsableRows (request: SelectionRequest, now: number): Generator<BackendRow> {
+    for (const row of this.findRowsInUse(request, now)) if (this.sendingLimits.coldServers.maySend(row.server.id)) yield row
   }
 
-  private * findUsableRows ({ service, triedServers, allowsVersion }: SelectionRequest, now: number): Generator<BackendRow> {
+  /** Servers that may take the request, or could if they were not cold. */
+  private * findRowsInUse ({ service, triedServers, allowsVersion }: SelectionRequest, now: number): Generator<BackendRow> {
+    const { limits, evacuations } = this.sendingLimits
     for (const row of this.directory.rowsOfService(service)) {
-      if (!row.server.isDraining && !triedServers.has(row.server.id) && allowsVersion(row.server.version) && !isOutOfReach(row, now) && this.limits.maySend(row.server.id)) yield row
+      const { id, isDraining, version, zone } = row.server
+      if (!isDraining && !triedServers.has(id) && allowsVersion(version) && !evacuations.isEvacuated(zone) && !isOutOfReach(row, now) && limits.maySend(id)) yield row
     }
   }
 
--- a/packages/forwarding/src/JayfallDeploymentSource.ts
+++ b/packages/forwarding/src/JayfallDeploymentSource.ts
@@ -8,6 +8,8 @@
 export type OperatorRow =
   | { readonly kind: 'catalogue', readonly catalogue: ForwardingCatalogue }
   | { readonly kind: 'rollout', readonly order: RolloutOrder }
+  /** Nothing may be sent to the servers of the zone as long as the row exists. */
+  | { readonly kind: 'evacuation', readonly zone: string }
   /** The row holds nothing that this instance uses; `reason` is set when the row is invalid. */
   | { readonly kind: 'ignored', readonly reason?: string }
 
--- a/packages/forwarding/src/JayfallForwardedCall.ts
+++ b/packages/forwarding/src/JayfallForwardedCall.ts
@@ -1,18 +1,23 @@
 /** Processes one caller's request up to its final answer. */
 
 import { type AttemptPlan, type AttemptResult, type FinalDecision, type PlanContext } from './JayfallAttemptPlan'
+import { waitFor } from './JayfallBoundedWait'
 import { AttemptRunner, NOT_RUN_GUARANTEE_STATUSES, type CallerRequest } from './JayfallAttemptRunner'
 import { type BufferedAnswer, type CallerAnswer } from './JayfallCallerAnswer'
 import { type ForwardingContext } from './JayfallForwardingContext'
-import { planRequest, type RelayPlan, type RelayResult } from './JayfallRelayPlan'
+import { planRequest, type PlanStep, type RelayPlan, type RelayResult, type WaitPlan, type WaitResult } from './JayfallRelayPlan'
 import { RelayRunner } from './JayfallRelayRunner'
 
 const FAILURE_STATUSES = { answer_lost: 502, suspect_prompt: 502, timeout: 504 } as const
 
+const NEVER = new Promise<never>(() => {})
+
 export class ForwardedCall {
   private readonly runner: AttemptRunner
   private readonly relayRunner: RelayRunner
   private relays = 0
+  /** Milliseconds for which the request waited at this instance. */
+  private waited = 0
 
   constructor (
     private readonly context: ForwardingContext,
@@ -30,14 +35,27 @@
     const steps = planRequest(this.plan)
     let step = steps.next()
     while (step.done !== true) {
-      const { value } = step
-      step = steps.next(value.kind === 'attempt' ? await this.runAttempt(value.plan) : await this.runRelay(value.plan))
+      step = steps.next(await this.runStep(step.value))
     }
     this.runner.finishObservations()
     this.finish(step.value)
     this.logOutcome(step.value)
   }
 
+  private runStep (step: PlanStep): Promise<AttemptResult | RelayResult | WaitResult> {
+    switch (step.kind) {
+      case 'attempt': return this.runAttempt(step.plan)
+      case 'relay': return this.runRelay(step.plan)
+      case 'wait': return this.wait(step.plan)
+    }
+  }
+
+  private async wait ({ duration }: WaitPlan): Promise<WaitResult> {
+    this.waited += duration
+    const { kind } = await waitFor(NEVER, duration, [this.answer.callerDisconnected])
+    return { kind: kind === 'stopped' ? 'caller_left' : 'waited' }
+  }
+
   private async runAttempt (attempt: AttemptPlan): Promise<AttemptResult> {
     const result = await this.runner.run(attempt)
     this.logAttempt(attempt, result)
@@ -148,6 +166,7 @@
       outcome,
       relays: this.relays === 0 ? undefined : this.relays,
       relayed_from: this.plan.relayedFrom,
+      waited_ms: this.waited === 0 ? undefined : Math.round(this.waited),
       status: this.bufferedAnswer?.status,
       events: this.answer.eventsWritten,
       first_event_ms: this.answer.firstEventAt === undefined ? undefined : Math.round(this.answer.firstEventAt - this.plan.arrivedAt),
--- a/packages/forwarding/src/JayfallForwardingCatalogue.ts
+++ b/packages/forwarding/src/JayfallForwardingCatalogue.ts
@@ -4,6 +4,7 @@
  * A catalogue is immutable and is replaced as a whole by each new version. Times are in milliseconds.
  */
 
+import { type ColdPolicy } from '#jayfall/capacity'
 import { type TablePosition } from '#jayfall/store'
 
 /** A service that receives a share of a route's requests. */
@@ -42,6 +43,8 @@
 export interface ForwardedService {
   readonly name: string
   readonly healthPath: string
+  /** What servers of the service bear while they are cold; undefined when they are never cold. */
+  readonly cold?: ColdPolicy
 }
 
 export interface ForwardingWorkspace {
@@ -67,7 +70,7 @@
   readonly limits: CallerLimits
 }
 
-/** A backend server as it registered itself. */
+/** A backend server as it registered itself. Its times are relative to when the entry was read. */
 export interface BackendServer {
   readonly id: string
   readonly service: string
@@ -80,6 +83,8 @@
   readonly isDraining: boolean
   /** Unix milliseconds of the server's start, which tell its starts under one identifier apart; undefined when it names none. */
   readonly startedAt?: number
+  /** Milliseconds for which the server stays cold, as of its entry; undefined when it does not say. */
+  readonly coldTime?: number
 }
 
 /** An operator's order to move a service to another version. */
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -338,3 +338,8 @@
 export const SMALL_BODY_BYTES = 64 * 1024
 /** Bytes of a refused body that are read before its connection is closed. */
 export const MAXIMUM_DISCARDED_BYTES = 8 * 1024 * 1024
+
+/** Time by which a request that waits for a cold server starts after one of the next higher priority. It is a few times the jitter of timers. */
+export const WAKE_OFFSET_MILLISECONDS = 4
+/** Time over which refused callers of one priority return, so that they do not meet again. */
+export const RETURN_SPREAD_MILLISECONDS = 1000
--- a/packages/forwarding/src/JayfallForwardingContext.ts
+++ b/packages/forwarding/src/JayfallForwardingContext.ts
@@ -1,5 +1,6 @@
 /** The objects that all requests of one instance share. */
 
+import { type ColdServers } from '#jayfall/capacity'
 import { type Clock } from '#jayfall/shared'
 import { type Log, type Metrics } from '#jayfall/telemetry'
 
@@ -31,6 +32,7 @@
   readonly prefillTimes: PrefillTimes
   readonly hints: PrefillHints
   readonly limits: ServerLimits
+  readonly coldServers: ColdServers
   readonly promptSuspicions: PromptSuspicions
   readonly connectionCheck: ServerConnectionCheck
   readonly reach: ServiceReach
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -6,22 +6,23 @@
 
 import { type IncomingMessage, type ServerResponse } from 'node:http'
 
+import { ColdServers, ZoneEvacuations } from '#jayfall/capacity'
 import { followTable, type FeedReading } from '#jayfall/feeds'
 import { NoRumors, type RumorChannel } from '#jayfall/peers'
 import { type Clock, delay, messageOf, type RandomSource, type ReadonlyTable } from '#jayfall/shared'
-import { comparePositions, type TableChange, type TablePosition, type WatchableTableStore } from '#jayfall/store'
+import { type TablePosition, type WatchableTableStore } from '#jayfall/store'
 import { type Log, Metrics } from '#jayfall/telemetry'
 
 import { EstimatedTimeSelector } from './JayfallBackendSelector'
 import { BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
 import { type DeploymentSource } from './JayfallDeploymentSource'
-import { type RolloutOrder } from './JayfallForwardingCatalogue'
 import { DEFAULT_HELD_BYTES, EVIDENCE_COALESCE_MILLISECONDS, HELD_BYTES_SHARE_OF_MEMORY, RAMP_EVIDENCE_COALESCE_MILLISECONDS, ROLLOUT_INTERVAL_MILLISECONDS, STATE_INTERVAL_MILLISECONDS, MINIMUM_STOP_MILLISECONDS, STOP_RESERVE_MILLISECONDS } from './JayfallForwardingConstants'
 import { type ForwardingProtocol } from './JayfallForwardingProtocol'
 import { ForwardingServer } from './JayfallForwardingServer'
 import { ForwardingState } from './JayfallForwardingState'
 import { ConnectionCheck } from './JayfallServerConnectionCheck'
 import { ReadPacer } from './JayfallReadPacer'
+import { OperatorRows } from './JayfallOperatorRows'
 import { ReachMonitor } from './JayfallReachMonitor'
 import { RelayTargets, type RelayTarget } from './JayfallRelayTargets'
 import { ServiceReach } from './JayfallServiceReach'
@@ -93,10 +94,9 @@
   private readonly relays: RelayTargets
   /** IP addresses of the other instances. */
   private peerHosts: ReadonlySet<string> = new Set()
-  /** Rollout orders by the keys of their rows. */
-  private readonly ordersByRowKey = new Map<string, RolloutOrder>()
-  /** Positions of the orders that were made while this instance followed them, by the keys of their rows. */
-  private readonly ordersSeenMade = new Map<string, TablePosition>()
+  private readonly coldServers: ColdServers
+  private readonly evacuations: ZoneEvacuations
+  private readonly operatorRows: OperatorRows
   /** Positions up to which the tables of rollouts were read. */
   private readonly rolloutPositions = new Map<string, TablePosition>()
   private readonly timers: NodeJS.Timeout[] = []
@@ -115,15 +115,18 @@
     const storeTime = (): number => clock.monotonic() + this.storeTimeOffset
     this.settings = settings
     this.metrics = dependencies.metrics ?? new Metrics()
+    const instances = dependencies.instances ?? (() => [settings.instance])
     this.directory = new BackendDirectory(settings.zone)
-    this.state = new ForwardingState(this.directory, clock, log, settings.serverEntryLifetime)
+    this.coldServers = new ColdServers({ clock, log, metrics: this.metrics, storeTime, instance: settings.instance, instances })
+    this.evacuations = new ZoneEvacuations(log, zone => this.presumeCold(zone))
+    this.operatorRows = new OperatorRows({ source: dependencies.source, evacuations: this.evacuations, directory: this.directory, log })
+    this.state = new ForwardingState(this.directory, this.coldServers, clock, log, settings.serverEntryLifetime)
     this.versionPolicy = new VersionPolicy(settings, storeTime)
     this.retryBudget = new RetryBudget(settings.retryRatio)
     const promptCache = new PromptCacheTracker()
     const prefillTimes = new PrefillTimes()
     const hints = dependencies.hints ?? new NoPrefillHints()
     const rumors = dependencies.rumors ?? new NoRumors()
-    const instances = dependencies.instances ?? (() => [settings.instance])
     const limits = new ServerLimits({ ...dependencies, rumors, storeTime, instance: settings.instance, instances })
     const promptSuspicions = this.promptSuspicions = new PromptSuspicions({ clock, log, metrics: this.metrics, rumors })
     const evidence = new RolloutEvidence(this.versionPolicy, clock)
@@ -146,7 +149,7 @@
       storeTime
     })
     this.server = new ForwardingServer({
-      clock, log, protocol, evidence, promptCache, prefillTimes, hints, limits, promptSuspicions, connectionCheck, reach, reachMonitor: this.reachMonitor, relays: this.relays, memory, pacer, instance: settings.instance, relayHost: dependencies.relayHost, metrics: this.metrics, directory: this.directory, selector: new EstimatedTimeSelector(this.directory, promptCache, prefillTimes, settings.zone, limits), retryBudget: this.retryBudget, versionPolicy: this.versionPolicy
+      clock, log, protocol, evidence, promptCache, prefillTimes, hints, limits, coldServers: this.coldServers, promptSuspicions, connectionCheck, reach, reachMonitor: this.reachMonitor, relays: this.relays, memory, pacer, instance: settings.instance, relayHost: dependencies.relayHost, metrics: this.metrics, directory: this.directory, selector: new EstimatedTimeSelector(this.directory, promptCache, prefillTimes, settings.zone, { limits, coldServers: this.coldServers, evacuations: this.evacuations }), retryBudget: this.retryBudget, versionPolicy: this.versionPolicy
     }, this.state)
     hints.subscribe(({ server, reading }) => this.directory.recordPeerPrefill(server, reading, clock.monotonic()))
   }
@@ -259,14 +262,7 @@
   /** The position at which to begin with a table of rollouts. After the store came back from a copy it is that of the last reading, so that other instances can tell what differs. */
   private rolloutStart (table: string): TablePosition | undefined {
     const last = this.rolloutPositions.get(table)
-    return last !== undefined && last.era < this.dependencies.store.era ? last : this.firstOrderPosition
-  }
-
-  /** The position after which the rows of all rollouts in progress were written; undefined when an order may be older than the store's history or than its present era. */
-  private get firstOrderPosition (): TablePosition | undefined {
-    const positions = [...this.ordersByRowKey.keys()].map(key => this.ordersSeenMade.get(key))
-    if (!positions.every(position => position?.era === this.dependencies.store.era)) return undefined
-    return (positions as readonly TablePosition[]).toSorted(comparePositions)[0]
+    return last !== undefined && last.era < this.dependencies.store.era ? last : this.operatorRows.firstOrderPosition(this.dependencies.store.era)
   }
 
   private async followStoreTable (table: string, onReading: (reading: FeedReading) => void, isStopped = () => this.isStopping, coalescePause?: () => number, after?: TablePosition): Promise<void> {
@@ -293,31 +289,18 @@
     this.storeEra = era
   }
 
-  private applyOperatorRows ({ kind, rows, position: { era }, isNewEra, reader, callDuration: took, storeTime }: FeedReading): void {
-    if (isNewEra && kind === 'changes') this.keepOrders(rows, era)
-    for (const { key, value, position } of rows) {
-      if (value === undefined) {
-        // Operators write again what was lost with the rows of an earlier era.
-        if (!isNewEra) this.ordersByRowKey.delete(key)
-        continue
-      }
-      const row = this.dependencies.source.readOperatorRow(key, value, position)
-      if (row.kind === 'catalogue') this.state.applyCatalogue(row.catalogue, { position, reader, readDuration: took, age: this.dependencies.clock.monotonic() + this.storeTimeOffset - storeTime })
-      else if (row.kind === 'rollout') {
-        this.ordersByRowKey.set(key, row.order)
-        if (kind === 'changes' && !isNewEra) this.ordersSeenMade.set(key, position)
-        else this.ordersSeenMade.delete(key)
-      } else if (row.reason !== undefined) this.dependencies.log.warn('operator_row_ignored', { key, ...position, reason: row.reason })
-    }
-    this.rolloutCoordinator.applyOrders(this.ordersByRowKey.values(), era)
+  private applyOperatorRows (reading: FeedReading): void {
+    const { position: { era }, reader, callDuration: readDuration, storeTime } = reading
+    const age = this.dependencies.clock.monotonic() + this.storeTimeOffset - storeTime
+    for (const { catalogue, position } of this.operatorRows.apply(reading)) this.state.applyCatalogue(catalogue, { position, reader, readDuration, age })
+    this.rolloutCoordinator.applyOrders(this.operatorRows.orders, era)
     this.followRolloutTables()
     if (this.rolloutCoordinator.hasRolloutState) this.state.markRolloutsKnown()
   }
 
-  /** Notes which orders are still there in a new era. The others keep their place: operators write them again. */
-  private keepOrders (differing: readonly TableChange[], era: number): void {
-    const keys = new Set(differing.map(({ key }) => key))
-    for (const [key, order] of this.ordersByRowKey) if (!keys.has(key)) this.ordersByRowKey.set(key, { ...order, position: { ...order.position, era } })
+  /** Servers of an evacuated zone may have been restarted, which their entries say late. */
+  private presumeCold (zone: string): void {
+    for (const { server } of this.directory.rows.rows()) if (server.zone === zone) this.coldServers.presume(server.id, server.service, 'evacuation_ended')
   }
 
   private applyRolloutRows ({ rows, position }: FeedReading): void {
--- a/packages/forwarding/src/JayfallForwardingProtocol.ts
+++ b/packages/forwarding/src/JayfallForwardingProtocol.ts
@@ -66,6 +66,8 @@
   readonly load: ServerLoad | undefined
   /** Requests per second that the server takes from all instances together; undefined when it names no limit. */
   readonly rateLimit: number | undefined
+  /** Milliseconds for which the server stays cold; undefined when the answer does not say. */
+  readonly coldTime?: number
   /** The model's confidence in its answer, from 0 to 100. */
   readonly confidence: number | undefined
   /** The server that answered; undefined when not given. */
--- a/packages/forwarding/src/JayfallForwardingServer.ts
+++ b/packages/forwarding/src/JayfallForwardingServer.ts
@@ -131,6 +131,7 @@
       relayedFrom: undefined,
       start: NO_PROGRESS,
       deadline: arrivedAt + Math.min(fields.patience ?? Infinity, route.timeout),
+      priority: workspace?.priority ?? route.priority,
       lastDeliveredEventId: () => answer.lastEventId
     }
     const callerRequest = { requestId, method, path, rawHeaders: request.rawHeaders, body, workspace }
@@ -188,6 +189,7 @@
       identity: { fingerprint, promptParts: fields.promptParts },
       arrivedAt,
       deadline: receivedAt + left,
+      priority: head.workspace?.priority ?? route.priority,
       relayedFrom: from,
       // The instance that the caller reached has taken a retry out of its budget where this is one.
       start: { sentAttempts, mayHaveRun, triedServers, isRetry: false },
--- a/packages/forwarding/src/JayfallRelayPlan.ts
+++ b/packages/forwarding/src/JayfallRelayPlan.ts
@@ -8,7 +8,7 @@
  */
 
 import { answerTimeoutOf, decideWithoutAnswer, eventGapTimeoutOf, planAttempts, type AttemptPlan, type AttemptProgress, type AttemptResult, type AttemptsEnd, type FailureCode, type FinalDecision, type PlanContext, type RefusalCode } from './JayfallAttemptPlan'
-import { MAXIMUM_RELAYS_PER_REQUEST, MINIMUM_ATTEMPT_MILLISECONDS, RELAY_TIMEOUT_FACTOR } from './JayfallForwardingConstants'
+import { LOWEST_OPERATOR_PRIORITY, MAXIMUM_RELAYS_PER_REQUEST, MINIMUM_ATTEMPT_MILLISECONDS, RELAY_TIMEOUT_FACTOR, WAKE_OFFSET_MILLISECONDS } from './JayfallForwardingConstants'
 import { type RelayTarget } from './JayfallRelayTargets'
 
 /** One try to hand the request to another instance. */
@@ -41,12 +41,26 @@
   | { readonly kind: 'expired' }
   | { readonly kind: 'caller_left' }
 
-export type PlanStep = { readonly kind: 'attempt', readonly plan: AttemptPlan } | { readonly kind: 'relay', readonly plan: RelayPlan }
+/** A pause before the next attempt, in which the request waits at this instance. */
+export interface WaitPlan {
+  /** Milliseconds. */
+  readonly duration: number
+}
+
+export type WaitResult = { readonly kind: 'waited' } | { readonly kind: 'caller_left' }
+
+export type PlanStep =
+  | { readonly kind: 'attempt', readonly plan: AttemptPlan }
+  | { readonly kind: 'relay', readonly plan: RelayPlan }
+  | { readonly kind: 'wait', readonly plan: WaitPlan }
 
 const FAILURE_CODES: ReadonlySet<string> = new Set<FailureCode>(['answer_lost', 'timeout', 'suspect_prompt'])
-const REFUSAL_CODES: ReadonlySet<string> = new Set<RefusalCode>(['no_server', 'servers_full', 'too_late', 'suspect_prompt', 'servers_limited', 'unreached'])
+const REFUSAL_CODES: ReadonlySet<string> = new Set<RefusalCode>(['no_server', 'servers_full', 'too_late', 'suspect_prompt', 'servers_limited', 'servers_cold', 'unreached'])
 
-type Plan<End> = Generator<PlanStep, End, AttemptResult | RelayResult>
+type Plan<End> = Generator<PlanStep, End, AttemptResult | RelayResult | WaitResult>
+
+/** How the attempts of this instance ended when it did not have to wait for a cold server. */
+type OwnAttemptsEnd = Exclude<AttemptsEnd, { readonly kind: 'cold' }>
 
 export function * planRequest (context: PlanContext): Plan<FinalDecision> {
   const { reach, service, relayedFrom } = context
@@ -57,14 +71,40 @@
   return end.kind === 'unreached' ? decideWithoutAnswer(context, end.progress.mayHaveRun, 'unreached') : end
 }
 
-function * planOwnAttempts (context: PlanContext, start: AttemptProgress, isDirect: boolean): Plan<AttemptsEnd> {
+function * planOwnAttempts (context: PlanContext, start: AttemptProgress, isDirect: boolean): Plan<OwnAttemptsEnd> {
+  let progress = start
+  const waitsUntil = latestColdStart(context)
+  for (;;) {
+    const end = yield * runAttempts(context, progress, isDirect)
+    if (end.kind !== 'cold') return end
+    const duration = end.wait + wakeOffset(context)
+    if (context.clock.monotonic() + duration > waitsUntil) return decideWithoutAnswer(context, end.progress.mayHaveRun, 'servers_cold')
+    const { kind } = (yield { kind: 'wait', plan: { duration } }) as WaitResult
+    if (kind === 'caller_left') return { kind: 'none' }
+    progress = end.progress
+  }
+}
+
+function * runAttempts (context: PlanContext, start: AttemptProgress, isDirect: boolean): Plan<AttemptsEnd> {
   const attempts = planAttempts(context, start, isDirect)
   let step = attempts.next()
   while (step.done !== true) step = attempts.next((yield { kind: 'attempt', plan: step.value }) as AttemptResult)
   return step.value
 }
 
-function * planRelays (context: PlanContext, start: AttemptProgress): Plan<AttemptsEnd> {
+/** Monotonic milliseconds until which a request waits for a cold server. A later first event would miss the objective, and a longer pause that of the stream. */
+function latestColdStart ({ route, arrivedAt, deadline, clock, lastDeliveredEventId }: PlanContext): number {
+  const latest = lastDeliveredEventId() === undefined ? arrivedAt + route.objective : clock.monotonic() + route.eventGapObjective
+  return Math.min(latest, deadline - MINIMUM_ATTEMPT_MILLISECONDS)
+}
+
+/** Milliseconds by which a waiting request starts after the beginning of a window: streams that go on come first, then the most urgent requests. */
+function wakeOffset ({ priority, lastDeliveredEventId }: PlanContext): number {
+  if (lastDeliveredEventId() !== undefined) return 0
+  return (1 + Math.min(LOWEST_OPERATOR_PRIORITY, Math.max(0, priority))) * WAKE_OFFSET_MILLISECONDS
+}
+
+function * planRelays (context: PlanContext, start: AttemptProgress): Plan<OwnAttemptsEnd> {
   const { relays, clock, service, deadline, route, retryBudget, lastDeliveredEventId } = context
   const excluded = new Set<string>()
   let progress = start
--- a/packages/forwarding/src/JayfallServerLimits.ts
+++ b/packages/forwarding/src/JayfallServerLimits.ts
@@ -1,17 +1,16 @@
 /**
  * Keeps to the limits that servers name, without a counter that instances share.
  *
- * A server in need names how many requests a second it takes from all instances together. Time is divided into windows
- * by the store's clock, which all instances know. The whole number of requests that a limit allows in a window is dealt
- * to the instances by rendezvous hashing: all of them compute the same shares, and the shares add up to the limit however
- * many instances there are. A share that is not used in its window is lost, so that shares never add up later.
+ * A server in need names how many requests a second it takes from all instances together. `WindowShares` deals them to
+ * the instances.
  *
  * An instance learns of a limit from an answer, or as a rumor from one that did. The limit ends with an answer that
  * names none, to a request that was sent after the limit was last named.
  */
 
+import { WindowShares, type WindowSharesParts } from '#jayfall/capacity'
 import { type RumorChannel, RumorTopic } from '#jayfall/peers'
-import { combineHashes, hashName, type RandomSource, Table, type Clock } from '#jayfall/shared'
+import { type RandomSource, Table, type Clock } from '#jayfall/shared'
 import { type Log } from '#jayfall/telemetry'
 import * as z from 'zod'
 
@@ -30,17 +29,11 @@
   readonly quota: number
 }
 
-export interface ServerLimitsParts {
+export interface ServerLimitsParts extends WindowSharesParts {
   readonly clock: Clock
   readonly random: RandomSource
   readonly log: Log
   readonly rumors: RumorChannel
-  /** Milliseconds of the store's clock; not finite when it is unknown. */
-  readonly storeTime: () => number
-  /** Identifier of this instance. */
-  readonly instance: string
-  /** Identifiers of all instances with this one; undefined as long as they are unknown. */
-  readonly instances: () => readonly string[] | undefined
 }
 
 const limitBody = z.object({ server: z.string(), limit: z.number().nonnegative().nullable() }).readonly()
@@ -48,12 +41,13 @@
 export class ServerLimits {
   private readonly rows = new Table<LimitRow>()
   private readonly topic = new LimitTopic(this)
-  private readonly instanceHashes = new Map<string, number>()
+  private readonly shares: WindowShares
   /** Requests that were refused in the window `refusalWindow`. */
   private refusals = 0
   private refusalWindow = NaN
 
   constructor (private readonly parts: ServerLimitsParts) {
+    this.shares = new WindowShares(parts, LIMIT_WINDOW_MILLISECONDS)
     parts.rumors.subscribe(this.topic)
   }
 
@@ -89,13 +83,11 @@
   refuse (servers: Iterable<string>): number | undefined {
     const limits = [...servers].map(server => this.currentRow(server)?.limit).filter(limit => limit !== undefined)
     if (limits.length === 0) return undefined
-    const time = this.parts.storeTime()
-    const window = windowOf(time)
+    const { window, untilNextWindow } = this.shares
     this.refusals = window === this.refusalWindow ? this.refusals + 1 : 1
     this.refusalWindow = window
     const ownShare = limits.reduce((sum, limit) => sum + limit, 0) * LIMIT_WINDOW_MILLISECONDS / 1000 / (this.parts.instances()?.length ?? 1)
     const windows = Math.floor(this.refusals / ownShare) + this.parts.random.uniform()
-    const untilNextWindow = Number.isFinite(time) ? LIMIT_WINDOW_MILLISECONDS - time % LIMIT_WINDOW_MILLISECONDS : 0
     return Math.min(MAXIMUM_LIMIT_RETRY_AFTER_MILLISECONDS, untilNextWindow + windows * LIMIT_WINDOW_MILLISECONDS)
   }
 
@@ -129,44 +121,13 @@
     const row = this.rows.get(server)
     if (row?.limit === undefined) return undefined
     const { limit } = row
-    const window = windowOf(this.parts.storeTime())
+    const { window } = this.shares
     if (window === row.window && !Number.isNaN(row.quota)) return { ...row, limit }
-    const current = { ...row, limit, window, sent: window === row.window ? row.sent : 0, quota: this.quotaOf(server, limit, window) }
+    const current = { ...row, limit, window, sent: window === row.window ? row.sent : 0, quota: this.shares.shareOf(server, Math.max(MINIMUM_SERVER_LIMIT, limit), window) }
     this.rows.set(server, current)
     return current
   }
 
-  private quotaOf (server: string, limit: number, window: number): number {
-    const instances = this.parts.instances()
-    if (instances === undefined || !Number.isFinite(window)) return 0
-    const requestsPerWindow = Math.max(MINIMUM_SERVER_LIMIT, limit) * LIMIT_WINDOW_MILLISECONDS / 1000
-    const total = Math.floor((window + 1) * requestsPerWindow) - Math.floor(window * requestsPerWindow)
-    const remainder = total % instances.length
-    return Math.floor(total / instances.length) + Number(this.isRankedBefore(remainder, server, window, instances))
-  }
-
-  /** Whether this instance is among the first `places` in the ranking for the server's window. */
-  private isRankedBefore (places: number, server: string, window: number, instances: readonly string[]): boolean {
-    if (places === 0) return false
-    const key = combineHashes(hashName(server), window % 2 ** 32)
-    const weightOf = (instance: string): number => combineHashes(key, this.hashOf(instance))
-    const ownWeight = weightOf(this.parts.instance)
-    let before = 0
-    for (const instance of instances) {
-      if (instance === this.parts.instance) continue
-      const weight = weightOf(instance)
-      if (weight > ownWeight || (weight === ownWeight && instance < this.parts.instance)) before++
-      if (before >= places) return false
-    }
-    return true
-  }
-
-  private hashOf (instance: string): number {
-    const known = this.instanceHashes.get(instance) ?? hashName(instance)
-    this.instanceHashes.set(instance, known)
-    return known
-  }
-
   private removeOld (now: number): void {
     for (const [server, { namedAt }] of [...this.rows.entries()]) {
       if (now - namedAt > SERVER_LIMIT_LIFETIME_MILLISECONDS) this.rows.delete(server)
@@ -189,7 +150,3 @@
     yield * this.limits.current()
   }
 }
-
-function windowOf (storeTime: number): number {
-  return Math.floor(storeTime / LIMIT_WINDOW_MILLISECONDS)
-}
--- a/packages/forwarding/src/__tests__/unit/JayfallDecisionFixture.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallDecisionFixture.ts
@@ -1,5 +1,6 @@
 /** Fixtures for tests of decisions that use no network. */
 
+import { ColdServers, ZoneEvacuations } from '#jayfall/capacity'
 import { NoRumors, type RumorChannel } from '#jayfall/peers'
 import { ManualClock, RandomSource } from '#jayfall/shared'
 import { Metrics, type Log } from '#jayfall/telemetry'
@@ -59,6 +60,10 @@
   return new PromptSuspicions({ clock, log: SILENT_LOG, metrics: new Metrics(), rumors })
 }
 
+export function createColdServers (clock: ManualClock): ColdServers {
+  return new ColdServers({ clock, log: SILENT_LOG, metrics: new Metrics(), storeTime: () => clock.monotonic(), instance: 'entry', instances: () => ['entry'] })
+}
+
 /** The components that decide on one request, with a clock that the test sets. */
 export class DecisionFixture {
   readonly clock = new ManualClock(1000)
@@ -66,7 +71,9 @@
   readonly promptCache = new PromptCacheTracker()
   readonly prefillTimes = new PrefillTimes()
   readonly limits = new ServerLimits({ clock: this.clock, random: new RandomSource(1), log: SILENT_LOG, rumors: new NoRumors(), storeTime: () => this.clock.monotonic(), instance: 'entry', instances: () => ['entry'] })
-  readonly selector = new EstimatedTimeSelector(this.directory, this.promptCache, this.prefillTimes, 'valdivia', this.limits)
+  readonly coldServers = createColdServers(this.clock)
+  readonly evacuations = new ZoneEvacuations(SILENT_LOG, () => {})
+  readonly selector = new EstimatedTimeSelector(this.directory, this.promptCache, this.prefillTimes, 'valdivia', { limits: this.limits, coldServers: this.coldServers, evacuations: this.evacuations })
   readonly retryBudget = new RetryBudget(0.9)
   readonly versionPolicy = new VersionPolicy({ sessionGap: 5000, exposureShare: 0.15 }, () => this.clock.monotonic())
   readonly promptSuspicions = createSuspicions(this.clock)
@@ -89,6 +96,7 @@
       identity: identityOf(fields),
       arrivedAt: now,
       deadline: now + 5000,
+      priority: route.priority,
       clock: this.clock,
       selector: this.selector,
       retryBudget: this.retryBudget,
--- a/packages/forwarding/src/__tests__/unit/JayfallHealthProbe.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallHealthProbe.test.ts
@@ -12,6 +12,7 @@
 import { type ForwardingProtocol } from '../../JayfallForwardingProtocol'
 import { ForwardingState } from '../../JayfallForwardingState'
 import { HealthProbe } from '../../JayfallHealthProbe'
+import { createColdServers } from './JayfallDecisionFixture'
 
 const silentLog: Log = { debug () {}, info () {}, warn () {}, error () {} }
 const protocol = { decodeAnswerHeaders: () => ({ load: { running: 2, waiting: 1, slots: 8, slowness: 1 } }) } as unknown as ForwardingProtocol
@@ -37,7 +38,7 @@
       })
     })
     await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-    const probe = new HealthProbe(protocol, new ForwardingState(new BackendDirectory('valdivia'), new ManualClock(), silentLog, 3600), silentLog)
+    const probe = new HealthProbe(protocol, new ForwardingState(new BackendDirectory('valdivia'), createColdServers(new ManualClock()), new ManualClock(), silentLog, 3600), silentLog)
     assert.equal(await probe.queryLoad(`127.0.0.1:${(server.address() as AddressInfo).port}`, 'guide'), 3)
     assert.equal(await Promise.race([closed, new Promise(resolve => { setTimeout(resolve, CLOSE_TIMEOUT_MILLISECONDS).unref() })]), true)
   })
--- a/packages/forwarding/src/__tests__/unit/JayfallServersOfCopy.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallServersOfCopy.test.ts
@@ -9,7 +9,7 @@
 import { type BackendServer } from '../../JayfallForwardingCatalogue'
 import { LAPSED_ENTRY_GRACE_MILLISECONDS } from '../../JayfallForwardingConstants'
 import { ForwardingState } from '../../JayfallForwardingState'
-import { fakeServer, SILENT_LOG } from './JayfallDecisionFixture'
+import { createColdServers, fakeServer, SILENT_LOG } from './JayfallDecisionFixture'
 
 const ENTRY_LIFETIME_MILLISECONDS = 3600
 
@@ -21,7 +21,7 @@
   beforeEach(() => {
     clock = new ManualClock(1000)
     directory = new BackendDirectory('valdivia')
-    state = new ForwardingState(directory, clock, SILENT_LOG, ENTRY_LIFETIME_MILLISECONDS)
+    state = new ForwardingState(directory, createColdServers(clock), clock, SILENT_LOG, ENTRY_LIFETIME_MILLISECONDS)
     state.applyServerSnapshot([read(fakeServer('i-1')), read(fakeServer('i-2'))], false)
   })
 
