--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -9,7 +9,7 @@
 import { ColdServers, ZoneEvacuations } from '#jayfall/capacity'
 import { followTable, type FeedReading } from '#jayfall/feeds'
 import { NoRumors, type RumorChannel } from '#jayfall/peers'
-import { type Clock, delay, messageOf, type RandomSource, type ReadonlyTable } from '#jayfall/shared'
+import { type Clock, delay, messageOf, type OpenListener, type RandomSource, type ReadonlyTable } from '#jayfall/shared'
 import { type TablePosition, type WatchableTableStore } from '#jayfall/store'
 import { type Log, Metrics } from '#jayfall/telemetry'
 
@@ -77,6 +77,8 @@
   readonly hints?: PrefillHints
   /** No news is exchanged by default. */
   readonly rumors?: RumorChannel
+  /** Listens at the callers' address already; the instance opens it by default. */
+  readonly openListener?: OpenListener
   /** IP address from which other instances are called; chosen by the operating system by default. */
   readonly relayHost?: string
 }
@@ -187,7 +189,7 @@
   /** Listens for callers and begins to follow the store. */
   async start (): Promise<void> {
     const { callers, instance, zone } = this.settings
-    await this.server.listen(callers.host, callers.port)
+    await this.server.listen(callers.host, callers.port, this.dependencies.openListener)
     this.dependencies.log.info('started', { instance, zone, address: `${callers.host}:${callers.port}` })
     const { source } = this.dependencies
     this.followStoreTable(source.operatorTable, reading => this.applyOperatorRows(reading))
--- a/packages/forwarding/src/JayfallForwardingServer.ts
+++ b/packages/forwarding/src/JayfallForwardingServer.ts
@@ -3,7 +3,7 @@
 import * as http from 'node:http'
 import * as net from 'node:net'
 
-import { findHeadFault, listenPersistently, rendezvousShare } from '#jayfall/shared'
+import { findHeadFault, listenPersistently, rendezvousShare, type OpenListener } from '#jayfall/shared'
 
 import { NO_PROGRESS, type PlanContext } from './JayfallAttemptPlan'
 import { readRequestBody } from './JayfallBodyReader'
@@ -19,7 +19,7 @@
 /** Limit on headers for the HTTP parser of Node.js. The catalogue's limit may change, so it is checked for each request. */
 const MAXIMUM_HEADER_BYTES = 128 * 1024
 /** Number of pending connections that the operating system queues for a busy instance. */
-const LISTEN_BACKLOG = 1024
+export const LISTEN_BACKLOG = 1024
 
 export class ForwardingServer {
   private readonly server: http.Server
@@ -54,9 +54,13 @@
     return (this.server.address() as net.AddressInfo).port
   }
 
-  /** Listens for callers; waits as long as another process uses the address. */
-  async listen (host: string, port: number): Promise<void> {
-    await listenPersistently(this.server, { host, port, backlog: LISTEN_BACKLOG }, error => this.context.log.warn('address_in_use', { for: 'callers', message: error.message }))
+  /**
+   * Listens for callers; waits as long as another process uses the address.
+   * @param openListener listens at the address already.
+   */
+  async listen (host: string, port: number, openListener?: OpenListener): Promise<void> {
+    if (openListener !== undefined) await openListener.handOver(this.server, LISTEN_BACKLOG)
+    else await listenPersistently(this.server, { host, port, backlog: LISTEN_BACKLOG }, error => this.context.log.warn('address_in_use', { for: 'callers', message: error.message }))
     this.server.on('error', error => this.context.log.error('listener_failed', { for: 'callers', message: error.message }))
   }
 
