--- /dev/null
+++ b/packages/configuration/src/index.ts
@@ -0,0 +1,5 @@
+export { checkConfiguration, type NamedDocument } from './JayfallConfigurationCheck'
+export { ConfigurationFormat, type CheckedConfiguration, type CheckedService, type CheckedWorkspace, type ColdService, type ConfigurationEntry, type ConfigurationReading, type EntrySection, type FieldPath, type InstanceLimits } from './JayfallConfigurationFormat'
+export { type EntryDifference } from './JayfallConfigurationDifference'
+export { compareFields, type FieldDifference } from './JayfallFieldDifference'
+export { FindingReport, quote, type Finding, type FindingKind, type FindingSeverity, type ReportSection } from './JayfallFindingReport'
