--- a/packages/forwarding/src/JayfallForwardingServer.ts
+++ b/packages/forwarding/src/JayfallForwardingServer.ts
@@ -17,7 +17,7 @@
 import { identifyRequest } from './JayfallRequestIdentity'
 
 /** Limit on headers for the HTTP parser of Node.js. The catalogue's limit may change, so it is checked for each request. */
-const MAXIMUM_HEADER_BYTES = 128 * 1024
+export const MAXIMUM_HEADER_BYTES = 128 * 1024
 /** Number of pending connections that the operating system queues for a busy instance. */
 const LISTEN_BACKLOG = 1024
 
