--- a/packages/command/src/JayfallCatalogueCommands.ts
+++ b/packages/command/src/JayfallCatalogueCommands.ts
@@ -1,7 +1,5 @@
 /** `jayfall catalogue`: lists, shows, writes and removes entries. */
 
-import * as fs from 'node:fs'
-
 import { entryKey, parseEntry, type CatalogueEntry } from '#jayfall/catalogue'
 import { type CatalogueStore } from '#jayfall/store'
 import { command, flag, number, option, optional, positional, string, subcommands } from 'cmd-ts'
@@ -10,6 +8,7 @@
 import { jsonOption, openCatalogueStore, platformOption, writerOption } from './JayfallCommandOptions'
 import { printResult, runSubcommand } from './JayfallCommandOutput'
 import { describeEntryDifference } from './JayfallEntryDifference'
+import { readJsonFile } from './JayfallJsonFile'
 
 const keyArgument = positional({ type: string, displayName: 'kind/id', description: 'such as version/guide-small-3' })
 
@@ -88,12 +87,7 @@
 
 /** Reads all entries of a file. Every entry is checked before the first is written. */
 function readEntries (file: string): readonly CatalogueEntry[] {
-  let content: unknown
-  try {
-    content = JSON.parse(fs.readFileSync(file, 'utf8'))
-  } catch (error) {
-    throw new CommandError('usage', `${file} cannot be read as JSON`, error)
-  }
+  const content = readJsonFile(file)
   return (Array.isArray(content) ? content : [content]).map(parseEntry)
 }
 
--- a/packages/command/src/JayfallCommandLine.ts
+++ b/packages/command/src/JayfallCommandLine.ts
@@ -6,6 +6,7 @@
 import { billCommands } from './JayfallBillCommands'
 import { catalogueCommands } from './JayfallCatalogueCommands'
 import { EXIT_STATUS } from './JayfallCommandError'
+import { createConfigurationCommands, type ConfigurationFormatLoader } from './JayfallConfigurationCommands'
 import { entryCommand } from './JayfallEntryCommand'
 import { explainCommand } from './JayfallExplainCommand'
 import { instanceCommands } from './JayfallInstanceCommands'
@@ -13,15 +14,22 @@
 import { traceCommands } from './JayfallTraceCommands'
 import { versionCommands } from './JayfallVersionCommands'
 
-const jayfall = subcommands({
+const COMMANDS = { entry: entryCommand, catalogue: catalogueCommands, version: versionCommands, instance: instanceCommands, bill: billCommands, status: statusCommand, trace: traceCommands, explain: explainCommand }
+
+const PROGRAM = {
   name: 'jayfall',
   description: 'Model-aware router for model versions and cascades.',
-  version: '0.1.0',
-  cmds: { entry: entryCommand, catalogue: catalogueCommands, version: versionCommands, instance: instanceCommands, bill: billCommands, status: statusCommand, trace: traceCommands, explain: explainCommand }
-})
+  version: '0.1.0'
+}
 
-/** Runs the subcommand that `argv` names and ends the process. */
-export function runCommandLine (argv: string[]): void {
+/**
+ * Runs the subcommand that `argv` names and ends the process.
+ * @param loadConfigurationFormat loads the format of `configuration check`, which is missing without it.
+ */
+export function runCommandLine (argv: string[], loadConfigurationFormat?: ConfigurationFormatLoader): void {
+  const jayfall = loadConfigurationFormat === undefined
+    ? subcommands({ ...PROGRAM, cmds: COMMANDS })
+    : subcommands({ ...PROGRAM, cmds: { ...COMMANDS, configuration: createConfigurationCommands(loadConfigurationFormat) } })
   runSafely(binary(jayfall), argv).then(
     result => {
       if (result._tag === 'error') {
