--- /dev/null
+++ b/packages/capacity/src/JayfallLoadReports.ts
@@ -0,0 +1,59 @@
+/**
+ * Passes on what servers report of their load, without network I/O.
+ *
+ * Load that it answers: many instances before many servers. A server reports its load with its answers, so an instance
+ * hears from each server only when it sends to it, which is every few seconds or less, and chooses servers nearly
+ * blindly. So each instance tells a few others, several times a second, the latest reports that it knows, its own and
+ * those that it was told. The number of messages of an instance depends neither on the number of instances nor on that
+ * of servers. A lost message only makes estimates older.
+ */
+
+import { Table } from '#jayfall/shared'
+
+import { MAXIMUM_REPORT_AGE_MILLISECONDS, MAXIMUM_REPORTS_PER_MESSAGE } from './JayfallCapacityConstants'
+
+/** The load of a server at one time. */
+export interface LoadReport {
+  readonly server: string
+  readonly running: number
+  readonly waiting: number
+  readonly slots: number
+  /** Slowdown of the server's machine as a factor; 1 is the usual speed. */
+  readonly slowness: number
+  /** Monotonic milliseconds. */
+  readonly measuredAt: number
+}
+
+/** Sends and receives reports. */
+export abstract class LoadReportChannel {
+  /** Tells some other instances. */
+  abstract publish (reports: readonly LoadReport[], now: number): void
+  /** Sets the function that is called with the reports of other instances. */
+  abstract subscribe (handler: (report: LoadReport) => void): void
+}
+
+/** Used by an instance that has no connection to other instances. */
+export class NoLoadReports extends LoadReportChannel {
+  override publish (): void {}
+
+  override subscribe (): void {}
+}
+
+export class LoadReports {
+  private readonly latest = new Table<LoadReport>()
+
+  /** Takes in a report. @returns whether it is newer than those known of its server. */
+  record (report: LoadReport): boolean {
+    const known = this.latest.get(report.server)
+    if (known !== undefined && known.measuredAt >= report.measuredAt) return false
+    this.latest.delete(report.server)
+    this.latest.set(report.server, report)
+    return true
+  }
+
+  /** Returns the newest reports, for other instances, and forgets those that are too old to help. */
+  takeNewest (now: number): readonly LoadReport[] {
+    for (const [server, { measuredAt }] of [...this.latest.entries()]) if (now - measuredAt > MAXIMUM_REPORT_AGE_MILLISECONDS) this.latest.delete(server)
+    return [...this.latest.rows()].sort((left, right) => right.measuredAt - left.measuredAt).slice(0, MAXIMUM_REPORTS_PER_MESSAGE)
+  }
+}
--- /dev/null
+++ b/packages/capacity/src/JayfallWorkOrder.ts
@@ -0,0 +1,92 @@
+/**
+ * Orders the work of a service: computes the priority that an engine gives to a prompt.
+ *
+ * Load that it answers: more prompts than an engine has slots. Engines admit prompts of high priority first, and interrupt
+ * running prompts of a lower one, which are then read again.
+ *
+ * Operators choose the order of a service by its routes. Where no route has a longer objective than a less urgent one,
+ * the operators' priority decides first. Otherwise a less urgent route needs its first events sooner than a more urgent
+ * one, so short prompts go before long ones, and the priority orders prompts of similar length.
+ */
+
+import { LONG_PREFILL_MILLISECONDS, LOWEST_OPERATOR_PRIORITY, OBJECTIVE_TOLERANCE, SHORT_PREFILL_MILLISECONDS } from './JayfallCapacityConstants'
+
+export interface PromptToRank {
+  /** Estimated milliseconds of prefill. */
+  readonly prefillTime: number
+  /** The priority set by operators; 0 is the most urgent. */
+  readonly operatorPriority: number
+  /** Whether the prompt resumes a stream that has begun, so that the caller notices the delay as a pause. */
+  readonly isResumed: boolean
+}
+
+/** What the routes of a service say about its work. */
+export interface RouteUrgency {
+  /** The services that the route sends requests to. */
+  readonly services: readonly string[]
+  readonly priority: number
+  /** Milliseconds within which a first event is timely. */
+  readonly objective: number
+}
+
+/** The order of the work of one service. */
+export abstract class WorkOrder {
+  /** Returns the priority for the engine; 0 is the most urgent. */
+  abstract rank (prompt: PromptToRank): number
+}
+
+/**
+ * A short prompt delays those behind it only a little, but may wait long behind a long one. So the length of a prompt
+ * decides before the priority set by operators.
+ */
+class LengthFirstOrder extends WorkOrder {
+  override rank ({ prefillTime, operatorPriority, isResumed }: PromptToRank): number {
+    const lengthClass = isResumed || prefillTime < SHORT_PREFILL_MILLISECONDS ? 0 : prefillTime < LONG_PREFILL_MILLISECONDS ? 1 : 2
+    return lengthClass * (LOWEST_OPERATOR_PRIORITY + 1) + boundPriority(operatorPriority)
+  }
+}
+
+/** Prompts of one priority have one rank whatever their length, because an interrupted long prompt is read again as a whole. */
+class PriorityFirstOrder extends WorkOrder {
+  override rank ({ operatorPriority, isResumed }: PromptToRank): number {
+    return boundPriority(operatorPriority) * (LOWEST_OPERATOR_PRIORITY + 1) + (isResumed ? 0 : 1)
+  }
+}
+
+const LENGTH_FIRST = new LengthFirstOrder()
+const PRIORITY_FIRST = new PriorityFirstOrder()
+
+/** The order of each service, by the routes in force. */
+export class WorkOrders {
+  private readonly priorityFirst = new Set<string>()
+
+  setRoutes (routes: readonly RouteUrgency[]): void {
+    this.priorityFirst.clear()
+    for (const service of new Set(routes.flatMap(({ services }) => services))) {
+      if (isOrderedByPriority(routes.filter(({ services }) => services.includes(service)))) this.priorityFirst.add(service)
+    }
+  }
+
+  of (service: string): WorkOrder {
+    return this.isPriorityFirst(service) ? PRIORITY_FIRST : LENGTH_FIRST
+  }
+
+  get priorityFirstServices (): ReadonlySet<string> {
+    return this.priorityFirst
+  }
+
+  /** Whether the operators' priority decides first who is served by the service. */
+  isPriorityFirst (service: string): boolean {
+    return this.priorityFirst.has(service)
+  }
+}
+
+function isOrderedByPriority (routes: readonly RouteUrgency[]): boolean {
+  const hasOrder = new Set(routes.map(({ priority }) => priority)).size > 1
+  return hasOrder && routes.every(route => routes.every(other => route.priority >= other.priority || route.objective <= other.objective * OBJECTIVE_TOLERANCE))
+}
+
+/** Priorities out of range count as the nearest one that engines distinguish. */
+export function boundPriority (priority: number): number {
+  return Math.min(LOWEST_OPERATOR_PRIORITY, Math.max(0, Math.floor(priority) || 0))
+}
--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -6,12 +6,13 @@
  * only when it certainly did not run.
  */
 
+import { boundPriority } from '#jayfall/capacity'
 import { rendezvousShare, type Clock } from '#jayfall/shared'
 
 import { type BackendSelector, type BackendSelection } from './JayfallBackendSelector'
 import { type BackendServer, type ForwardingRoute } from './JayfallForwardingCatalogue'
 import {
-  ANSWER_TIMEOUT_OBJECTIVES, DEFAULT_RETRY_AFTER_MILLISECONDS, EVENT_GAP_TIMEOUT_OBJECTIVES, FIRST_EVENT_TIMEOUT_OBJECTIVES, LOWEST_OPERATOR_PRIORITY, MINIMUM_ANSWER_TIMEOUT_MILLISECONDS, MINIMUM_ATTEMPT_MILLISECONDS,
+  ANSWER_TIMEOUT_OBJECTIVES, DEFAULT_RETRY_AFTER_MILLISECONDS, EVENT_GAP_TIMEOUT_OBJECTIVES, FIRST_EVENT_TIMEOUT_OBJECTIVES, MINIMUM_ANSWER_TIMEOUT_MILLISECONDS, MINIMUM_ATTEMPT_MILLISECONDS,
   MINIMUM_EVENT_GAP_TIMEOUT_MILLISECONDS, MINIMUM_FIRST_EVENT_TIMEOUT_MILLISECONDS, OUT_OF_REACH_SHARE_OF_RELAYS, RETURN_SPREAD_MILLISECONDS
 } from './JayfallForwardingConstants'
 import { type CallerFields } from './JayfallForwardingProtocol'
@@ -211,7 +212,7 @@
   const { service, session, isSharedSession, fields, clock, selector, versionPolicy } = context
   const now = clock.monotonic()
   const versionRule = versionPolicy.ruleFor(service, session, now, isSharedSession)
-  const request = { service, model, promptTokens: fields.promptTokens, outputTokens: fields.maximumOutputTokens, promptParts: fields.promptParts, triedServers }
+  const request = { service, requestId: fields.requestId ?? '', model, promptTokens: fields.promptTokens, outputTokens: fields.maximumOutputTokens, promptParts: fields.promptParts, triedServers }
   for (const allowsVersion of [versionRule.isPreferred, (version: string) => versionRule.isAllowed(version, triedServers.size > 0)]) {
     const selection = selector.select({ ...request, allowsVersion }, now)
     if (selection !== undefined) return { selection, versionRule }
@@ -288,6 +289,5 @@
 
 /** Milliseconds after which a refused caller returns. The most urgent return first, and callers of one urgency spread over a second. */
 function returnTime ({ priority, fields }: PlanContext): number {
-  const urgency = Math.min(LOWEST_OPERATOR_PRIORITY, Math.max(0, priority))
-  return DEFAULT_RETRY_AFTER_MILLISECONDS * (1 + urgency) + rendezvousShare(fields.requestId ?? '', 'return') * RETURN_SPREAD_MILLISECONDS
+  return DEFAULT_RETRY_AFTER_MILLISECONDS * (1 + boundPriority(priority)) + rendezvousShare(fields.requestId ?? '', 'return') * RETURN_SPREAD_MILLISECONDS
 }
--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -9,7 +9,6 @@
 import { waitFor, type WaitResult } from './JayfallBoundedWait'
 import { type CallerAnswer, type BufferedAnswer } from './JayfallCallerAnswer'
 import { ZoneOutageDetector } from './JayfallZoneOutageDetector'
-import { enginePriority } from './JayfallEnginePriority'
 import { type ForwardingWorkspace } from './JayfallForwardingCatalogue'
 import { FIRST_EVENT_OVERHEAD_MILLISECONDS, MAXIMUM_ANSWER_BYTES, MINIMUM_PUBLISHED_PREFILL_MILLISECONDS } from './JayfallForwardingConstants'
 import { type ForwardingContext } from './JayfallForwardingContext'
@@ -86,7 +85,7 @@
       workspace: this.request.workspace,
       model,
       lastEventId: attempt.resumeAfter ?? this.plan.fields.lastEventId,
-      priority: enginePriority({ prefillTime: attempt.selection.prefillTime, operatorPriority: this.plan.priority, isResumed: attempt.resumeAfter !== undefined }),
+      priority: this.context.workOrders.of(server.service).rank({ prefillTime: attempt.selection.prefillTime, operatorPriority: this.plan.priority, isResumed: attempt.resumeAfter !== undefined }),
       bodyLength: this.request.body.length
     })
     this.zoneOutageDetector = this.plan.route.isRepeatable ? new ZoneOutageDetector(directory, clock, server.zone) : undefined
@@ -125,7 +124,7 @@
   }
 
   private async readAnswer (attempt: AttemptPlan, exchange: BackendExchange, head: AnswerHead, startedAt: number): Promise<AttemptResult> {
-    const { protocol, directory, clock, limits, coldServers } = this.context
+    const { protocol, directory, clock, limits, coldServers, loadSharing } = this.context
     directory.recordReachable(attempt.server.id)
     coldServers.recordReached(attempt.server.id)
     this.zoneOutageDetector?.recordActivity()
@@ -134,7 +133,7 @@
     this.rateLimit = fields.rateLimit
     // Only what the server itself answered to this request shows that its limit has ended.
     if (fields.rateLimit !== undefined || (fields.isSigned && fields.requestId === this.request.requestId)) limits.recordAnswer(attempt.server.id, fields.rateLimit, startedAt)
-    if (fields.load !== undefined && (fields.server === undefined || fields.server === attempt.server.id)) directory.recordLoad(attempt.server.id, fields.load, clock.monotonic())
+    if (fields.load !== undefined && (fields.server === undefined || fields.server === attempt.server.id)) loadSharing.record(attempt.server, fields.load)
     if (fields.coldTime !== undefined && (fields.server === undefined || fields.server === attempt.server.id)) coldServers.recordReport(attempt.server.id, attempt.server.service, fields.coldTime)
     // A refusal of another request says nothing about this one, which may be running.
     const isOfAnotherRequest = fields.requestId !== undefined && fields.requestId !== this.request.requestId
--- a/packages/forwarding/src/JayfallBackendDirectory.ts
+++ b/packages/forwarding/src/JayfallBackendDirectory.ts
@@ -147,8 +147,9 @@
     this.table.update(id, row => ({ ...row, openRequests: Math.max(0, row.openRequests - 1) }))
   }
 
-  recordLoad (id: string, report: ServerLoad, now: number): void {
-    this.table.update(id, row => ({ ...row, loadReport: report, loadReportedAt: now, openRequestsAtReport: row.openRequests }))
+  /** @param measuredAt monotonic milliseconds; an older report than the known one changes nothing. */
+  recordLoad (id: string, report: ServerLoad, measuredAt: number): void {
+    this.table.update(id, row => row.loadReport !== undefined && measuredAt < row.loadReportedAt ? row : { ...row, loadReport: report, loadReportedAt: measuredAt, openRequestsAtReport: row.openRequests })
   }
 
   /** Records that no connection could be opened. A single failure is enough to avoid the server, because nothing else can be tried there. */
--- a/packages/forwarding/src/JayfallBackendSelector.ts
+++ b/packages/forwarding/src/JayfallBackendSelector.ts
@@ -5,9 +5,12 @@
  * the prefill of the prompt tokens that the server has not cached, and the longer batch steps of a
  * busy engine. Rendezvous hashing maps each shared prompt part to the same affinity servers on all
  * instances, so that few servers process the part although the instances exchange no messages.
+ *
+ * In services that are ordered by priority, instances know the load of servers from each other's reports. There a few
+ * servers are drawn for each request, of its own zone unless it may leave.
  */
 
-import { type ColdServers, type ZoneEvacuations } from '#jayfall/capacity'
+import { drawCandidates, FixedZonePolicy, type ColdServers, type WorkOrders, type ZoneEvacuations, type ZonePolicy, type ZoneSpill } from '#jayfall/capacity'
 import { combineHashes, hashName } from '#jayfall/shared'
 
 import { currentFailureRate, estimateLoad, estimateWaitingRequests, isOutOfReach, remainingPeerPrefillTime, slotsOf, type BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
@@ -21,6 +24,7 @@
 
 export interface SelectionRequest {
   readonly service: string
+  readonly requestId: string
   /** The model to run; undefined for plain requests. */
   readonly model: string | undefined
   readonly promptTokens: number
@@ -64,6 +68,12 @@
   abstract refuseForLimits (service: string): number | undefined
 }
 
+/** What a request is decided by in all its selections. */
+interface SelectionScope {
+  readonly affinityServers: readonly string[]
+  readonly zonePolicy: ZonePolicy
+}
+
 interface Candidate extends BackendSelection {
   readonly cost: number
 }
@@ -74,29 +84,40 @@
 }
 
 const NO_SERVER: WeightedServer = { id: '', weight: -1 }
+const HASH_COUNT = 2 ** 32
 
-/** What keeps requests from servers for a while. */
-export interface SendingLimits {
+/** Limits on what servers get, and the order of services. */
+export interface SelectionPolicies {
   /** Limits that servers name. */
   readonly limits: ServerLimits
   readonly coldServers: ColdServers
   readonly evacuations: ZoneEvacuations
+  readonly workOrders: WorkOrders
+  readonly zoneSpill: ZoneSpill
 }
 
 /** Selects the server with the lowest estimated time to the first event, plus costs for other requests and for leaving the zone. */
 export class EstimatedTimeSelector extends BackendSelector {
-  constructor (private readonly directory: BackendDirectory, private readonly promptCache: PromptCacheTracker, private readonly prefillTimes: PrefillTimes, private readonly ownZone: string, private readonly sendingLimits: SendingLimits) {
+  private readonly fixedZonePolicy = new FixedZonePolicy(OTHER_ZONE_COST_MILLISECONDS)
+
+  constructor (private readonly directory: BackendDirectory, private readonly promptCache: PromptCacheTracker, private readonly prefillTimes: PrefillTimes, private readonly ownZone: string, private readonly policies: SelectionPolicies) {
     super()
   }
 
   override select (request: SelectionRequest, now: number): BackendSelection | undefined {
     const usable = [...this.findUsableRows(request, now)]
     const healthy = usable.filter(row => isHealthy(row, now) && !this.directory.isZoneUnreachable(row.server.zone, now))
-    const candidates = healthy.length > 0 ? healthy : usable
-    const affinityServers = this.findAffinityServers(request, candidates)
+    const known = healthy.length > 0 ? healthy : usable
+    const isDrawn = this.policies.workOrders.isPriorityFirst(request.service)
+    const requestHash = isDrawn ? hashName(`${request.requestId}/${request.triedServers.size}`) : 0
+    const zonePolicy = isDrawn ? this.policies.zoneSpill : this.fixedZonePolicy
+    const pool = zonePolicy.mayLeave(request.service, requestHash / HASH_COUNT) ? known : this.withinOwnZone(known)
+    const affinityServers = this.findAffinityServers(request, pool)
+    const candidates = isDrawn ? drawCandidates(pool, requestHash, ({ server }) => affinityServers.includes(server.id)) : pool
+    const scope = { affinityServers, zonePolicy }
     let cheapest: Candidate | undefined
     for (const row of candidates) {
-      const candidate = request.model === undefined ? this.evaluatePlainServer(row, now) : this.evaluateEngine(request, request.model, affinityServers, row, now)
+      const candidate = request.model === undefined ? this.evaluatePlainServer(scope, row, now) : this.evaluateEngine(request, request.model, scope, row, now)
       if (cheapest === undefined || candidate.cost < cheapest.cost) cheapest = candidate
     }
     return cheapest
@@ -113,38 +134,44 @@
   }
 
   override refuseForLimits (service: string): number | undefined {
-    const limited = [...this.directory.rowsOfService(service)].filter(({ server }) => !server.isDraining && !this.sendingLimits.limits.maySend(server.id))
-    return this.sendingLimits.limits.refuse(limited.map(({ server }) => server.id))
+    const limited = [...this.directory.rowsOfService(service)].filter(({ server }) => !server.isDraining && !this.policies.limits.maySend(server.id))
+    return this.policies.limits.refuse(limited.map(({ server }) => server.id))
   }
 
   override timeUntilColdShare (request: SelectionRequest, now: number): number | undefined {
-    const { coldServers } = this.sendingLimits
+    const { coldServers } = this.policies
     for (const { server } of this.findRowsInUse(request, now)) if (!coldServers.maySend(server.id)) return coldServers.untilNextShare
     return undefined
   }
 
   private * findUsableRows (request: SelectionRequest, now: number): Generator<BackendRow> {
-    for (const row of this.findRowsInUse(request, now)) if (this.sendingLimits.coldServers.maySend(row.server.id)) yield row
+    for (const row of this.findRowsInUse(request, now)) if (this.policies.coldServers.maySend(row.server.id)) yield row
   }
 
   /** Servers that may take the request, or could if they were not cold. */
   private * findRowsInUse ({ service, triedServers, allowsVersion }: SelectionRequest, now: number): Generator<BackendRow> {
-    const { limits, evacuations } = this.sendingLimits
+    const { limits, evacuations } = this.policies
     for (const row of this.directory.rowsOfService(service)) {
       const { id, isDraining, version, zone } = row.server
       if (!isDraining && !triedServers.has(id) && allowsVersion(version) && !evacuations.isEvacuated(zone) && !isOutOfReach(row, now) && limits.maySend(id)) yield row
     }
   }
 
-  private evaluatePlainServer (row: BackendRow, now: number): Candidate {
+  /** The servers of the own zone, or all when it has none. */
+  private withinOwnZone (rows: readonly BackendRow[]): readonly BackendRow[] {
+    const own = rows.filter(({ server }) => server.zone === this.ownZone)
+    return own.length > 0 ? own : rows
+  }
+
+  private evaluatePlainServer ({ zonePolicy }: SelectionScope, row: BackendRow, now: number): Candidate {
     const estimatedLoad = estimateLoad(row, now)
     const slots = slotsOf(row)
     const waiting = Math.max(0, estimatedLoad + 1 - slots)
     const timeToFirstEvent = (1 + (estimatedLoad + 1 + waiting) / slots) * PLAIN_WORK_MILLISECONDS * slownessOf(row)
-    return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens: 0, prefillTime: 0, peerPrefillTime: 0, timeToFirstEvent, explainedTimeToFirstEvent: timeToFirstEvent, cost: timeToFirstEvent + this.zoneCost(row) }
+    return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens: 0, prefillTime: 0, peerPrefillTime: 0, timeToFirstEvent, explainedTimeToFirstEvent: timeToFirstEvent, cost: timeToFirstEvent + this.zoneCost(zonePolicy, row) }
   }
 
-  private evaluateEngine (request: SelectionRequest, model: string, affinityServers: readonly string[], row: BackendRow, now: number): Candidate {
+  private evaluateEngine (request: SelectionRequest, model: string, { affinityServers, zonePolicy }: SelectionScope, row: BackendRow, now: number): Candidate {
     const estimatedLoad = estimateLoad(row, now)
     const uncachedTokens = Math.max(0, request.promptTokens - this.estimateCachedTokens(request, model, affinityServers, row, now))
     const prefillTime = this.prefillTimes.estimate(model, uncachedTokens, now)
@@ -154,7 +181,7 @@
     const timeToFirstEvent = (FIRST_EVENT_OVERHEAD_MILLISECONDS + queueTime + prefillTime) * slownessOf(row)
     const explainedTimeToFirstEvent = (FIRST_EVENT_OVERHEAD_MILLISECONDS + knownQueueTime + prefillTime) * slownessOf(row)
     const batchStepTime = estimatedLoad * BATCH_STEP_MILLISECONDS_PER_REQUEST * request.outputTokens
-    const cost = timeToFirstEvent + prefillTime * (PREFILL_COST_FACTOR - 1) + batchStepTime + this.zoneCost(row)
+    const cost = timeToFirstEvent + prefillTime * (PREFILL_COST_FACTOR - 1) + batchStepTime + this.zoneCost(zonePolicy, row)
     return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens, prefillTime, peerPrefillTime, timeToFirstEvent, explainedTimeToFirstEvent, cost }
   }
 
@@ -178,8 +205,8 @@
     return [first.id, second.id]
   }
 
-  private zoneCost ({ server }: BackendRow): number {
-    return server.zone === this.ownZone ? 0 : OTHER_ZONE_COST_MILLISECONDS
+  private zoneCost ({ price }: ZonePolicy, { server }: BackendRow): number {
+    return server.zone === this.ownZone ? 0 : price
   }
 }
 
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -115,12 +115,6 @@
 export const PREFILL_ESTIMATE_HALF_LIFE_MILLISECONDS = 2000
 /** Quantile of the observed prefill times per token that is used as the estimate. The speeds of the data sheets lie there: slower prompts also waited in a queue, and faster ones were partly cached. */
 export const PREFILL_SAMPLE_QUANTILE = 0.4
-/** Prefill time below which engines treat a prompt as short. A batch step takes 3 to 20 ms. */
-export const SHORT_PREFILL_MILLISECONDS = 25
-/** Prefill time from which engines treat a prompt as long. First events are due within a second. */
-export const LONG_PREFILL_MILLISECONDS = 150
-/** The least urgent operator priority that engines distinguish. */
-export const LOWEST_OPERATOR_PRIORITY = 2
 /** Minimum prefill time that is announced to other instances. Shorter prompts hardly delay others, and most prompts are short. */
 export const MINIMUM_PUBLISHED_PREFILL_MILLISECONDS = 60
 /** Maximum number of instances that receive one hint. At the target size of a deployment these are the instances of one zone and some more. */
@@ -137,7 +131,7 @@
 export const BATCH_STEP_MILLISECONDS_PER_REQUEST = 0.08
 /** Usual answer time of a plain request. It only serves to compare servers of one service. */
 export const PLAIN_WORK_MILLISECONDS = 60
-/** Cost of choosing a server in another availability zone. Traffic between zones is charged for, and adds one to two milliseconds of latency. */
+/** Cost of choosing a server in another availability zone, in services that are not ordered by priority. Traffic between zones is charged for, and adds one to two milliseconds of latency. */
 export const OTHER_ZONE_COST_MILLISECONDS = 25
 /** Maximum number of prompt parts whose servers are remembered. The least recently used parts are dropped first. */
 export const MAXIMUM_TRACKED_PROMPT_PARTS = 20_000
--- a/packages/forwarding/src/JayfallForwardingContext.ts
+++ b/packages/forwarding/src/JayfallForwardingContext.ts
@@ -1,6 +1,6 @@
 /** The objects that all requests of one instance share. */
 
-import { type ColdServers } from '#jayfall/capacity'
+import { type ColdServers, type WorkOrders } from '#jayfall/capacity'
 import { type Clock } from '#jayfall/shared'
 import { type Log, type Metrics } from '#jayfall/telemetry'
 
@@ -9,6 +9,7 @@
 import { type ServerConnectionCheck } from './JayfallServerConnectionCheck'
 import { type ForwardingProtocol } from './JayfallForwardingProtocol'
 import { type HeldMemory } from './JayfallHeldMemory'
+import { type LoadSharing } from './JayfallLoadSharing'
 import { type PromptCacheTracker } from './JayfallPromptCacheTracker'
 import { type PrefillHints } from './JayfallPrefillHints'
 import { type PrefillTimes } from './JayfallPrefillTimes'
@@ -33,6 +34,8 @@
   readonly hints: PrefillHints
   readonly limits: ServerLimits
   readonly coldServers: ColdServers
+  readonly workOrders: WorkOrders
+  readonly loadSharing: LoadSharing
   readonly promptSuspicions: PromptSuspicions
   readonly connectionCheck: ServerConnectionCheck
   readonly reach: ServiceReach
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -6,7 +6,7 @@
 
 import { type IncomingMessage, type ServerResponse } from 'node:http'
 
-import { ColdServers, ZoneEvacuations } from '#jayfall/capacity'
+import { ColdServers, NoLoadReports, WorkOrders, ZoneEvacuations, ZoneSpill, type LoadReportChannel } from '#jayfall/capacity'
 import { followTable, type FeedReading } from '#jayfall/feeds'
 import { NoRumors, type RumorChannel } from '#jayfall/peers'
 import { type Clock, delay, messageOf, type OpenListener, type RandomSource, type ReadonlyTable } from '#jayfall/shared'
@@ -22,6 +22,7 @@
 import { ForwardingState } from './JayfallForwardingState'
 import { ConnectionCheck } from './JayfallServerConnectionCheck'
 import { ReadPacer } from './JayfallReadPacer'
+import { LoadSharing } from './JayfallLoadSharing'
 import { OperatorRows } from './JayfallOperatorRows'
 import { ReachMonitor } from './JayfallReachMonitor'
 import { RelayTargets, type RelayTarget } from './JayfallRelayTargets'
@@ -75,6 +76,8 @@
   readonly instances?: () => readonly string[] | undefined
   /** No hints are exchanged by default. */
   readonly hints?: PrefillHints
+  /** No load reports are exchanged by default. */
+  readonly loadReports?: LoadReportChannel
   /** No news is exchanged by default. */
   readonly rumors?: RumorChannel
   /** Listens at the callers' address already; the instance opens it by default. */
@@ -99,6 +102,7 @@
   private readonly coldServers: ColdServers
   private readonly evacuations: ZoneEvacuations
   private readonly operatorRows: OperatorRows
+  private readonly loadSharing: LoadSharing
   /** Positions up to which the tables of rollouts were read. */
   private readonly rolloutPositions = new Map<string, TablePosition>()
   private readonly timers: NodeJS.Timeout[] = []
@@ -122,7 +126,10 @@
     this.coldServers = new ColdServers({ clock, log, metrics: this.metrics, storeTime, instance: settings.instance, instances })
     this.evacuations = new ZoneEvacuations(log, zone => this.presumeCold(zone))
     this.operatorRows = new OperatorRows({ source: dependencies.source, evacuations: this.evacuations, directory: this.directory, log })
-    this.state = new ForwardingState(this.directory, this.coldServers, clock, log, settings.serverEntryLifetime)
+    const workOrders = new WorkOrders()
+    const zoneSpill = new ZoneSpill(settings.zone)
+    this.loadSharing = new LoadSharing({ channel: dependencies.loadReports ?? new NoLoadReports(), directory: this.directory, workOrders, zoneSpill, isEvacuated: zone => this.evacuations.isEvacuated(zone), clock, metrics: this.metrics })
+    this.state = new ForwardingState(this.directory, { coldServers: this.coldServers, workOrders }, clock, log, settings.serverEntryLifetime)
     this.versionPolicy = new VersionPolicy(settings, storeTime)
     this.retryBudget = new RetryBudget(settings.retryRatio)
     const promptCache = new PromptCacheTracker()
@@ -151,7 +158,7 @@
       storeTime
     })
     this.server = new ForwardingServer({
-      clock, log, protocol, evidence, promptCache, prefillTimes, hints, limits, coldServers: this.coldServers, promptSuspicions, connectionCheck, reach, reachMonitor: this.reachMonitor, relays: this.relays, memory, pacer, instance: settings.instance, relayHost: dependencies.relayHost, metrics: this.metrics, directory: this.directory, selector: new EstimatedTimeSelector(this.directory, promptCache, prefillTimes, settings.zone, { limits, coldServers: this.coldServers, evacuations: this.evacuations }), retryBudget: this.retryBudget, versionPolicy: this.versionPolicy
+      clock, log, protocol, evidence, promptCache, prefillTimes, hints, limits, coldServers: this.coldServers, workOrders, loadSharing: this.loadSharing, promptSuspicions, connectionCheck, reach, reachMonitor: this.reachMonitor, relays: this.relays, memory, pacer, instance: settings.instance, relayHost: dependencies.relayHost, metrics: this.metrics, directory: this.directory, selector: new EstimatedTimeSelector(this.directory, promptCache, prefillTimes, settings.zone, { limits, coldServers: this.coldServers, evacuations: this.evacuations, workOrders, zoneSpill }), retryBudget: this.retryBudget, versionPolicy: this.versionPolicy
     }, this.state)
     hints.subscribe(({ server, reading }) => this.directory.recordPeerPrefill(server, reading, clock.monotonic()))
   }
@@ -241,6 +248,7 @@
     this.state.updateServers()
     this.promptSuspicions.update()
     this.reachMonitor.probe()
+    this.loadSharing.update()
   }
 
   private advanceRollouts (): void {
--- a/packages/forwarding/src/JayfallForwardingState.ts
+++ b/packages/forwarding/src/JayfallForwardingState.ts
@@ -7,7 +7,7 @@
  * When the store comes back from a copy, a server that was seen to leave stays out of use.
  */
 
-import { type ColdServers } from '#jayfall/capacity'
+import { type ColdServers, type WorkOrders } from '#jayfall/capacity'
 import { type Clock } from '#jayfall/shared'
 import { type TablePosition } from '#jayfall/store'
 import { type Log, type LogFields } from '#jayfall/telemetry'
@@ -35,6 +35,12 @@
   readonly age: number
 }
 
+/** What follows from the services of the catalogue. */
+export interface ServicePolicies {
+  readonly coldServers: ColdServers
+  readonly workOrders: WorkOrders
+}
+
 export class ForwardingState {
   private routeTable: RouteTable | undefined
   private hasServerList = false
@@ -49,7 +55,7 @@
   private readonly departed: DepartedServers
 
   /** @param entryLifetime milliseconds after which the store removes the entry of a silent server. */
-  constructor (private readonly directory: BackendDirectory, private readonly coldServers: ColdServers, private readonly clock: Clock, private readonly log: Log, entryLifetime: number) {
+  constructor (private readonly directory: BackendDirectory, private readonly policies: ServicePolicies, private readonly clock: Clock, private readonly log: Log, entryLifetime: number) {
     this.departed = new DepartedServers(entryLifetime)
   }
 
@@ -84,7 +90,8 @@
     const known = this.routeTable?.catalogue.version
     if (known !== undefined && catalogue.version <= known) return
     this.routeTable = new RouteTable(catalogue)
-    this.coldServers.setPolicies(new Map([...catalogue.services].flatMap(([name, { cold }]) => cold === undefined ? [] : [[name, cold]])))
+    this.policies.workOrders.setRoutes(catalogue.routes.map(({ targets, priority, objective }) => ({ services: targets.map(({ service }) => service), priority, objective })))
+    this.policies.coldServers.setPolicies(new Map([...catalogue.services].flatMap(([name, { cold }]) => cold === undefined ? [] : [[name, cold]])))
     this.log.info('catalogue_in_force', { version: catalogue.version, replaced: known, routes: catalogue.routes.length, keys: catalogue.workspacesByKey?.size, ...describeOrigin(origin) })
     this.notifyReady()
   }
@@ -159,7 +166,7 @@
     const known = this.directory.get(server.id)
     this.lapsed.delete(server.id)
     this.directory.set(server, now)
-    if (server.coldTime !== undefined) this.coldServers.recordReport(server.id, server.service, server.coldTime)
+    if (server.coldTime !== undefined) this.policies.coldServers.recordReport(server.id, server.service, server.coldTime)
     if (known?.server.isDraining === server.isDraining && known.server.address === server.address) return
     this.log.info('server_known', { server: server.id, service: server.service, version: server.version, zone: server.zone, address: server.address, leaving: server.isDraining })
   }
@@ -176,7 +183,7 @@
     const known = this.directory.get(id)
     if (known !== undefined) this.departed.recordDeparture(known.server, this.clock.monotonic())
     this.directory.delete(id)
-    this.coldServers.delete(id)
+    this.policies.coldServers.delete(id)
     this.log.info('server_gone', { server: id })
   }
 }
--- a/packages/forwarding/src/JayfallRelayPlan.ts
+++ b/packages/forwarding/src/JayfallRelayPlan.ts
@@ -7,8 +7,10 @@
  * instance, and those that follow at the other one out of its budget.
  */
 
+import { boundPriority } from '#jayfall/capacity'
+
 import { answerTimeoutOf, decideWithoutAnswer, eventGapTimeoutOf, planAttempts, type AttemptPlan, type AttemptProgress, type AttemptResult, type AttemptsEnd, type FailureCode, type FinalDecision, type PlanContext, type RefusalCode } from './JayfallAttemptPlan'
-import { LOWEST_OPERATOR_PRIORITY, MAXIMUM_RELAYS_PER_REQUEST, MINIMUM_ATTEMPT_MILLISECONDS, RELAY_TIMEOUT_FACTOR, WAKE_OFFSET_MILLISECONDS } from './JayfallForwardingConstants'
+import { MAXIMUM_RELAYS_PER_REQUEST, MINIMUM_ATTEMPT_MILLISECONDS, RELAY_TIMEOUT_FACTOR, WAKE_OFFSET_MILLISECONDS } from './JayfallForwardingConstants'
 import { type RelayTarget } from './JayfallRelayTargets'
 
 /** One try to hand the request to another instance. */
@@ -101,7 +103,7 @@
 /** Milliseconds by which a waiting request starts after the beginning of a window: streams that go on come first, then the most urgent requests. */
 function wakeOffset ({ priority, lastDeliveredEventId }: PlanContext): number {
   if (lastDeliveredEventId() !== undefined) return 0
-  return (1 + Math.min(LOWEST_OPERATOR_PRIORITY, Math.max(0, priority))) * WAKE_OFFSET_MILLISECONDS
+  return (1 + boundPriority(priority)) * WAKE_OFFSET_MILLISECONDS
 }
 
 function * planRelays (context: PlanContext, start: AttemptProgress): Plan<OwnAttemptsEnd> {
--- a/packages/forwarding/src/__tests__/unit/JayfallHealthProbe.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallHealthProbe.test.ts
@@ -5,6 +5,7 @@
 import { type AddressInfo } from 'node:net'
 import { after, describe, it } from 'node:test'
 
+import { WorkOrders } from '#jayfall/capacity'
 import { ManualClock } from '#jayfall/shared'
 import { type Log } from '#jayfall/telemetry'
 
@@ -38,7 +39,7 @@
       })
     })
     await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-    const probe = new HealthProbe(protocol, new ForwardingState(new BackendDirectory('valdivia'), createColdServers(new ManualClock()), new ManualClock(), silentLog, 3600), silentLog)
+    const probe = new HealthProbe(protocol, new ForwardingState(new BackendDirectory('valdivia'), { coldServers: createColdServers(new ManualClock()), workOrders: new WorkOrders() }, new ManualClock(), silentLog, 3600), silentLog)
     assert.equal(await probe.queryLoad(`127.0.0.1:${(server.address() as AddressInfo).port}`, 'guide'), 3)
     assert.equal(await Promise.race([closed, new Promise(resolve => { setTimeout(resolve, CLOSE_TIMEOUT_MILLISECONDS).unref() })]), true)
   })
--- a/packages/forwarding/src/__tests__/unit/JayfallServersOfCopy.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallServersOfCopy.test.ts
@@ -3,6 +3,7 @@
 import * as assert from 'node:assert/strict'
 import { beforeEach, describe, it } from 'node:test'
 
+import { WorkOrders } from '#jayfall/capacity'
 import { ManualClock } from '#jayfall/shared'
 
 import { BackendDirectory } from '../../JayfallBackendDirectory'
@@ -21,7 +22,7 @@
   beforeEach(() => {
     clock = new ManualClock(1000)
     directory = new BackendDirectory('valdivia')
-    state = new ForwardingState(directory, createColdServers(clock), clock, SILENT_LOG, ENTRY_LIFETIME_MILLISECONDS)
+    state = new ForwardingState(directory, { coldServers: createColdServers(clock), workOrders: new WorkOrders() }, clock, SILENT_LOG, ENTRY_LIFETIME_MILLISECONDS)
     state.applyServerSnapshot([read(fakeServer('i-1')), read(fakeServer('i-2'))], false)
   })
 
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,5 +1,6 @@
 export { type BackendServer, type CallerLimits, type ForwardedService, type ForwardingCatalogue, type ForwardingRoute, type ForwardingWorkspace, type RolloutOrder, type RouteTarget } from './JayfallForwardingCatalogue'
 export { DatagramHints } from './JayfallDatagramHints'
+export { DatagramLoadReports } from './JayfallDatagramLoadReports'
 export { DeploymentSource, type OperatorRow } from './JayfallDeploymentSource'
 export { MINIMUM_ATTEMPT_MILLISECONDS } from './JayfallForwardingConstants'
 export { ForwardingInstance, type ForwardingDependencies, type ForwardingSettings, type ListenAddress } from './JayfallForwardingInstance'
