--- a/packages/capacity/src/JayfallCapacityConstants.ts
+++ b/packages/capacity/src/JayfallCapacityConstants.ts
@@ -36,3 +36,12 @@
 
 /** Servers that are drawn for a request, beside those that probably have its prompt in their cache. More would all be compared by the same reports, so that many instances would choose the same server between two of them. */
 export const DRAWN_SERVERS = 3
+
+/** Half-life of a request in what a workspace sent recently. A flood shows within a few seconds, and a few requests are no flood. */
+export const RECENT_REQUESTS_HALF_LIFE_MILLISECONDS = 2000
+/** Half-life of a request in what a workspace usually sends. A flood of some seconds hardly changes it. */
+export const USUAL_REQUESTS_HALF_LIFE_MILLISECONDS = 120_000
+/** Multiple of its usual requests that a workspace may send before the rest comes last. Demand of a workspace swings by a half within seconds. */
+export const FLOOD_FACTOR = 2
+/** Recent requests of a workspace at one instance below which there is no flood, because numbers as small vary by chance. */
+export const MINIMUM_FLOOD_REQUESTS = 6
--- a/packages/capacity/src/JayfallWorkOrder.ts
+++ b/packages/capacity/src/JayfallWorkOrder.ts
@@ -18,6 +18,8 @@
   readonly operatorPriority: number
   /** Whether the prompt resumes a stream that has begun, so that the caller notices the delay as a pause. */
   readonly isResumed: boolean
+  /** Whether its workspace sends more than its usual share. */
+  readonly isExcess: boolean
 }
 
 /** What the routes of a service say about its work. */
@@ -46,10 +48,13 @@
   }
 }
 
-/** Prompts of one priority have one rank whatever their length, because an interrupted long prompt is read again as a whole. */
+/**
+ * Prompts of one priority have one rank whatever their length, because an interrupted long prompt is read again as a
+ * whole. Resumed streams come before them, and what a workspace sends beyond its usual share after them.
+ */
 class PriorityFirstOrder extends WorkOrder {
-  override rank ({ operatorPriority, isResumed }: PromptToRank): number {
-    return boundPriority(operatorPriority) * (LOWEST_OPERATOR_PRIORITY + 1) + (isResumed ? 0 : 1)
+  override rank ({ operatorPriority, isResumed, isExcess }: PromptToRank): number {
+    return boundPriority(operatorPriority) * (LOWEST_OPERATOR_PRIORITY + 1) + (isResumed ? 0 : isExcess ? 2 : 1)
   }
 }
 
--- a/packages/capacity/src/__tests__/unit/JayfallWorkOrder.test.ts
+++ b/packages/capacity/src/__tests__/unit/JayfallWorkOrder.test.ts
@@ -18,7 +18,7 @@
 /** The most urgent route has the shortest objectives, up to the time on the way. */
 const ORDERED_ROUTES = [{ priority: 0, objective: 2019 }, { priority: 1, objective: 2008 }, { priority: 2, objective: 4010 }]
 
-const PROMPT = { prefillTime: 10, operatorPriority: 2, isResumed: false }
+const PROMPT = { prefillTime: 10, operatorPriority: 2, isResumed: false, isExcess: false }
 
 describe('WorkOrder', () => {
   const enginePriority = (prompt: PromptToRank): number => rankWith(MIXED_ROUTES, prompt)
@@ -39,8 +39,8 @@
     })
 
     it('stays within ten levels for any operator priority', () => {
-      assert.equal(enginePriority({ prefillTime: 10_000, operatorPriority: 50, isResumed: false }), 8)
-      assert.equal(enginePriority({ prefillTime: 0, operatorPriority: -1, isResumed: false }), 0)
+      assert.equal(enginePriority({ ...PROMPT, prefillTime: 10_000, operatorPriority: 50 }), 8)
+      assert.equal(enginePriority({ ...PROMPT, prefillTime: 0, operatorPriority: -1 }), 0)
     })
   })
 
@@ -59,6 +59,11 @@
       assert.ok(rank({ isResumed: true }) < rank({}))
     })
 
+    it('ranks what a workspace sends beyond its usual share after others of its priority, and before less urgent ones', () => {
+      assert.ok(rank({ operatorPriority: 1 }) < rank({ operatorPriority: 1, isExcess: true }))
+      assert.ok(rank({ operatorPriority: 1, isExcess: true }) < rank({ operatorPriority: 2, isResumed: true }))
+    })
+
     it('bounds priorities that are out of range or no numbers', () => {
       assert.deepEqual([-5, NaN, 99].map(operatorPriority => rank({ operatorPriority })), [1, 1, 7])
     })
--- a/packages/capacity/src/index.ts
+++ b/packages/capacity/src/index.ts
@@ -4,5 +4,6 @@
 export { LoadReportChannel, LoadReports, NoLoadReports, type LoadReport } from './JayfallLoadReports'
 export { WindowShares, type WindowSharesParts } from './JayfallWindowShares'
 export { boundPriority, WorkOrder, WorkOrders, type PromptToRank, type RouteUrgency } from './JayfallWorkOrder'
+export { WorkspaceShares } from './JayfallWorkspaceShares'
 export { ZoneEvacuations } from './JayfallZoneEvacuations'
 export { FixedZonePolicy, ZonePolicy, ZoneSpill, type ZoneLoad } from './JayfallZoneSpill'
--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -125,6 +125,8 @@
   readonly deadline: number
   /** The operators' priority of the request: that of its workspace, or else of its route; 0 is the most urgent. */
   readonly priority: number
+  /** Whether the request belongs to what its workspace sends beyond its usual share. */
+  readonly isExcess: boolean
   readonly clock: Clock
   readonly selector: BackendSelector
   readonly retryBudget: RetryBudget
--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -85,7 +85,7 @@
       workspace: this.request.workspace,
       model,
       lastEventId: attempt.resumeAfter ?? this.plan.fields.lastEventId,
-      priority: this.context.workOrders.of(server.service).rank({ prefillTime: attempt.selection.prefillTime, operatorPriority: this.plan.priority, isResumed: attempt.resumeAfter !== undefined }),
+      priority: this.context.workOrders.of(server.service).rank({ prefillTime: attempt.selection.prefillTime, operatorPriority: this.plan.priority, isResumed: attempt.resumeAfter !== undefined, isExcess: this.plan.isExcess }),
       bodyLength: this.request.body.length
     })
     this.zoneOutageDetector = this.plan.route.isRepeatable ? new ZoneOutageDetector(directory, clock, server.zone) : undefined
--- a/packages/forwarding/src/JayfallForwardingContext.ts
+++ b/packages/forwarding/src/JayfallForwardingContext.ts
@@ -1,6 +1,6 @@
 /** The objects that all requests of one instance share. */
 
-import { type ColdServers, type WorkOrders } from '#jayfall/capacity'
+import { type ColdServers, type WorkOrders, type WorkspaceShares } from '#jayfall/capacity'
 import { type Clock } from '#jayfall/shared'
 import { type Log, type Metrics } from '#jayfall/telemetry'
 
@@ -35,6 +35,7 @@
   readonly limits: ServerLimits
   readonly coldServers: ColdServers
   readonly workOrders: WorkOrders
+  readonly workspaceShares: WorkspaceShares
   readonly loadSharing: LoadSharing
   readonly promptSuspicions: PromptSuspicions
   readonly connectionCheck: ServerConnectionCheck
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -6,7 +6,7 @@
 
 import { type IncomingMessage, type ServerResponse } from 'node:http'
 
-import { ColdServers, NoLoadReports, WorkOrders, ZoneEvacuations, ZoneSpill, type LoadReportChannel } from '#jayfall/capacity'
+import { ColdServers, NoLoadReports, WorkOrders, WorkspaceShares, ZoneEvacuations, ZoneSpill, type LoadReportChannel } from '#jayfall/capacity'
 import { followTable, type FeedReading } from '#jayfall/feeds'
 import { NoRumors, type RumorChannel } from '#jayfall/peers'
 import { type Clock, delay, messageOf, type OpenListener, type RandomSource, type ReadonlyTable } from '#jayfall/shared'
@@ -158,7 +158,7 @@
       storeTime
     })
     this.server = new ForwardingServer({
-      clock, log, protocol, evidence, promptCache, prefillTimes, hints, limits, coldServers: this.coldServers, workOrders, loadSharing: this.loadSharing, promptSuspicions, connectionCheck, reach, reachMonitor: this.reachMonitor, relays: this.relays, memory, pacer, instance: settings.instance, relayHost: dependencies.relayHost, metrics: this.metrics, directory: this.directory, selector: new EstimatedTimeSelector(this.directory, promptCache, prefillTimes, settings.zone, { limits, coldServers: this.coldServers, evacuations: this.evacuations, workOrders, zoneSpill }), retryBudget: this.retryBudget, versionPolicy: this.versionPolicy
+      clock, log, protocol, evidence, promptCache, prefillTimes, hints, limits, coldServers: this.coldServers, workOrders, workspaceShares: new WorkspaceShares(), loadSharing: this.loadSharing, promptSuspicions, connectionCheck, reach, reachMonitor: this.reachMonitor, relays: this.relays, memory, pacer, instance: settings.instance, relayHost: dependencies.relayHost, metrics: this.metrics, directory: this.directory, selector: new EstimatedTimeSelector(this.directory, promptCache, prefillTimes, settings.zone, { limits, coldServers: this.coldServers, evacuations: this.evacuations, workOrders, zoneSpill }), retryBudget: this.retryBudget, versionPolicy: this.versionPolicy
     }, this.state)
     hints.subscribe(({ server, reading }) => this.directory.recordPeerPrefill(server, reading, clock.monotonic()))
   }
--- a/packages/forwarding/src/JayfallForwardingServer.ts
+++ b/packages/forwarding/src/JayfallForwardingServer.ts
@@ -136,6 +136,7 @@
       start: NO_PROGRESS,
       deadline: arrivedAt + Math.min(fields.patience ?? Infinity, route.timeout),
       priority: workspace?.priority ?? route.priority,
+      isExcess: this.isExcess(service, workspace?.name, requestId, arrivedAt),
       lastDeliveredEventId: () => answer.lastEventId
     }
     const callerRequest = { requestId, method, path, rawHeaders: request.rawHeaders, body, workspace }
@@ -194,6 +195,8 @@
       arrivedAt,
       deadline: receivedAt + left,
       priority: head.workspace?.priority ?? route.priority,
+      // The instance that the caller reached knows what its workspace usually sends.
+      isExcess: false,
       relayedFrom: from,
       // The instance that the caller reached has taken a retry out of its budget where this is one.
       start: { sentAttempts, mayHaveRun, triedServers, isRetry: false },
@@ -201,6 +204,14 @@
     }
   }
 
+  private isExcess (service: string, workspace: string | undefined, requestId: string, now: number): boolean {
+    const { workOrders, workspaceShares, metrics } = this.context
+    if (workspace === undefined || !workOrders.isPriorityFirst(service)) return false
+    const isExcess = workspaceShares.record(service, workspace, rendezvousShare(requestId, workspace), now)
+    if (isExcess) metrics.count('jayfall_capacity_excess_requests_total', { service, workspace })
+    return isExcess
+  }
+
   /** Counts the request as open until its answer was sent or its connection has ended. An answer that is only handed to the connection would end with the process. */
   private countUntilClosed ({ socket }: http.IncomingMessage, response: http.ServerResponse): void {
     this.openRequests++
--- a/packages/forwarding/src/__tests__/unit/JayfallDecisionFixture.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallDecisionFixture.ts
@@ -99,6 +99,7 @@
       arrivedAt: now,
       deadline: now + 5000,
       priority: route.priority,
+      isExcess: false,
       clock: this.clock,
       selector: this.selector,
       retryBudget: this.retryBudget,
