--- a/packages/capacity/src/JayfallWorkspaceShares.ts
+++ b/packages/capacity/src/JayfallWorkspaceShares.ts
@@ -36,10 +36,12 @@
     const known = this.rows.get(key) ?? { recent: 0, usual: 0, updatedAt: now, firstAt: now }
     const elapsed = now - known.updatedAt
     const recent = known.recent * halfLifeWeight(elapsed, RECENT_REQUESTS_HALF_LIFE_MILLISECONDS) + 1
-    const usual = known.usual * halfLifeWeight(elapsed, USUAL_REQUESTS_HALF_LIFE_MILLISECONDS) + 1
-    this.rows.set(key, { ...known, recent, usual, updatedAt: now })
+    const usual = known.usual * halfLifeWeight(elapsed, USUAL_REQUESTS_HALF_LIFE_MILLISECONDS)
     const allowed = Math.max(MINIMUM_FLOOD_REQUESTS, this.expectedRecent(usual, now - known.firstAt) * FLOOD_FACTOR)
-    return draw >= allowed / recent
+    const isExcess = draw >= allowed / recent
+    // The excess does not count as usual, so a flood that lasts does not become the usual by itself.
+    this.rows.set(key, { ...known, recent, usual: usual + Number(!isExcess), updatedAt: now })
+    return isExcess
   }
 
   /** The sum of recent requests that the usual rate would give. */
