--- a/packages/capacity/src/JayfallCapacityConstants.ts
+++ b/packages/capacity/src/JayfallCapacityConstants.ts
@@ -16,8 +16,8 @@
 /** Factor up to which the objective of a more urgent route may exceed that of a less urgent one, as objectives include the time on the way. */
 export const OBJECTIVE_TOLERANCE = 1.1
 
-/** Reports in one message to other instances. At about 30 bytes each, ten messages a second to two instances use 6 of the 13 KB per second for control traffic. */
-export const MAXIMUM_REPORTS_PER_MESSAGE = 10
+/** Reports in one message to other instances. At about 30 bytes each, ten messages a second to two instances use 5 of the 13 KB per second for control traffic. */
+export const MAXIMUM_REPORTS_PER_MESSAGE = 8
 /** Age above which a load report is not passed on. By then an engine has begun several other prompts. */
 export const MAXIMUM_REPORT_AGE_MILLISECONDS = 1000
 
@@ -35,7 +35,7 @@
 export const MAXIMUM_SHARE_STEP = 0.1
 
 /** Servers that are drawn for a request, beside those that probably have its prompt in their cache. More would all be compared by the same reports, so that many instances would choose the same server between two of them. */
-export const DRAWN_SERVERS = 3
+export const DRAWN_SERVERS = 6
 
 /** Half-life of a request in what a workspace sent recently. A flood shows within a few seconds, and a few requests are no flood. */
 export const RECENT_REQUESTS_HALF_LIFE_MILLISECONDS = 2000
--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -74,7 +74,8 @@
     this.context.limits.recordSent(server.id)
     this.context.coldServers.recordSent(server.id)
     this.context.prefillTimes.recordSent(attempt.selection.prefillTime)
-    if (attempt.selection.prefillTime >= MINIMUM_PUBLISHED_PREFILL_MILLISECONDS) this.context.hints.publish({ server: server.id, reading: attempt.selection.prefillTime })
+    // Where requests stay in their zone, only its instances choose among its servers.
+    if (attempt.selection.prefillTime >= MINIMUM_PUBLISHED_PREFILL_MILLISECONDS) this.context.hints.publish({ server: server.id, reading: attempt.selection.prefillTime }, this.context.workOrders.isPriorityFirst(server.service) ? server.zone : undefined)
     this.isPrefillRecorded = false
     if (model !== undefined) promptCache.recordSent(server.id, model, this.plan.fields.promptParts, startedAt)
     versionPolicy.recordRun(this.plan.service, this.plan.session, server.version, startedAt)
--- a/packages/forwarding/src/JayfallDatagramHints.ts
+++ b/packages/forwarding/src/JayfallDatagramHints.ts
@@ -8,8 +8,15 @@
 
 const hintMessage = z.object({ server: z.string(), reading: z.number().nonnegative() }).readonly()
 
+/** An instance that is told, with its IP address and port. */
+export interface HintTarget {
+  readonly zone: string
+  readonly address: string
+}
+
 export class DatagramHints extends PrefillHints {
   private targets: readonly string[] = []
+  private targetsByZone: ReadonlyMap<string, readonly string[]> = new Map()
   private handler: (hint: PrefillHint) => void = () => {}
 
   constructor (private readonly datagrams: PeerDatagrams) {
@@ -17,13 +24,16 @@
     datagrams.subscribe(message => this.handleMessage(message))
   }
 
-  /** @param addresses IP addresses and ports of the other instances, those in the same zone first. */
-  setTargets (addresses: readonly string[]): void {
-    this.targets = addresses.slice(0, MAXIMUM_HINT_TARGETS)
+  /** @param instances the other instances, those in the same zone first. */
+  setTargets (instances: readonly HintTarget[]): void {
+    this.targets = instances.slice(0, MAXIMUM_HINT_TARGETS).map(({ address }) => address)
+    const zones = new Set(instances.map(({ zone }) => zone))
+    this.targetsByZone = new Map([...zones].map(zone => [zone, instances.filter(instance => instance.zone === zone).slice(0, MAXIMUM_HINT_TARGETS).map(({ address }) => address)]))
   }
 
-  override publish ({ server, reading }: PrefillHint): void {
-    if (this.targets.length > 0) this.datagrams.sendWithinLimit(this.targets, { server, reading: Math.round(reading) })
+  override publish ({ server, reading }: PrefillHint, zone?: string): void {
+    const targets = zone === undefined ? this.targets : this.targetsByZone.get(zone) ?? []
+    if (targets.length > 0) this.datagrams.sendWithinLimit(targets, { server, reading: Math.round(reading) })
   }
 
   override subscribe (handler: (hint: PrefillHint) => void): void {
--- a/packages/forwarding/src/JayfallDatagramLoadReports.ts
+++ b/packages/forwarding/src/JayfallDatagramLoadReports.ts
@@ -1,4 +1,4 @@
-/** Exchanges load reports between instances as UDP datagrams, to a few instances at a time. */
+/** Exchanges load reports between instances as UDP datagrams, to a few instances at a time. Their rate is that of the interval at which they are published. */
 
 import { LoadReportChannel, type LoadReport } from '#jayfall/capacity'
 import { type PeerDatagrams } from '#jayfall/peers'
@@ -40,7 +40,7 @@
     const { datagrams, random } = this.parts
     const targets = [this.near, this.all].flatMap(addresses => random.pick(addresses) ?? [])
     const loads = reports.map(({ server, running, waiting, slots, slowness, measuredAt }) => [server, running, waiting, slots, Math.round(slowness * PERCENT), Math.round(now - measuredAt)])
-    if (targets.length > 0) datagrams.sendWithinLimit([...new Set(targets)], { loads })
+    if (targets.length > 0) datagrams.send([...new Set(targets)], { loads })
   }
 
   override subscribe (handler: (report: LoadReport) => void): void {
--- a/packages/forwarding/src/JayfallPrefillHints.ts
+++ b/packages/forwarding/src/JayfallPrefillHints.ts
@@ -14,7 +14,8 @@
 
 /** Sends and receives hints. */
 export abstract class PrefillHints {
-  abstract publish (hint: PrefillHint): void
+  /** @param zone the availability zone whose instances are told; undefined for all. */
+  abstract publish (hint: PrefillHint, zone?: string): void
   /** Sets the function that is called with the hints of other instances. */
   abstract subscribe (handler: (hint: PrefillHint) => void): void
 }
