--- a/packages/capacity/src/JayfallCapacityConstants.ts
+++ b/packages/capacity/src/JayfallCapacityConstants.ts
@@ -34,8 +34,13 @@
 /** Largest change of the share that may leave in one interval of 100 ms: it takes a second to change from one end to the other. */
 export const MAXIMUM_SHARE_STEP = 0.1
 
-/** Servers that are drawn for a request, beside those that probably have its prompt in their cache. More would all be compared by the same reports, so that many instances would choose the same server between two of them. */
-export const DRAWN_SERVERS = 6
+/** Range of the estimated time within which servers count as equally good: about what two more running requests cost. All instances that know the same reports would choose the same server without it. */
+export const EQUAL_COST_MILLISECONDS = 150
+/** Time without a report of a busy server from which it counts as held up, at least, and as a multiple of the mean age of reports. An engine that reads a very long prompt answers nobody meanwhile. */
+export const MINIMUM_SILENCE_MILLISECONDS = 500
+export const SILENCE_MEAN_AGES = 3
+/** Longest time by which a silent server is taken to be held up. The longest prompts are read in about as long. */
+export const MAXIMUM_SILENCE_MILLISECONDS = 3000
 
 /** Half-life of a request in what a workspace sent recently. A flood shows within a few seconds, and a few requests are no flood. */
 export const RECENT_REQUESTS_HALF_LIFE_MILLISECONDS = 2000
--- a/packages/capacity/src/JayfallLoadReports.ts
+++ b/packages/capacity/src/JayfallLoadReports.ts
@@ -8,9 +8,9 @@
  * of servers. A lost message only makes estimates older.
  */
 
-import { Table } from '#jayfall/shared'
+import { combineHashes, Table } from '#jayfall/shared'
 
-import { MAXIMUM_REPORT_AGE_MILLISECONDS, MAXIMUM_REPORTS_PER_MESSAGE } from './JayfallCapacityConstants'
+import { EQUAL_COST_MILLISECONDS, MAXIMUM_REPORT_AGE_MILLISECONDS, MAXIMUM_REPORTS_PER_MESSAGE, MAXIMUM_SILENCE_MILLISECONDS, MINIMUM_SILENCE_MILLISECONDS, SILENCE_MEAN_AGES } from './JayfallCapacityConstants'
 
 /** The load of a server at one time. */
 export interface LoadReport {
@@ -57,3 +57,22 @@
     return [...this.latest.rows()].sort((left, right) => right.measuredAt - left.measuredAt).slice(0, MAXIMUM_REPORTS_PER_MESSAGE)
   }
 }
+
+const HASH_COUNT = 2 ** 32
+
+/**
+ * The milliseconds that are added to the estimated time of a server for one request, so that instances which know the
+ * same reports choose different ones of equally good servers.
+ */
+export function equalCostDraw (requestHash: number, serverHash: number): number {
+  return combineHashes(requestHash, serverHash) / HASH_COUNT * EQUAL_COST_MILLISECONDS
+}
+
+/**
+ * The milliseconds for which a busy server has been silent beyond what is usual.
+ * @param age milliseconds since its last report.
+ * @param meanAge mean of that over the servers of the service.
+ */
+export function silenceOf (age: number, meanAge: number): number {
+  return Math.max(0, Math.min(MAXIMUM_SILENCE_MILLISECONDS, age - Math.max(MINIMUM_SILENCE_MILLISECONDS, SILENCE_MEAN_AGES * meanAge)))
+}
--- a/packages/capacity/src/index.ts
+++ b/packages/capacity/src/index.ts
@@ -1,7 +1,6 @@
-export { drawCandidates, type HashedServer } from './JayfallCandidateDraw'
 export { LOWEST_OPERATOR_PRIORITY } from './JayfallCapacityConstants'
 export { ColdServers, type ColdPolicy, type ColdPresumption, type ColdServersParts } from './JayfallColdServers'
-export { LoadReportChannel, LoadReports, NoLoadReports, type LoadReport } from './JayfallLoadReports'
+export { equalCostDraw, LoadReportChannel, LoadReports, silenceOf, NoLoadReports, type LoadReport } from './JayfallLoadReports'
 export { WindowShares, type WindowSharesParts } from './JayfallWindowShares'
 export { boundPriority, WorkOrder, WorkOrders, type PromptToRank, type RouteUrgency } from './JayfallWorkOrder'
 export { WorkspaceShares } from './JayfallWorkspaceShares'
--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -12,7 +12,7 @@
 import { type BackendSelector, type BackendSelection } from './JayfallBackendSelector'
 import { type BackendServer, type ForwardingRoute } from './JayfallForwardingCatalogue'
 import {
-  ANSWER_TIMEOUT_OBJECTIVES, DEFAULT_RETRY_AFTER_MILLISECONDS, EVENT_GAP_TIMEOUT_OBJECTIVES, FIRST_EVENT_TIMEOUT_OBJECTIVES, MINIMUM_ANSWER_TIMEOUT_MILLISECONDS, MINIMUM_ATTEMPT_MILLISECONDS,
+  ANSWER_TIMEOUT_OBJECTIVES, DEFAULT_RETRY_AFTER_MILLISECONDS, EVACUATED_RETRY_AFTER_MILLISECONDS, EVENT_GAP_TIMEOUT_OBJECTIVES, FIRST_EVENT_TIMEOUT_OBJECTIVES, MINIMUM_ANSWER_TIMEOUT_MILLISECONDS, MINIMUM_ATTEMPT_MILLISECONDS,
   MINIMUM_EVENT_GAP_TIMEOUT_MILLISECONDS, MINIMUM_FIRST_EVENT_TIMEOUT_MILLISECONDS, OUT_OF_REACH_SHARE_OF_RELAYS, RETURN_SPREAD_MILLISECONDS
 } from './JayfallForwardingConstants'
 import { type CallerFields } from './JayfallForwardingProtocol'
@@ -86,7 +86,7 @@
   | { readonly kind: 'none' }
 
 /** A refusal guarantees that the request has not run. */
-export type RefusalCode = 'no_server' | 'unreached' | 'servers_full' | 'too_late' | 'suspect_prompt' | 'servers_limited' | 'servers_cold'
+export type RefusalCode = 'no_server' | 'unreached' | 'servers_full' | 'too_late' | 'suspect_prompt' | 'servers_limited' | 'servers_cold' | 'servers_evacuated'
 export type FailureCode = 'answer_lost' | 'timeout' | 'suspect_prompt'
 
 /** What has been done for a request so far. */
@@ -286,6 +286,7 @@
   const limitDelay = code === 'too_late' ? undefined : selector.refuseForLimits(service)
   if (limitDelay !== undefined) return { kind: 'refuse', code: 'servers_limited', retryAfter: limitDelay }
   if (code === 'servers_cold') return { kind: 'refuse', code, retryAfter: returnTime(context) }
+  if (code === 'no_server' && selector.hasEvacuatedServers(service)) return { kind: 'refuse', code: 'servers_evacuated', retryAfter: EVACUATED_RETRY_AFTER_MILLISECONDS + returnTime(context) }
   return { kind: 'refuse', code, retryAfter: Math.max(DEFAULT_RETRY_AFTER_MILLISECONDS, selector.timeUntilReach(service, clock.monotonic()) ?? 0) }
 }
 
--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -10,7 +10,7 @@
 import { type CallerAnswer, type BufferedAnswer } from './JayfallCallerAnswer'
 import { ZoneOutageDetector } from './JayfallZoneOutageDetector'
 import { type ForwardingWorkspace } from './JayfallForwardingCatalogue'
-import { FIRST_EVENT_OVERHEAD_MILLISECONDS, MAXIMUM_ANSWER_BYTES, MINIMUM_PUBLISHED_PREFILL_MILLISECONDS } from './JayfallForwardingConstants'
+import { FIRST_EVENT_OVERHEAD_MILLISECONDS, MAXIMUM_ANSWER_BYTES, MINIMUM_PUBLISHED_PREFILL_IN_ZONE_MILLISECONDS, MINIMUM_PUBLISHED_PREFILL_MILLISECONDS } from './JayfallForwardingConstants'
 import { type ForwardingContext } from './JayfallForwardingContext'
 import { StreamRelay } from './JayfallStreamRelay'
 import { type VersionObservation } from './JayfallVersionObservation'
@@ -74,8 +74,7 @@
     this.context.limits.recordSent(server.id)
     this.context.coldServers.recordSent(server.id)
     this.context.prefillTimes.recordSent(attempt.selection.prefillTime)
-    // Where requests stay in their zone, only its instances choose among its servers.
-    if (attempt.selection.prefillTime >= MINIMUM_PUBLISHED_PREFILL_MILLISECONDS) this.context.hints.publish({ server: server.id, reading: attempt.selection.prefillTime }, this.context.workOrders.isPriorityFirst(server.service) ? server.zone : undefined)
+    this.publishHint(attempt)
     this.isPrefillRecorded = false
     if (model !== undefined) promptCache.recordSent(server.id, model, this.plan.fields.promptParts, startedAt)
     versionPolicy.recordRun(this.plan.service, this.plan.session, server.version, startedAt)
@@ -106,6 +105,15 @@
     return result
   }
 
+  private publishHint ({ server, selection }: AttemptPlan): void {
+    const { workOrders, hints, loadSharing } = this.context
+    const hint = { server: server.id, reading: selection.prefillTime }
+    // Where requests stay in their zone, only some instances choose among its servers.
+    if (!workOrders.isPriorityFirst(server.service)) {
+      if (selection.prefillTime >= MINIMUM_PUBLISHED_PREFILL_MILLISECONDS) hints.publish(hint)
+    } else if (selection.prefillTime >= MINIMUM_PUBLISHED_PREFILL_IN_ZONE_MILLISECONDS) hints.publish(hint, loadSharing.zonesChoosingFrom(server))
+  }
+
   private async exchange (attempt: AttemptPlan, rawHeaders: readonly string[], startedAt: number): Promise<AttemptResult> {
     let exchange: BackendExchange | undefined
     const headPromise = new Promise<AnswerHead>((resolve, reject) => {
--- a/packages/forwarding/src/JayfallBackendDirectory.ts
+++ b/packages/forwarding/src/JayfallBackendDirectory.ts
@@ -198,6 +198,17 @@
     return now < (this.unreachableZones.get(zone) ?? -Infinity)
   }
 
+  /** Mean age in milliseconds of the load reports of the service's servers that are busy. */
+  meanReportAge (service: string, now: number): number {
+    let [sum, count] = [0, 0]
+    for (const { loadReport, loadReportedAt } of this.rowsOfService(service)) {
+      if (loadReport === undefined || loadReport.running === 0) continue
+      sum += now - loadReportedAt
+      count++
+    }
+    return count === 0 ? 0 : sum / count
+  }
+
   recordSuccess (id: string, now: number): void {
     this.table.update(id, row => ({
       ...row, consecutiveFailures: 0, avoidedUntil: -Infinity, avoidanceDuration: 0, failureRate: currentFailureRate(row, now) * (1 - FAILURE_RATE_WEIGHT), failureRateAt: now
@@ -245,6 +256,11 @@
   return loadReport === undefined ? 0 : loadReport.waiting * halfLifeWeight(now - loadReportedAt, WAITING_REPORT_HALF_LIFE_MILLISECONDS)
 }
 
+/** Requests that run or wait at the server, where instances share their reports: the last report is the best estimate, also when the server has been silent since. */
+export function sharedLoadOf ({ loadReport, openRequests, openRequestsAtReport }: BackendRow): number {
+  return loadReport === undefined ? openRequests : Math.max(openRequests, loadReport.running + loadReport.waiting + openRequests - openRequestsAtReport)
+}
+
 /** Estimated number of requests that run or wait at the server. */
 export function estimateLoad (row: BackendRow, now: number): number {
   if (row.loadReport === undefined) return row.openRequests
--- a/packages/forwarding/src/JayfallBackendSelector.ts
+++ b/packages/forwarding/src/JayfallBackendSelector.ts
@@ -6,14 +6,15 @@
  * busy engine. Rendezvous hashing maps each shared prompt part to the same affinity servers on all
  * instances, so that few servers process the part although the instances exchange no messages.
  *
- * In services that are ordered by priority, instances know the load of servers from each other's reports. There a few
- * servers are drawn for each request, of its own zone unless it may leave.
+ * In services that are ordered by priority, instances know the load of servers from each other's reports. There a request
+ * stays in its zone unless it may leave, equally good servers are told apart by a draw, and a busy server that has been
+ * silent for long counts as held up.
  */
 
-import { drawCandidates, FixedZonePolicy, type ColdServers, type WorkOrders, type ZoneEvacuations, type ZonePolicy, type ZoneSpill } from '#jayfall/capacity'
+import { equalCostDraw, FixedZonePolicy, silenceOf, type ColdServers, type WorkOrders, type ZoneEvacuations, type ZonePolicy, type ZoneSpill } from '#jayfall/capacity'
 import { combineHashes, hashName } from '#jayfall/shared'
 
-import { currentFailureRate, estimateLoad, estimateWaitingRequests, isOutOfReach, remainingPeerPrefillTime, slotsOf, type BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
+import { currentFailureRate, estimateLoad, estimateWaitingRequests, isOutOfReach, remainingPeerPrefillTime, sharedLoadOf, slotsOf, type BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
 import {
   FIRST_EVENT_OVERHEAD_MILLISECONDS, MAXIMUM_FAILURE_RATE, OTHER_ZONE_COST_MILLISECONDS, PLAIN_WORK_MILLISECONDS, PREFILL_COST_FACTOR, SECOND_AFFINITY_SERVER_SHARE, BATCH_STEP_MILLISECONDS_PER_REQUEST
 } from './JayfallForwardingConstants'
@@ -64,6 +65,8 @@
   abstract outOfReachShare (service: string, now: number): number
   /** Milliseconds until this instance gets a new share of a cold server that could take the request; undefined when no server waits for that. */
   abstract timeUntilColdShare (request: SelectionRequest, now: number): number | undefined
+  /** Whether servers of the service get nothing because their zones are evacuated. */
+  abstract hasEvacuatedServers (service: string): boolean
   /** Milliseconds after which a refused caller may return because of limits that servers named; undefined when no server is kept from work by its limit. */
   abstract refuseForLimits (service: string): number | undefined
 }
@@ -72,6 +75,14 @@
 interface SelectionScope {
   readonly affinityServers: readonly string[]
   readonly zonePolicy: ZonePolicy
+  /** Set where instances share load reports. */
+  readonly shared: SharedLoadScope | undefined
+}
+
+interface SharedLoadScope {
+  readonly requestHash: number
+  /** Mean age of the reports of the service's servers, in milliseconds. */
+  readonly meanReportAge: number
 }
 
 interface Candidate extends BackendSelection {
@@ -108,13 +119,12 @@
     const usable = [...this.findUsableRows(request, now)]
     const healthy = usable.filter(row => isHealthy(row, now) && !this.directory.isZoneUnreachable(row.server.zone, now))
     const known = healthy.length > 0 ? healthy : usable
-    const isDrawn = this.policies.workOrders.isPriorityFirst(request.service)
-    const requestHash = isDrawn ? hashName(`${request.requestId}/${request.triedServers.size}`) : 0
-    const zonePolicy = isDrawn ? this.policies.zoneSpill : this.fixedZonePolicy
-    const pool = zonePolicy.mayLeave(request.service, requestHash / HASH_COUNT) ? known : this.withinOwnZone(known)
-    const affinityServers = this.findAffinityServers(request, pool)
-    const candidates = isDrawn ? drawCandidates(pool, requestHash, ({ server }) => affinityServers.includes(server.id)) : pool
-    const scope = { affinityServers, zonePolicy }
+    const isShared = this.policies.workOrders.isPriorityFirst(request.service)
+    const requestHash = isShared ? hashName(`${request.requestId}/${request.triedServers.size}`) : 0
+    const zonePolicy = isShared ? this.policies.zoneSpill : this.fixedZonePolicy
+    const candidates = zonePolicy.mayLeave(request.service, requestHash / HASH_COUNT) ? known : this.withinOwnZone(known)
+    const shared = isShared ? { requestHash, meanReportAge: this.directory.meanReportAge(request.service, now) } : undefined
+    const scope = { affinityServers: this.findAffinityServers(request, candidates), zonePolicy, shared }
     let cheapest: Candidate | undefined
     for (const row of candidates) {
       const candidate = request.model === undefined ? this.evaluatePlainServer(scope, row, now) : this.evaluateEngine(request, request.model, scope, row, now)
@@ -133,6 +143,11 @@
     return rows.length === 0 ? 0 : rows.filter(row => isOutOfReach(row, now)).length / rows.length
   }
 
+  override hasEvacuatedServers (service: string): boolean {
+    for (const { server } of this.directory.rowsOfService(service)) if (this.policies.evacuations.isEvacuated(server.zone)) return true
+    return false
+  }
+
   override refuseForLimits (service: string): number | undefined {
     const limited = [...this.directory.rowsOfService(service)].filter(({ server }) => !server.isDraining && !this.policies.limits.maySend(server.id))
     return this.policies.limits.refuse(limited.map(({ server }) => server.id))
@@ -171,17 +186,18 @@
     return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens: 0, prefillTime: 0, peerPrefillTime: 0, timeToFirstEvent, explainedTimeToFirstEvent: timeToFirstEvent, cost: timeToFirstEvent + this.zoneCost(zonePolicy, row) }
   }
 
-  private evaluateEngine (request: SelectionRequest, model: string, { affinityServers, zonePolicy }: SelectionScope, row: BackendRow, now: number): Candidate {
-    const estimatedLoad = estimateLoad(row, now)
+  private evaluateEngine (request: SelectionRequest, model: string, { affinityServers, zonePolicy, shared }: SelectionScope, row: BackendRow, now: number): Candidate {
+    const estimatedLoad = shared === undefined ? estimateLoad(row, now) : sharedLoadOf(row)
     const uncachedTokens = Math.max(0, request.promptTokens - this.estimateCachedTokens(request, model, affinityServers, row, now))
     const prefillTime = this.prefillTimes.estimate(model, uncachedTokens, now)
     const peerPrefillTime = remainingPeerPrefillTime(row, now)
     const knownQueueTime = Math.max(row.pendingPrefillTime + peerPrefillTime, estimateWaitingRequests(row, now) * this.prefillTimes.meanPrefillTime)
-    const queueTime = Math.max(knownQueueTime, this.directory.expectedFirstEventDelay(row, now))
+    const silence = shared === undefined || (row.loadReport?.running ?? 0) === 0 ? 0 : silenceOf(now - row.loadReportedAt, shared.meanReportAge)
+    const queueTime = Math.max(knownQueueTime, silence, this.directory.expectedFirstEventDelay(row, now))
     const timeToFirstEvent = (FIRST_EVENT_OVERHEAD_MILLISECONDS + queueTime + prefillTime) * slownessOf(row)
     const explainedTimeToFirstEvent = (FIRST_EVENT_OVERHEAD_MILLISECONDS + knownQueueTime + prefillTime) * slownessOf(row)
     const batchStepTime = estimatedLoad * BATCH_STEP_MILLISECONDS_PER_REQUEST * request.outputTokens
-    const cost = timeToFirstEvent + prefillTime * (PREFILL_COST_FACTOR - 1) + batchStepTime + this.zoneCost(zonePolicy, row)
+    const cost = timeToFirstEvent + prefillTime * (PREFILL_COST_FACTOR - 1) + batchStepTime + this.zoneCost(zonePolicy, row) + (shared === undefined ? 0 : equalCostDraw(shared.requestHash, row.affinityHash))
     return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens, prefillTime, peerPrefillTime, timeToFirstEvent, explainedTimeToFirstEvent, cost }
   }
 
--- a/packages/forwarding/src/JayfallDatagramHints.ts
+++ b/packages/forwarding/src/JayfallDatagramHints.ts
@@ -31,8 +31,8 @@
     this.targetsByZone = new Map([...zones].map(zone => [zone, instances.filter(instance => instance.zone === zone).slice(0, MAXIMUM_HINT_TARGETS).map(({ address }) => address)]))
   }
 
-  override publish ({ server, reading }: PrefillHint, zone?: string): void {
-    const targets = zone === undefined ? this.targets : this.targetsByZone.get(zone) ?? []
+  override publish ({ server, reading }: PrefillHint, zones?: Iterable<string>): void {
+    const targets = zones === undefined ? this.targets : [...zones].flatMap(zone => this.targetsByZone.get(zone) ?? [])
     if (targets.length > 0) this.datagrams.sendWithinLimit(targets, { server, reading: Math.round(reading) })
   }
 
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -117,6 +117,8 @@
 export const PREFILL_SAMPLE_QUANTILE = 0.4
 /** Minimum prefill time that is announced to other instances. Shorter prompts hardly delay others, and most prompts are short. */
 export const MINIMUM_PUBLISHED_PREFILL_MILLISECONDS = 60
+/** The same in services whose instances share load reports: shorter prompts show in the reports soon enough, and hints would exceed their rate. */
+export const MINIMUM_PUBLISHED_PREFILL_IN_ZONE_MILLISECONDS = 120
 /** Maximum number of instances that receive one hint. At the target size of a deployment these are the instances of one zone and some more. */
 export const MAXIMUM_HINT_TARGETS = 100
 /** Maximum time for which a server is assumed to be busy with prompts of other instances. It is about the prefill time of the longest prompt of the data sheets on the largest model. */
@@ -153,6 +155,8 @@
 
 /** Retry time named in a refusal when no better estimate is known. */
 export const DEFAULT_RETRY_AFTER_MILLISECONDS = 300
+/** Least retry time named in a refusal because all servers are in evacuated zones. Evacuations last for many seconds, and callers have few tries. */
+export const EVACUATED_RETRY_AFTER_MILLISECONDS = 3000
 /** Retry time named in a refusal while the catalogue is not known yet. */
 export const STARTING_RETRY_AFTER_MILLISECONDS = 1000
 /** Maximum time that a request waits for the first catalogue. Reading the catalogue takes some tens of milliseconds after a start. */
--- a/packages/forwarding/src/JayfallLoadSharing.ts
+++ b/packages/forwarding/src/JayfallLoadSharing.ts
@@ -8,7 +8,7 @@
 import { type Clock } from '#jayfall/shared'
 import { type Metrics } from '#jayfall/telemetry'
 
-import { estimateLoad, isOutOfReach, slotsOf, type BackendDirectory } from './JayfallBackendDirectory'
+import { isOutOfReach, sharedLoadOf, slotsOf, type BackendDirectory } from './JayfallBackendDirectory'
 import { type BackendServer } from './JayfallForwardingCatalogue'
 import { type ServerLoad } from './JayfallForwardingProtocol'
 
@@ -51,6 +51,17 @@
     if (newest.length > 0) channel.publish(newest, now)
   }
 
+  /** The zones whose instances choose among the servers of this one's zone: its own, and those that have no servers in use. */
+  zonesChoosingFrom ({ service, zone }: BackendServer): ReadonlySet<string> {
+    const { directory, isEvacuated } = this.parts
+    const [zones, zonesInUse] = [new Set<string>(), new Set<string>()]
+    for (const { server, isLapsed } of directory.rowsOfService(service)) {
+      zones.add(server.zone)
+      if (!server.isDraining && !isLapsed && !isEvacuated(server.zone)) zonesInUse.add(server.zone)
+    }
+    return new Set([zone, ...[...zones].filter(other => !zonesInUse.has(other))])
+  }
+
   private hear (report: LoadReport): void {
     const { server, measuredAt, ...load } = report
     const { directory, metrics } = this.parts
@@ -66,7 +77,7 @@
       const { zone, isDraining } = row.server
       if (isDraining || row.isLapsed || isOutOfReach(row, now) || this.parts.isEvacuated(zone) || this.parts.directory.isZoneUnreachable(zone, now)) continue
       const { load, slots } = loads.get(zone) ?? { load: 0, slots: 0 }
-      loads.set(zone, { load: load + estimateLoad(row, now), slots: slots + slotsOf(row) })
+      loads.set(zone, { load: load + sharedLoadOf(row), slots: slots + slotsOf(row) })
     }
     return loads
   }
--- a/packages/forwarding/src/JayfallPrefillHints.ts
+++ b/packages/forwarding/src/JayfallPrefillHints.ts
@@ -14,8 +14,8 @@
 
 /** Sends and receives hints. */
 export abstract class PrefillHints {
-  /** @param zone the availability zone whose instances are told; undefined for all. */
-  abstract publish (hint: PrefillHint, zone?: string): void
+  /** @param zones the availability zones whose instances are told; undefined for all. */
+  abstract publish (hint: PrefillHint, zones?: Iterable<string>): void
   /** Sets the function that is called with the hints of other instances. */
   abstract subscribe (handler: (hint: PrefillHint) => void): void
 }
