--- a/packages/capacity/src/JayfallLoadReports.ts
+++ b/packages/capacity/src/JayfallLoadReports.ts
@@ -63,9 +63,10 @@
 /**
  * The milliseconds that are added to the estimated time of a server for one request, so that instances which know the
  * same reports choose different ones of equally good servers.
+ * @param range milliseconds within which servers count as equally good.
  */
-export function equalCostDraw (requestHash: number, serverHash: number): number {
-  return combineHashes(requestHash, serverHash) / HASH_COUNT * EQUAL_COST_MILLISECONDS
+export function equalCostDraw (requestHash: number, serverHash: number, range = EQUAL_COST_MILLISECONDS): number {
+  return combineHashes(requestHash, serverHash) / HASH_COUNT * range
 }
 
 /**
--- a/packages/capacity/src/JayfallWorkOrder.ts
+++ b/packages/capacity/src/JayfallWorkOrder.ts
@@ -80,6 +80,11 @@
     return this.priorityFirst
   }
 
+  /** Whether instances share the load reports of all services: they do where callers of some service compete by priority. */
+  get areLoadsShared (): boolean {
+    return this.priorityFirst.size > 0
+  }
+
   /** Whether the operators' priority decides first who is served by the service. */
   isPriorityFirst (service: string): boolean {
     return this.priorityFirst.has(service)
--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -150,9 +150,11 @@
   let isTrial = false
   let model = start.model ?? route.models[0] ?? context.fields.model
   let previous: AttemptResult | undefined
+  /** Whether a server's failure is the last that is known of the request: those after it did not run it. */
+  let hasFailedAnswer = false
   for (let number = 1; ; number++) {
     const now = clock.monotonic()
-    if (deadline - now < MINIMUM_ATTEMPT_MILLISECONDS) return decideWithoutAnswer(context, mayHaveRun, 'too_late')
+    if (deadline - now < MINIMUM_ATTEMPT_MILLISECONDS) return hasFailedAnswer ? { kind: 'deliver' } : decideWithoutAnswer(context, mayHaveRun, 'too_late')
     const isRepeat = previous === undefined ? start.isRetry : previous.kind !== 'unsent'
     if (isOutOfReach(context, isDirect, now)) return { kind: 'unreached', progress: { sentAttempts, mayHaveRun, triedServers: [...triedServers], isRetry: isRepeat } }
     // A trial that reached no server goes on; one that did is not repeated.
@@ -164,13 +166,14 @@
     const chosen = choice
     // Only an attempt that follows one that may have reached a server counts as a retry.
     if (chosen === undefined || (isRepeat && !retryBudget.trySpendRetry(service, now))) {
-      if (previous?.kind === 'failed') return { kind: 'deliver' }
+      if (hasFailedAnswer) return { kind: 'deliver' }
       // The servers that are left have no room, and another instance may reach the others.
       if (chosen === undefined && canBeRelayed(context) && selector.outOfReachShare(service, now) >= OUT_OF_REACH_SHARE_OF_RELAYS) return { kind: 'unreached', progress: { sentAttempts, mayHaveRun, triedServers: [...triedServers], isRetry: isRepeat } }
       return decideWithoutAnswer(context, mayHaveRun, triedServers.size === 0 ? 'no_server' : 'servers_full')
     }
     const result: AttemptResult = yield createPlan(context, chosen, model, number, sentAttempts, triedServers)
     previous = result
+    if (result.kind !== 'unsent' && result.kind !== 'not_run') hasFailedAnswer = result.kind === 'failed'
     if (result.kind !== 'unsent') sentAttempts++
     switch (result.kind) {
       case 'answered':
@@ -191,7 +194,7 @@
     triedServers.add(chosen.selection.row.server.id)
     const isKnownNotRun = result.kind === 'unsent' || result.kind === 'not_run'
     if ((isKnownNotRun || route.isRepeatable) && sentAttempts < route.maximumAttempts) continue
-    if (result.kind === 'failed') return { kind: 'deliver' }
+    if (hasFailedAnswer) return { kind: 'deliver' }
     return decideWithoutAnswer(context, mayHaveRun, 'servers_full')
   }
 }
--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -30,7 +30,7 @@
 export const NOT_RUN_GUARANTEE_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
 export class AttemptRunner {
-  /** The answer of the last attempt, ready to be sent to the caller. */
+  /** The answer of the last attempt that a server ran, ready to be sent to the caller. */
   bufferedAnswer: BufferedAnswer | undefined
   /** Milliseconds from the attempt's start to its first event or whole answer. */
   timeToAnswer: number | undefined
@@ -64,7 +64,6 @@
     const { clock, directory, promptCache, versionPolicy, protocol } = this.context
     const { server, model } = attempt
     const startedAt = clock.monotonic()
-    this.bufferedAnswer = undefined
     this.timeToAnswer = undefined
     this.rateLimit = undefined
     this.receivedEvents = 0
@@ -95,7 +94,10 @@
     })
     this.stopSignals = [this.answer.callerDisconnected, suspicion.signal, ...(this.zoneOutageDetector === undefined ? [] : [this.zoneOutageDetector.signal])]
     this.observations.set(attempt, this.observe(attempt, startedAt))
+    const earlierAnswer = this.bufferedAnswer
+    this.bufferedAnswer = undefined
     const result = await this.exchange(attempt, rawHeaders, startedAt)
+    if (result.kind === 'unsent' || result.kind === 'not_run') this.bufferedAnswer = earlierAnswer
     closePrompt()
     this.zoneOutageDetector?.close()
     if (result.kind === 'broken' && !suspicion.signal.aborted) await this.checkForCrash(attempt)
--- a/packages/forwarding/src/JayfallBackendSelector.ts
+++ b/packages/forwarding/src/JayfallBackendSelector.ts
@@ -6,9 +6,9 @@
  * busy engine. Rendezvous hashing maps each shared prompt part to the same affinity servers on all
  * instances, so that few servers process the part although the instances exchange no messages.
  *
- * In services that are ordered by priority, instances know the load of servers from each other's reports. There a request
- * stays in its zone unless it may leave, equally good servers are told apart by a draw, and a busy server that has been
- * silent for long counts as held up.
+ * Where some service is ordered by priority, instances know the load of servers from each other's reports. There equally
+ * good servers are told apart by a draw, a busy engine that has been silent for long counts as held up, and a request of
+ * that service stays in its zone unless it may leave.
  */
 
 import { equalCostDraw, FixedZonePolicy, silenceOf, type ColdServers, type WorkOrders, type ZoneEvacuations, type ZonePolicy, type ZoneSpill } from '#jayfall/capacity'
@@ -119,9 +119,10 @@
     const usable = [...this.findUsableRows(request, now)]
     const healthy = usable.filter(row => isHealthy(row, now) && !this.directory.isZoneUnreachable(row.server.zone, now))
     const known = healthy.length > 0 ? healthy : usable
-    const isShared = this.policies.workOrders.isPriorityFirst(request.service)
+    const { workOrders, zoneSpill } = this.policies
+    const isShared = workOrders.areLoadsShared
     const requestHash = isShared ? hashName(`${request.requestId}/${request.triedServers.size}`) : 0
-    const zonePolicy = isShared ? this.policies.zoneSpill : this.fixedZonePolicy
+    const zonePolicy = workOrders.isPriorityFirst(request.service) ? zoneSpill : this.fixedZonePolicy
     const candidates = zonePolicy.mayLeave(request.service, requestHash / HASH_COUNT) ? known : this.withinOwnZone(known)
     const shared = isShared ? { requestHash, meanReportAge: this.directory.meanReportAge(request.service, now) } : undefined
     const scope = { affinityServers: this.findAffinityServers(request, candidates), zonePolicy, shared }
@@ -178,12 +179,12 @@
     return own.length > 0 ? own : rows
   }
 
-  private evaluatePlainServer ({ zonePolicy }: SelectionScope, row: BackendRow, now: number): Candidate {
-    const estimatedLoad = estimateLoad(row, now)
+  private evaluatePlainServer ({ zonePolicy, shared }: SelectionScope, row: BackendRow, now: number): Candidate {
+    const estimatedLoad = shared === undefined ? estimateLoad(row, now) : sharedLoadOf(row)
     const slots = slotsOf(row)
     const waiting = Math.max(0, estimatedLoad + 1 - slots)
     const timeToFirstEvent = (1 + (estimatedLoad + 1 + waiting) / slots) * PLAIN_WORK_MILLISECONDS * slownessOf(row)
-    return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens: 0, prefillTime: 0, peerPrefillTime: 0, timeToFirstEvent, explainedTimeToFirstEvent: timeToFirstEvent, cost: timeToFirstEvent + this.zoneCost(zonePolicy, row) }
+    return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens: 0, prefillTime: 0, peerPrefillTime: 0, timeToFirstEvent, explainedTimeToFirstEvent: timeToFirstEvent, cost: timeToFirstEvent + this.zoneCost(zonePolicy, row) + drawOf(shared, row, PLAIN_WORK_MILLISECONDS / slots) }
   }
 
   private evaluateEngine (request: SelectionRequest, model: string, { affinityServers, zonePolicy, shared }: SelectionScope, row: BackendRow, now: number): Candidate {
@@ -197,7 +198,7 @@
     const timeToFirstEvent = (FIRST_EVENT_OVERHEAD_MILLISECONDS + queueTime + prefillTime) * slownessOf(row)
     const explainedTimeToFirstEvent = (FIRST_EVENT_OVERHEAD_MILLISECONDS + knownQueueTime + prefillTime) * slownessOf(row)
     const batchStepTime = estimatedLoad * BATCH_STEP_MILLISECONDS_PER_REQUEST * request.outputTokens
-    const cost = timeToFirstEvent + prefillTime * (PREFILL_COST_FACTOR - 1) + batchStepTime + this.zoneCost(zonePolicy, row) + (shared === undefined ? 0 : equalCostDraw(shared.requestHash, row.affinityHash))
+    const cost = timeToFirstEvent + prefillTime * (PREFILL_COST_FACTOR - 1) + batchStepTime + this.zoneCost(zonePolicy, row) + drawOf(shared, row)
     return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens, prefillTime, peerPrefillTime, timeToFirstEvent, explainedTimeToFirstEvent, cost }
   }
 
@@ -226,6 +227,11 @@
   }
 }
 
+/** @param range milliseconds; about what one more request costs a plain server, and by default what two cost an engine. */
+function drawOf (shared: SharedLoadScope | undefined, { affinityHash }: BackendRow, range?: number): number {
+  return shared === undefined ? 0 : equalCostDraw(shared.requestHash, affinityHash, range)
+}
+
 function slownessOf ({ loadReport }: BackendRow): number {
   return loadReport?.slowness ?? 1
 }
--- a/packages/forwarding/src/JayfallLoadSharing.ts
+++ b/packages/forwarding/src/JayfallLoadSharing.ts
@@ -1,7 +1,7 @@
 /**
  * Shares the load reports of servers with other instances, and keeps the share of requests that may leave the zone.
  *
- * It does so for the services that are ordered by priority.
+ * It does so where some service is ordered by priority.
  */
 
 import { LoadReports, type LoadReport, type LoadReportChannel, type WorkOrders, type ZoneLoad, type ZoneSpill } from '#jayfall/capacity'
@@ -30,11 +30,11 @@
   }
 
   /** Records what a server reported to this instance. */
-  record ({ id, service }: BackendServer, load: ServerLoad): void {
+  record ({ id }: BackendServer, load: ServerLoad): void {
     const { directory, workOrders, clock } = this.parts
     const measuredAt = clock.monotonic()
     directory.recordLoad(id, load, measuredAt)
-    if (workOrders.isPriorityFirst(service)) this.reports.record({ server: id, ...load, measuredAt })
+    if (workOrders.areLoadsShared) this.reports.record({ server: id, ...load, measuredAt })
   }
 
   /** Tells other instances, and adapts to what they told; called at an interval. */
--- a/packages/forwarding/src/__tests__/unit/JayfallAttemptPlan.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallAttemptPlan.test.ts
@@ -47,6 +47,20 @@
     })
   })
 
+  describe('with a failure of a server at hand', () => {
+    it('delivers it when the next server turns the request away or cannot be reached (guards against an error of our own in place of a known answer)', () => {
+      for (const result of [{ kind: 'not_run', status: 503 }, { kind: 'unsent', cause: 'refused' }] as const) {
+        const { decision } = runPlan(new DecisionFixture(TWO_SERVERS), fakeRoute({ maximumAttempts: 2 }), [{ kind: 'failed', status: 500 }, result])
+        assert.deepEqual(decision, { kind: 'deliver' })
+      }
+    })
+
+    it('fails when a later server may have run the request', () => {
+      const { decision } = runPlan(new DecisionFixture(TWO_SERVERS), fakeRoute({ maximumAttempts: 2 }), [{ kind: 'failed', status: 500 }, { kind: 'broken', cause: 'reset' }])
+      assert.deepEqual(decision, { kind: 'fail', code: 'answer_lost' })
+    })
+  })
+
   describe('with a route that is not repeatable', () => {
     const route = fakeRoute({ isRepeatable: false })
 
