--- a/packages/forwarding/src/JayfallAnswerParser.ts
+++ b/packages/forwarding/src/JayfallAnswerParser.ts
@@ -89,6 +89,11 @@
     return this.state === 'complete'
   }
 
+  /** Whether the end of the connection completes the answer. */
+  get isEndedByConnection (): boolean {
+    return this.state === 'until_close'
+  }
+
   /** Parses received bytes. @throws AnswerParseError */
   push (bytes: Buffer): void {
     try {
--- a/packages/forwarding/src/JayfallBackendExchange.ts
+++ b/packages/forwarding/src/JayfallBackendExchange.ts
@@ -3,11 +3,14 @@
  *
  * A connection that carries a single request cannot deliver the answer to another one, and a failure to
  * open it proves that nothing was sent. Late or additional answers are discarded with the connection.
+ *
+ * An answer whose end is given by the end of its connection is complete only when the server ended the connection
+ * itself and the request had been sent. The connection stays half open until that is known.
  */
 
 import * as net from 'node:net'
 
-import { GrowingBuffer, messageOf } from '#jayfall/shared'
+import { confirmConnectionEnd, GrowingBuffer, messageOf } from '#jayfall/shared'
 
 import { AnswerConsumer, AnswerParser, type AnswerHead } from './JayfallAnswerParser'
 import { CONNECT_TIMEOUT_MILLISECONDS } from './JayfallForwardingConstants'
@@ -73,7 +76,7 @@
     this.parser = new AnswerParser(this, request.method === 'HEAD')
     const [host, port] = request.address.split(':')
     const onread = { buffer: READ_BUFFER, callback: (length: number, buffer: Uint8Array) => this.receive((buffer as Buffer).subarray(0, length)) }
-    this.socket = net.connect({ host, port: Number(port), noDelay: true, localAddress: request.localAddress, onread })
+    this.socket = net.connect({ host, port: Number(port), noDelay: true, allowHalfOpen: true, localAddress: request.localAddress, onread })
     // After the process was paused, timers run before the connections that were opened meanwhile are noticed,
     // so the check is deferred until pending I/O events have been processed.
     const connectTimer = setTimeout(() => setImmediate(() => {
@@ -180,8 +183,19 @@
     return true
   }
 
+  /** Handles the end of the connection, which may be a reset. */
   private finish (): void {
-    if (!this.isDestroyed) this.tryParse(() => this.parser.finish())
+    if (this.isDestroyed || this.failure !== undefined) return
+    if (!this.parser.isEndedByConnection) return this.completeAnswer()
+    confirmConnectionEnd(this.socket, error => {
+      if (error !== undefined) this.fail(error.message, error)
+      else if (!this.isDestroyed && this.failure === undefined) this.completeAnswer()
+    })
+  }
+
+  private completeAnswer (): void {
+    this.tryParse(() => this.parser.finish())
+    this.closeSocket()
   }
 
   private tryParse (parse: () => void): void {
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,6 +1,7 @@
 export { beginChunkedResponse, encodeChunk, LAST_CHUNK } from './JayfallChunkedCoding'
 export { readBounded, type ReadLimits } from './JayfallBoundedRead'
 export { Clock, ManualClock, SystemClock, delay } from './JayfallClock'
+export { confirmConnectionEnd } from './JayfallConnectionEnd'
 export { isSocketAddress } from './JayfallSocketAddress'
 export { EventQueue } from './JayfallEventQueue'
 export { JayfallError, messageOf, type ErrorInfo } from './JayfallError'
