--- a/packages/entry/src/JayfallBackendClient.ts
+++ b/packages/entry/src/JayfallBackendClient.ts
@@ -6,6 +6,7 @@
 import { type LoadReport } from '#jayfall/routing'
 import { createReadBuffer, type Clock } from '#jayfall/shared'
 
+import { AnswerEnds } from './JayfallAnswerEnds'
 import { BackendError } from './JayfallBackendError'
 import { type LeavingPolicy } from './JayfallLeavingPolicy'
 
@@ -26,6 +27,9 @@
 /** Idle connections that the pool keeps for each backend server. */
 const MAXIMUM_IDLE_CONNECTIONS_PER_SERVER = 64
 
+/** The HTTP client of Node.js passes on smaller numbers, such as that of 000. */
+const LOWEST_STATUS = 100
+
 /** Socket errors that prove that no byte of the request was sent. */
 const UNSENT_ERROR_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL'])
 
@@ -38,6 +42,7 @@
 /** Sends calls to backend servers, and reports the server state in the response headers to the observer. */
 export class BackendClient {
   private readonly agent: http.Agent
+  private readonly answerEnds = new AnswerEnds()
 
   /** @param localAddress IP address that connections are made from. */
   constructor (private readonly clock: Clock, private readonly observer: BackendObserver, private readonly leavingPolicy: LeavingPolicy, private readonly localAddress?: string) {
@@ -50,8 +55,12 @@
    */
   async send (call: BackendCall): Promise<http.IncomingMessage> {
     const response = await this.request(call)
-    this.reportServerState(call.address, response)
     const status = response.statusCode ?? 0
+    if (status < LOWEST_STATUS) {
+      response.destroy()
+      throw new BackendError('broken', `${call.address} answered with the invalid status ${status}`)
+    }
+    this.reportServerState(call.address, response)
     if (status < 500) return response
     response.resume()
     const isLeaving = this.leavingPolicy.isAnnounced(response.headers)
@@ -61,7 +70,9 @@
   /** Reads the complete body of a response. @throws BackendError `broken`. */
   async read (response: http.IncomingMessage, timeout: number): Promise<Buffer> {
     try {
-      return await Wreck.read(response, { timeout }) as Buffer
+      const body = await Wreck.read(response, { timeout }) as Buffer
+      await this.answerEnds.confirm(response)
+      return body
     } catch (error) {
       throw new BackendError('broken', 'the answer broke off', error)
     }
@@ -73,12 +84,14 @@
 
   private async request (call: BackendCall): Promise<http.IncomingMessage> {
     try {
-      return await Wreck.request(call.method, `http://${call.address}${call.path}`, {
+      const pendingResponse = Wreck.request(call.method, `http://${call.address}${call.path}`, {
         headers: { ...call.headers },
         payload: call.payload,
         agent: call.hasOwnConnection === true ? new http.Agent({ keepAlive: false, localAddress: this.localAddress }) : this.agent,
         timeout: call.headersTimeout
       })
+      pendingResponse.req.prependOnceListener('response', response => this.answerEnds.watch(call.method, response))
+      return await pendingResponse
     } catch (error) {
       throw new BackendError(classifyFailure(error), `${call.address} did not answer ${call.method} ${call.path}`, error)
     }
--- a/packages/forwarding/src/__tests__/unit/JayfallCutAnswers.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallCutAnswers.test.ts
@@ -3,9 +3,10 @@
 import * as assert from 'node:assert/strict'
 import { afterEach, describe, it } from 'node:test'
 
+import { CutServer, type ConnectionEnd } from '#jayfall/standins'
+
 import { type AnswerHead } from '../../JayfallAnswerParser'
 import { BackendExchange, type BodyReceiver } from '../../JayfallBackendExchange'
-import { CutServer, type ConnectionEnd } from './JayfallCutServer'
 
 const HEAD = 'HTTP/1.1 200 OK\r\n\r\n'
 const BODY = 'a part of the body'
--- a/packages/forwarding/src/__tests__/unit/JayfallRelayRunner.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallRelayRunner.test.ts
@@ -4,6 +4,7 @@
 import { afterEach, describe, it } from 'node:test'
 
 import { SystemClock } from '#jayfall/shared'
+import { CutServer, type ConnectionEnd } from '#jayfall/standins'
 
 import { type PlanContext } from '../../JayfallAttemptPlan'
 import { type CallerAnswer } from '../../JayfallCallerAnswer'
@@ -12,7 +13,6 @@
 import { encodeOutcome } from '../../JayfallRelayEnvelope'
 import { type RelayPlan, type RelayResult } from '../../JayfallRelayPlan'
 import { RelayRunner } from '../../JayfallRelayRunner'
-import { CutServer, type ConnectionEnd } from './JayfallCutServer'
 
 const TIMEOUT_MILLISECONDS = 3000
 const EVENT = 'id: 1\ndata: token 1\n\n'
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,3 +1,4 @@
+export { CutServer, type ConnectionEnd } from './JayfallCutServer'
 export { type EngineLimits } from './JayfallEngineScheduler'
 export { startEngineStandIn, type EngineStandInSettings } from './JayfallEngineStandIn'
 export { startFaultProxy, type LinkFaultChange, type LinkFaults, type ProxyLinkSettings } from './JayfallFaultProxy'
