--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -169,7 +169,7 @@
     // A stream that has begun cannot be replaced by another answer.
     if (this.answer.hasBegun) return { kind: 'broken', cause: `the stream could not be resumed: status ${head.status}` }
     this.timeToAnswer = this.context.clock.monotonic() - startedAt
-    this.bufferedAnswer = { ...head, body }
+    this.bufferedAnswer = { ...head, body, held }
     this.answer.serverVersion = attempt.server.version
     if (head.status < 300) this.context.promptSuspicions.recordBegun(this.plan.identity)
     return head.status >= 500 ? { kind: 'failed', status: head.status } : { kind: 'answered' }
--- a/packages/forwarding/src/JayfallForwardedCall.ts
+++ b/packages/forwarding/src/JayfallForwardedCall.ts
@@ -21,6 +21,7 @@
     private readonly answer: CallerAnswer,
     private readonly catalogueVersion: number
   ) {
+    answer.requestId = request.requestId
     this.runner = new AttemptRunner(context, plan, request, answer)
     this.relayRunner = new RelayRunner(context, plan, request, answer, catalogueVersion)
   }
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -336,5 +336,9 @@
 /** Share of that which bodies above `SMALL_BODY_BYTES` may use. */
 export const HELD_BYTES_SHARE_OF_LARGE_BODIES = 0.75
 export const SMALL_BODY_BYTES = 64 * 1024
+/** Time in which a connection takes no part of its answer, after which its caller is slow. A caller that reads takes some even when a lost segment is sent again. */
+export const SLOW_CALLER_MILLISECONDS = 1000
+/** Size of the pieces in which an answer is handed to its connection, whose progress shows whether the caller reads. */
+export const ANSWER_PIECE_BYTES = 64 * 1024
 /** Bytes of a refused body that are read before its connection is closed. */
 export const MAXIMUM_DISCARDED_BYTES = 8 * 1024 * 1024
--- a/packages/forwarding/src/JayfallForwardingServer.ts
+++ b/packages/forwarding/src/JayfallForwardingServer.ts
@@ -15,6 +15,7 @@
 import { type ForwardingState } from './JayfallForwardingState'
 import { decodeRelay, type RelayHead } from './JayfallRelayEnvelope'
 import { identifyRequest } from './JayfallRequestIdentity'
+import { UnsentAnswers } from './JayfallUnsentAnswers'
 
 /** Limit on headers for the HTTP parser of Node.js. The catalogue's limit may change, so it is checked for each request. */
 const MAXIMUM_HEADER_BYTES = 128 * 1024
@@ -29,8 +30,10 @@
   private openRelayedRequests = 0
   /** Answers that were handed to their connections and have not been sent completely. */
   private unsentAnswers = 0
+  private readonly unsent: UnsentAnswers
 
   constructor (private readonly context: ForwardingContext, private readonly state: ForwardingState) {
+    this.unsent = new UnsentAnswers(context.memory, context.clock, context.log, context.metrics)
     this.server = http.createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES, requestTimeout: 0, keepAlive: true }, (request, response) => {
       this.handle(request, response).catch(error => {
         this.context.log.error('request_crashed', { request: this.context.protocol.decodeCallerHeaders(request.headers).requestId, message: error instanceof Error ? error.stack : String(error) })
@@ -79,13 +82,14 @@
   }
 
   destroyConnections (): void {
+    this.unsent.resetAll()
     this.server.closeAllConnections()
   }
 
   private async handle (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const arrivedAt = this.context.clock.monotonic()
     this.countUntilClosed(request, response)
-    const answer = new CallerAnswer(request, response, this.context.clock, this.context.pacer, () => this.isClosing)
+    const answer = new CallerAnswer(request, response, this.context.clock, this.context.pacer, this.unsent, () => this.isClosing)
     const fields = this.context.protocol.decodeCallerHeaders(request.headers)
     const requestId = fields.requestId
     if (findHeadFault(request.rawHeaders) !== undefined) {
@@ -144,7 +148,7 @@
   async handleRelay (request: http.IncomingMessage, response: http.ServerResponse, isInstance: boolean): Promise<void> {
     const { clock, log } = this.context
     const receivedAt = clock.monotonic()
-    const answer = new CallerAnswer(request, response, clock, this.context.pacer, () => this.isClosing, true)
+    const answer = new CallerAnswer(request, response, clock, this.context.pacer, this.unsent, () => this.isClosing, true)
     if (!isInstance) {
       log.warn('relay_not_allowed', { address: request.socket.remoteAddress })
       return answer.sendRouterAnswer(403, {}, 'not an instance of this deployment\n')
--- a/packages/forwarding/src/JayfallRelayRunner.ts
+++ b/packages/forwarding/src/JayfallRelayRunner.ts
@@ -121,7 +121,7 @@
     const body = wait.value
     if (!Buffer.isBuffer(body)) return { kind: 'broken', cause: `the answer was ${body}` }
     if (this.answer.hasBegun) return { kind: 'broken', cause: `the stream could not be resumed: status ${head.status}` }
-    this.bufferedAnswer = { ...head, body }
+    this.bufferedAnswer = { ...head, body, held }
     return { kind: 'answered' }
   }
 
