--- a/packages/capacity/src/JayfallCapacityConstants.ts
+++ b/packages/capacity/src/JayfallCapacityConstants.ts
@@ -50,3 +50,12 @@
 export const FLOOD_FACTOR = 2
 /** Recent requests of a workspace at one instance below which there is no flood, because numbers as small vary by chance. */
 export const MINIMUM_FLOOD_REQUESTS = 6
+
+/** Share of the time of a lane's servers that long prompts may take. More would make them wait for each other for longer than for all the rest. */
+export const LANE_OCCUPANCY = 0.4
+/** Largest share of the servers of a zone that belong to the lane. The rest is kept for short prompts. */
+export const LARGEST_LANE_SHARE = 0.7
+/** Half-life of a long prompt in the sum from which the lane follows. Demand swings within seconds. */
+export const LANE_RATE_HALF_LIFE_MILLISECONDS = 3000
+/** Estimated time by which a server outside the lane may be worse for a short prompt: what a long prompt that is not known yet would cost it on the average. */
+export const LANE_PRICE_MILLISECONDS = 150
--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -113,7 +113,10 @@
     // Where requests stay in their zone, only some instances choose among its servers.
     if (!workOrders.isPriorityFirst(server.service)) {
       if (selection.prefillTime >= MINIMUM_PUBLISHED_PREFILL_MILLISECONDS) hints.publish(hint)
-    } else if (selection.prefillTime >= MINIMUM_PUBLISHED_PREFILL_IN_ZONE_MILLISECONDS) hints.publish(hint, loadSharing.zonesChoosingFrom(server))
+    } else if (selection.prefillTime >= MINIMUM_PUBLISHED_PREFILL_IN_ZONE_MILLISECONDS) {
+      hints.publish(hint, loadSharing.zonesChoosingFrom(server))
+      loadSharing.recordLongPrompt(server.id, selection.prefillTime)
+    }
   }
 
   private async exchange (attempt: AttemptPlan, rawHeaders: readonly string[], startedAt: number): Promise<AttemptResult> {
--- a/packages/forwarding/src/JayfallBackendSelector.ts
+++ b/packages/forwarding/src/JayfallBackendSelector.ts
@@ -11,7 +11,7 @@
  * that service stays in its zone unless it may leave.
  */
 
-import { equalCostDraw, FixedZonePolicy, silenceOf, type ColdServers, type WorkOrders, type ZoneEvacuations, type ZonePolicy, type ZoneSpill } from '#jayfall/capacity'
+import { equalCostDraw, FixedZonePolicy, LANE_PRICE_MILLISECONDS, silenceOf, type ColdServers, type LongWorkLanes, type WorkOrders, type ZoneEvacuations, type ZonePolicy, type ZoneSpill } from '#jayfall/capacity'
 import { combineHashes, hashName } from '#jayfall/shared'
 
 import { currentFailureRate, estimateLoad, estimateWaitingRequests, isOutOfReach, remainingPeerPrefillTime, sharedLoadOf, slotsOf, type BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
@@ -105,6 +105,7 @@
   readonly evacuations: ZoneEvacuations
   readonly workOrders: WorkOrders
   readonly zoneSpill: ZoneSpill
+  readonly lanes: LongWorkLanes
 }
 
 /** Selects the server with the lowest estimated time to the first event, plus costs for other requests and for leaving the zone. */
@@ -123,7 +124,7 @@
     const isShared = workOrders.areLoadsShared
     const requestHash = isShared ? hashName(`${request.requestId}/${request.triedServers.size}`) : 0
     const zonePolicy = workOrders.isPriorityFirst(request.service) ? zoneSpill : this.fixedZonePolicy
-    const candidates = zonePolicy.mayLeave(request.service, requestHash / HASH_COUNT) ? known : this.withinOwnZone(known)
+    const candidates = this.withinLane(request, zonePolicy.mayLeave(request.service, requestHash / HASH_COUNT) ? known : this.withinOwnZone(known), now)
     const shared = isShared ? { requestHash, meanReportAge: this.directory.meanReportAge(request.service, now) } : undefined
     const scope = { affinityServers: this.findAffinityServers(request, candidates), zonePolicy, shared }
     let cheapest: Candidate | undefined
@@ -179,6 +180,19 @@
     return own.length > 0 ? own : rows
   }
 
+  /** The servers that long prompts are kept on if the request is one, or all when none of them can be used. */
+  private withinLane ({ service, model, promptTokens }: SelectionRequest, rows: readonly BackendRow[], now: number): readonly BackendRow[] {
+    const { lanes } = this.policies
+    if (model === undefined || !lanes.isLong(this.prefillTimes.estimate(model, promptTokens, now))) return rows
+    const inLane = rows.filter(({ server }) => lanes.isInLane(service, server.id))
+    return inLane.length > 0 ? inLane : rows
+  }
+
+  /** What it costs a prompt to go where long ones are kept. All candidates of a long prompt cost it alike. */
+  private laneCost ({ server }: BackendRow): number {
+    return this.policies.lanes.isInLane(server.service, server.id) ? LANE_PRICE_MILLISECONDS : 0
+  }
+
   private evaluatePlainServer ({ zonePolicy, shared }: SelectionScope, row: BackendRow, now: number): Candidate {
     const estimatedLoad = shared === undefined ? estimateLoad(row, now) : sharedLoadOf(row)
     const slots = slotsOf(row)
@@ -198,7 +212,7 @@
     const timeToFirstEvent = (FIRST_EVENT_OVERHEAD_MILLISECONDS + queueTime + prefillTime) * slownessOf(row)
     const explainedTimeToFirstEvent = (FIRST_EVENT_OVERHEAD_MILLISECONDS + knownQueueTime + prefillTime) * slownessOf(row)
     const batchStepTime = estimatedLoad * BATCH_STEP_MILLISECONDS_PER_REQUEST * request.outputTokens
-    const cost = timeToFirstEvent + prefillTime * (PREFILL_COST_FACTOR - 1) + batchStepTime + this.zoneCost(zonePolicy, row) + drawOf(shared, row)
+    const cost = timeToFirstEvent + prefillTime * (PREFILL_COST_FACTOR - 1) + batchStepTime + this.zoneCost(zonePolicy, row) + this.laneCost(row) + drawOf(shared, row)
     return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens, prefillTime, peerPrefillTime, timeToFirstEvent, explainedTimeToFirstEvent, cost }
   }
 
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -6,7 +6,7 @@
 
 import { type IncomingMessage, type ServerResponse } from 'node:http'
 
-import { ColdServers, NoLoadReports, WorkOrders, WorkspaceShares, ZoneEvacuations, ZoneSpill, type LoadReportChannel } from '#jayfall/capacity'
+import { ColdServers, LongWorkLanes, NoLoadReports, WorkOrders, WorkspaceShares, ZoneEvacuations, ZoneSpill, type LoadReportChannel } from '#jayfall/capacity'
 import { followTable, type FeedReading } from '#jayfall/feeds'
 import { NoRumors, type RumorChannel } from '#jayfall/peers'
 import { type Clock, delay, messageOf, type OpenListener, type RandomSource, type ReadonlyTable } from '#jayfall/shared'
@@ -128,7 +128,8 @@
     this.operatorRows = new OperatorRows({ source: dependencies.source, evacuations: this.evacuations, directory: this.directory, log })
     const workOrders = new WorkOrders()
     const zoneSpill = new ZoneSpill(settings.zone)
-    this.loadSharing = new LoadSharing({ channel: dependencies.loadReports ?? new NoLoadReports(), directory: this.directory, workOrders, zoneSpill, isEvacuated: zone => this.evacuations.isEvacuated(zone), clock, metrics: this.metrics })
+    const lanes = new LongWorkLanes(settings.zone)
+    this.loadSharing = new LoadSharing({ channel: dependencies.loadReports ?? new NoLoadReports(), directory: this.directory, workOrders, zoneSpill, lanes, isEvacuated: zone => this.evacuations.isEvacuated(zone), clock, metrics: this.metrics })
     this.state = new ForwardingState(this.directory, { coldServers: this.coldServers, workOrders }, clock, log, settings.serverEntryLifetime)
     this.versionPolicy = new VersionPolicy(settings, storeTime)
     this.retryBudget = new RetryBudget(settings.retryRatio)
@@ -158,9 +159,12 @@
       storeTime
     })
     this.server = new ForwardingServer({
-      clock, log, protocol, evidence, promptCache, prefillTimes, hints, limits, coldServers: this.coldServers, workOrders, workspaceShares: new WorkspaceShares(), loadSharing: this.loadSharing, promptSuspicions, connectionCheck, reach, reachMonitor: this.reachMonitor, relays: this.relays, memory, pacer, instance: settings.instance, relayHost: dependencies.relayHost, metrics: this.metrics, directory: this.directory, selector: new EstimatedTimeSelector(this.directory, promptCache, prefillTimes, settings.zone, { limits, coldServers: this.coldServers, evacuations: this.evacuations, workOrders, zoneSpill }), retryBudget: this.retryBudget, versionPolicy: this.versionPolicy
+      clock, log, protocol, evidence, promptCache, prefillTimes, hints, limits, coldServers: this.coldServers, workOrders, workspaceShares: new WorkspaceShares(), loadSharing: this.loadSharing, promptSuspicions, connectionCheck, reach, reachMonitor: this.reachMonitor, relays: this.relays, memory, pacer, instance: settings.instance, relayHost: dependencies.relayHost, metrics: this.metrics, directory: this.directory, selector: new EstimatedTimeSelector(this.directory, promptCache, prefillTimes, settings.zone, { limits, coldServers: this.coldServers, evacuations: this.evacuations, workOrders, zoneSpill, lanes }), retryBudget: this.retryBudget, versionPolicy: this.versionPolicy
     }, this.state)
-    hints.subscribe(({ server, reading }) => this.directory.recordPeerPrefill(server, reading, clock.monotonic()))
+    hints.subscribe(({ server, reading }) => {
+      this.directory.recordPeerPrefill(server, reading, clock.monotonic())
+      this.loadSharing.recordLongPrompt(server, reading)
+    })
   }
 
   /** Whether new callers may be sent to this instance. */
--- a/packages/forwarding/src/JayfallLoadSharing.ts
+++ b/packages/forwarding/src/JayfallLoadSharing.ts
@@ -4,11 +4,11 @@
  * It does so where some service is ordered by priority.
  */
 
-import { LoadReports, type LoadReport, type LoadReportChannel, type WorkOrders, type ZoneLoad, type ZoneSpill } from '#jayfall/capacity'
+import { LoadReports, type LaneServer, type LoadReport, type LoadReportChannel, type LongWorkLanes, type WorkOrders, type ZoneLoad, type ZoneSpill } from '#jayfall/capacity'
 import { type Clock } from '#jayfall/shared'
 import { type Metrics } from '#jayfall/telemetry'
 
-import { isOutOfReach, sharedLoadOf, slotsOf, type BackendDirectory } from './JayfallBackendDirectory'
+import { isOutOfReach, sharedLoadOf, slotsOf, type BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
 import { type BackendServer } from './JayfallForwardingCatalogue'
 import { type ServerLoad } from './JayfallForwardingProtocol'
 
@@ -17,6 +17,7 @@
   readonly directory: BackendDirectory
   readonly workOrders: WorkOrders
   readonly zoneSpill: ZoneSpill
+  readonly lanes: LongWorkLanes
   readonly isEvacuated: (zone: string) => boolean
   readonly clock: Clock
   readonly metrics: Metrics
@@ -39,11 +40,12 @@
 
   /** Tells other instances, and adapts to what they told; called at an interval. */
   update (): void {
-    const { channel, workOrders, zoneSpill, clock, metrics } = this.parts
+    const { channel, workOrders, zoneSpill, lanes, clock, metrics } = this.parts
     const now = clock.monotonic()
     for (const service of workOrders.priorityFirstServices) {
       const before = zoneSpill.leavingShare(service)
       zoneSpill.update(service, this.loadsByZone(service, now), now)
+      lanes.update(service, [...this.serversInUse(service, now)], now)
       const share = zoneSpill.leavingShare(service)
       if (share !== before) metrics.count('jayfall_capacity_zone_leaving_share', { service }, share - before)
     }
@@ -70,12 +72,30 @@
     metrics.count('jayfall_capacity_load_reports_heard_total', {})
   }
 
+  /** Records that a long prompt is sent to a server, by this instance or another one. */
+  recordLongPrompt (server: string, prefillTime: number): void {
+    const { directory, lanes, clock } = this.parts
+    const row = directory.get(server)
+    if (row !== undefined && lanes.isLong(prefillTime)) lanes.record(row.server.service, row.server.zone, prefillTime, clock.monotonic())
+  }
+
+  private * serversInUse (service: string, now: number): Generator<LaneServer> {
+    for (const { server: { id, zone }, affinityHash } of this.rowsInUse(service, now)) yield { id, zone, affinityHash }
+  }
+
+  private * rowsInUse (service: string, now: number): Generator<BackendRow> {
+    const { directory, isEvacuated } = this.parts
+    for (const row of directory.rowsOfService(service)) {
+      const { zone, isDraining } = row.server
+      if (!isDraining && !row.isLapsed && !isOutOfReach(row, now) && !isEvacuated(zone) && !directory.isZoneUnreachable(zone, now)) yield row
+    }
+  }
+
   /** The load of the service's servers that are in use, by zone. */
   private loadsByZone (service: string, now: number): ReadonlyMap<string, ZoneLoad> {
     const loads = new Map<string, ZoneLoad>()
-    for (const row of this.parts.directory.rowsOfService(service)) {
-      const { zone, isDraining } = row.server
-      if (isDraining || row.isLapsed || isOutOfReach(row, now) || this.parts.isEvacuated(zone) || this.parts.directory.isZoneUnreachable(zone, now)) continue
+    for (const row of this.rowsInUse(service, now)) {
+      const { zone } = row.server
       const { load, slots } = loads.get(zone) ?? { load: 0, slots: 0 }
       loads.set(zone, { load: load + sharedLoadOf(row), slots: slots + slotsOf(row) })
     }
--- a/packages/forwarding/src/__tests__/unit/JayfallDecisionFixture.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallDecisionFixture.ts
@@ -1,6 +1,6 @@
 /** Fixtures for tests of decisions that use no network. */
 
-import { ColdServers, WorkOrders, ZoneEvacuations, ZoneSpill } from '#jayfall/capacity'
+import { ColdServers, LongWorkLanes, WorkOrders, ZoneEvacuations, ZoneSpill } from '#jayfall/capacity'
 import { NoRumors, type RumorChannel } from '#jayfall/peers'
 import { ManualClock, RandomSource } from '#jayfall/shared'
 import { Metrics, type Log } from '#jayfall/telemetry'
@@ -75,7 +75,8 @@
   readonly evacuations = new ZoneEvacuations(SILENT_LOG, () => {})
   readonly workOrders = new WorkOrders()
   readonly zoneSpill = new ZoneSpill('valdivia')
-  readonly selector = new EstimatedTimeSelector(this.directory, this.promptCache, this.prefillTimes, 'valdivia', { limits: this.limits, coldServers: this.coldServers, evacuations: this.evacuations, workOrders: this.workOrders, zoneSpill: this.zoneSpill })
+  readonly lanes = new LongWorkLanes('valdivia')
+  readonly selector = new EstimatedTimeSelector(this.directory, this.promptCache, this.prefillTimes, 'valdivia', { limits: this.limits, coldServers: this.coldServers, evacuations: this.evacuations, workOrders: this.workOrders, zoneSpill: this.zoneSpill, lanes: this.lanes })
   readonly retryBudget = new RetryBudget(0.9)
   readonly versionPolicy = new VersionPolicy({ sessionGap: 5000, exposureShare: 0.15 }, () => this.clock.monotonic())
   readonly promptSuspicions = createSuspicions(this.clock)
