--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -99,6 +99,10 @@
   readonly isRetry: boolean
   /** The model to go on with; undefined for the one that the plan begins with. */
   readonly model?: string
+  /** How the last attempt of this instance ended; undefined before the first. */
+  readonly previous?: AttemptResult
+  /** Whether the request is the trial of a suspicion against its prompt. */
+  readonly isTrial?: boolean
 }
 
 export const NO_PROGRESS: AttemptProgress = { sentAttempts: 0, mayHaveRun: false, triedServers: [], isRetry: false }
@@ -145,9 +149,9 @@
   const { route, clock, deadline, retryBudget, service, promptSuspicions, identity, selector } = context
   const triedServers = new Set(start.triedServers)
   let { sentAttempts, mayHaveRun } = start
-  let isTrial = false
+  let isTrial = start.isTrial ?? false
   let model = start.model ?? route.models[0] ?? context.fields.model
-  let previous: AttemptResult | undefined
+  let { previous } = start
   for (let number = 1; ; number++) {
     const now = clock.monotonic()
     if (deadline - now < MINIMUM_ATTEMPT_MILLISECONDS) return decideWithoutAnswer(context, mayHaveRun, 'too_late')
@@ -158,8 +162,9 @@
     if (admission?.kind === 'refused') return mayHaveRun ? { kind: 'fail', code: 'suspect_prompt' } : { kind: 'refuse', code: 'suspect_prompt', retryAfter: Math.max(DEFAULT_RETRY_AFTER_MILLISECONDS, admission.retryAfter) }
     isTrial ||= admission?.kind === 'trial'
     const choice = chooseServer(context, model, triedServers)
-    if (choice !== undefined && 'wait' in choice) return { kind: 'cold', wait: choice.wait, progress: { sentAttempts, mayHaveRun, triedServers: [...triedServers], isRetry: isRepeat, model } }
-    const chosen = choice
+    const chosen = isServerChosen(choice) ? choice : undefined
+    // A request that has no retry left would be rejected after its wait, so it is rejected at once.
+    if (choice !== undefined && !isServerChosen(choice) && (!isRepeat || retryBudget.hasRetryLeft(service, now))) return { kind: 'cold', wait: choice.wait, progress: { sentAttempts, mayHaveRun, triedServers: [...triedServers], isRetry: isRepeat, model, previous, isTrial } }
     // Only an attempt that follows one that may have reached a server counts as a retry.
     if (chosen === undefined || (isRepeat && !retryBudget.trySpendRetry(service, now))) {
       if (previous?.kind === 'failed') return { kind: 'deliver' }
@@ -204,7 +209,7 @@
   if (largest === undefined || model === largest || !route.isRepeatable || sentAttempts + 1 >= route.maximumAttempts || lastDeliveredEventId() !== undefined) return 0
   const now = clock.monotonic()
   const next = retryBudget.hasRetryLeft(service, now) ? chooseServer(context, largest, new Set()) : undefined
-  return next === undefined || 'wait' in next ? 0 : confidenceThreshold(next.selection.timeToFirstEvent, arrivedAt + route.objective - now)
+  return !isServerChosen(next) ? 0 : confidenceThreshold(next.selection.timeToFirstEvent, arrivedAt + route.objective - now)
 }
 
 /** Chooses a server, or says how long to wait for a share of a cold one. A request does not change its version to avoid that wait. */
@@ -274,7 +279,7 @@
   return reach.isCut(service) && relays.hasTargets ? canBeRelayed(context) && relays.isAvailable(service, now) : isServerChosen(chooseServer(context, model, triedServers))
 }
 
-function isServerChosen (choice: ChosenServer | ColdWait | undefined): boolean {
+function isServerChosen (choice: ChosenServer | ColdWait | undefined): choice is ChosenServer {
   return choice !== undefined && !('wait' in choice)
 }
 
