--- a/packages/forwarding/src/JayfallForwardedCall.ts
+++ b/packages/forwarding/src/JayfallForwardedCall.ts
@@ -10,8 +10,6 @@
 
 const FAILURE_STATUSES = { answer_lost: 502, suspect_prompt: 502, timeout: 504 } as const
 
-const NEVER = new Promise<never>(() => {})
-
 export class ForwardedCall {
   private readonly runner: AttemptRunner
   private readonly relayRunner: RelayRunner
@@ -52,7 +50,8 @@
 
   private async wait ({ duration }: WaitPlan): Promise<WaitResult> {
     this.waited += duration
-    const { kind } = await waitFor(NEVER, duration, [this.answer.callerDisconnected])
+    // A promise that several waits shared would keep the callbacks of all of them.
+    const { kind } = await waitFor(new Promise<never>(() => {}), duration, [this.answer.callerDisconnected])
     return { kind: kind === 'stopped' ? 'caller_left' : 'waited' }
   }
 
