--- a/packages/capacity/src/JayfallColdServers.ts
+++ b/packages/capacity/src/JayfallColdServers.ts
@@ -31,6 +31,8 @@
   readonly clock: Clock
   readonly log: Log
   readonly metrics: Metrics
+  /** Whether the server is in use; nothing is kept of others. */
+  readonly isRegistered: (server: string) => boolean
 }
 
 interface ColdRow {
@@ -54,27 +56,25 @@
     this.shares = new WindowShares(parts, COLD_WINDOW_MILLISECONDS)
   }
 
-  /** Sets the policies of the services in which servers can be cold. */
+  /** Sets the policies of the services in which servers can be cold. Reports that came before count too, because servers and policies are read independently. */
   setPolicies (policies: ReadonlyMap<string, ColdPolicy>): void {
     this.policies = policies
   }
 
-  /** Records how many milliseconds longer the server says that it is cold. */
+  /** Records how many milliseconds longer the server says that it is cold, in an answer. */
   recordReport (server: string, service: string, left: number): void {
-    if (!this.policies.has(service)) return
-    const now = this.parts.clock.monotonic()
-    const row = this.rows.get(server)
-    if (left <= 0) {
-      if (row !== undefined) this.rows.set(server, { ...row, reportedUntil: -Infinity })
-      return
-    }
-    this.set(server, service, { reportedUntil: now + Math.min(MAXIMUM_COLD_MILLISECONDS, left) }, 'reported', left)
+    if (left > 0) this.set(server, service, { reportedUntil: this.endOf(left) }, 'reported', left)
+    else this.rows.update(server, row => ({ ...row, reportedUntil: -Infinity }))
+  }
+
+  /** Records how many milliseconds longer the server is cold by its entry. An entry may be older than an answer, so it never shortens the time. */
+  recordEntry (server: string, service: string, left: number): void {
+    if (left > 0) this.set(server, service, { reportedUntil: Math.max(this.rows.get(server)?.reportedUntil ?? -Infinity, this.endOf(left)) }, 'reported', left)
   }
 
-  /** Presumes that the server is cold for the duration of its service from now on. */
+  /** Presumes that the server is cold for the duration of its service from now on, and longer while it cannot be reached. */
   presume (server: string, service: string, reason: ColdPresumption): void {
-    const policy = this.policies.get(service)
-    if (policy !== undefined) this.set(server, service, { presumedUntil: this.parts.clock.monotonic() + policy.duration }, reason, policy.duration)
+    if (this.rows.get(server)?.presumedUntil !== Infinity) this.presumeFromNow(server, service, reason)
   }
 
   /** Records that no connection to the server could be opened, so that it may be starting again. */
@@ -82,10 +82,10 @@
     if (this.policies.has(service)) this.set(server, service, { presumedUntil: Infinity }, 'unreached')
   }
 
-  /** Records that a connection to the server was opened. */
+  /** Records that the server answered. */
   recordReached (server: string): void {
     const row = this.rows.get(server)
-    if (row?.presumedUntil === Infinity) this.presume(server, row.service, 'unreached')
+    if (row?.presumedUntil === Infinity) this.presumeFromNow(server, row.service, 'unreached')
   }
 
   /** Forgets a server that has left. */
@@ -120,11 +120,23 @@
     return this.shares.untilNextWindow
   }
 
+  /** Monotonic milliseconds at which a cold time ends that has so many milliseconds left. */
+  private endOf (left: number): number {
+    return this.parts.clock.monotonic() + Math.min(MAXIMUM_COLD_MILLISECONDS, left)
+  }
+
+  private presumeFromNow (server: string, service: string, reason: ColdPresumption): void {
+    const policy = this.policies.get(service)
+    if (policy !== undefined) this.set(server, service, { presumedUntil: this.parts.clock.monotonic() + policy.duration }, reason, policy.duration)
+  }
+
   private set (server: string, service: string, change: Partial<ColdRow>, reason: string, left?: number): void {
+    // A request may end after its server has left.
+    if (!this.parts.isRegistered(server)) return
     const wasCold = this.isCold(server)
     const row = this.rows.get(server) ?? { service, reportedUntil: -Infinity, presumedUntil: -Infinity, window: NaN, sent: 0, share: 0 }
     this.rows.set(server, { ...row, service, ...change })
-    if (!wasCold) this.parts.log.info('server_cold', { server, service, reason, left_ms: left === undefined ? undefined : Math.round(left) })
+    if (!wasCold && this.isCold(server)) this.parts.log.info('server_cold', { server, service, reason, left_ms: left === undefined ? undefined : Math.round(left) })
   }
 
   /** The row of a server that is cold now; undefined for all others. */
--- a/packages/capacity/src/__tests__/unit/JayfallColdServers.test.ts
+++ b/packages/capacity/src/__tests__/unit/JayfallColdServers.test.ts
@@ -14,9 +14,9 @@
 const ignoreLine = (): void => {}
 const SILENT_LOG: Log = { debug: ignoreLine, info: ignoreLine, warn: ignoreLine, error: ignoreLine }
 
-function createColdServers (clock: ManualClock, options: { readonly instance?: string, readonly instances?: readonly string[] | null, readonly clockError?: number } = {}): ColdServers {
-  const { instance = 'entry-0', instances = [instance], clockError = 0 } = options
-  const coldServers = new ColdServers({ clock, log: SILENT_LOG, metrics: new Metrics(), storeTime: () => clock.monotonic() + clockError, instance, instances: () => instances ?? undefined })
+function createColdServers (clock: ManualClock, options: { readonly instance?: string, readonly instances?: readonly string[] | null, readonly clockError?: number, readonly registered?: ReadonlySet<string> } = {}): ColdServers {
+  const { instance = 'entry-0', instances = [instance], clockError = 0, registered = new Set(['s1']) } = options
+  const coldServers = new ColdServers({ clock, log: SILENT_LOG, metrics: new Metrics(), isRegistered: server => registered.has(server), storeTime: () => clock.monotonic() + clockError, instance, instances: () => instances ?? undefined })
   coldServers.setPolicies(new Map([['engines', POLICY]]))
   return coldServers
 }
@@ -30,11 +30,13 @@
 
 describe('ColdServers', () => {
   let clock: ManualClock
+  let registered: Set<string>
   let coldServers: ColdServers
 
   beforeEach(() => {
     clock = new ManualClock(100_000)
-    coldServers = createColdServers(clock)
+    registered = new Set(['s1'])
+    coldServers = createColdServers(clock, { registered })
   })
 
   describe('at one instance', () => {
@@ -51,6 +53,22 @@
       assert.equal(coldServers.isCold('s1'), false)
     })
 
+    it('limit a server whose report came before the policy of its service (guards against instances that start and read the servers before the configuration)', () => {
+      coldServers.setPolicies(new Map())
+      coldServers.recordReport('s1', 'engines', 3000)
+      assert.equal(coldServers.isCold('s1'), false)
+      coldServers.setPolicies(new Map([['engines', POLICY]]))
+      assert.ok(coldServers.isCold('s1'))
+    })
+
+    it('keep nothing of a server that is not registered any more (guards against memory that grows with each server that leaves during a request)', () => {
+      registered.delete('s1')
+      coldServers.recordUnreached('s1', 'engines')
+      coldServers.recordReport('s1', 'engines', 3000)
+      registered.add('s1')
+      assert.equal(coldServers.isCold('s1'), false)
+    })
+
     it('take a cold time that is vast for a minute at most (guards against entries that keep work away for good)', () => {
       coldServers.recordReport('s1', 'engines', Number.MAX_VALUE)
       clock.advance(60_000)
@@ -68,6 +86,13 @@
       assert.equal(coldServers.isCold('s1'), false)
     })
 
+    it('presume a server cold until it is reached, also when the evacuation of its zone ends before (guards against work for a server that starts during that time)', () => {
+      coldServers.recordUnreached('s1', 'engines')
+      coldServers.presume('s1', 'engines', 'evacuation_ended')
+      clock.advance(10_000)
+      assert.ok(coldServers.isCold('s1'))
+    })
+
     it('keep the presumption when an older entry says that the server is not cold (guards against entries written before an evacuation ended)', () => {
       coldServers.presume('s1', 'engines', 'evacuation_ended')
       coldServers.recordReport('s1', 'engines', 0)
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -123,7 +123,7 @@
     this.metrics = dependencies.metrics ?? new Metrics()
     const instances = dependencies.instances ?? (() => [settings.instance])
     this.directory = new BackendDirectory(settings.zone)
-    this.coldServers = new ColdServers({ clock, log, metrics: this.metrics, storeTime, instance: settings.instance, instances })
+    this.coldServers = new ColdServers({ clock, log, metrics: this.metrics, isRegistered: server => this.directory.get(server) !== undefined, storeTime, instance: settings.instance, instances })
     this.evacuations = new ZoneEvacuations(log, zone => this.presumeCold(zone))
     this.operatorRows = new OperatorRows({ source: dependencies.source, evacuations: this.evacuations, directory: this.directory, log })
     const workOrders = new WorkOrders()
--- a/packages/forwarding/src/JayfallForwardingState.ts
+++ b/packages/forwarding/src/JayfallForwardingState.ts
@@ -166,7 +166,7 @@
     const known = this.directory.get(server.id)
     this.lapsed.delete(server.id)
     this.directory.set(server, now)
-    if (server.coldTime !== undefined) this.policies.coldServers.recordReport(server.id, server.service, server.coldTime)
+    if (server.coldTime !== undefined) this.policies.coldServers.recordEntry(server.id, server.service, server.coldTime)
     if (known?.server.isDraining === server.isDraining && known.server.address === server.address) return
     this.log.info('server_known', { server: server.id, service: server.service, version: server.version, zone: server.zone, address: server.address, leaving: server.isDraining })
   }
--- a/packages/forwarding/src/__tests__/unit/JayfallDecisionFixture.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallDecisionFixture.ts
@@ -60,8 +60,8 @@
   return new PromptSuspicions({ clock, log: SILENT_LOG, metrics: new Metrics(), rumors })
 }
 
-export function createColdServers (clock: ManualClock): ColdServers {
-  return new ColdServers({ clock, log: SILENT_LOG, metrics: new Metrics(), storeTime: () => clock.monotonic(), instance: 'entry', instances: () => ['entry'] })
+export function createColdServers (clock: ManualClock, directory: BackendDirectory): ColdServers {
+  return new ColdServers({ clock, log: SILENT_LOG, metrics: new Metrics(), isRegistered: server => directory.get(server) !== undefined, storeTime: () => clock.monotonic(), instance: 'entry', instances: () => ['entry'] })
 }
 
 /** The components that decide on one request, with a clock that the test sets. */
@@ -71,7 +71,7 @@
   readonly promptCache = new PromptCacheTracker()
   readonly prefillTimes = new PrefillTimes()
   readonly limits = new ServerLimits({ clock: this.clock, random: new RandomSource(1), log: SILENT_LOG, rumors: new NoRumors(), storeTime: () => this.clock.monotonic(), instance: 'entry', instances: () => ['entry'] })
-  readonly coldServers = createColdServers(this.clock)
+  readonly coldServers = createColdServers(this.clock, this.directory)
   readonly evacuations = new ZoneEvacuations(SILENT_LOG, () => {})
   readonly workOrders = new WorkOrders()
   readonly zoneSpill = new ZoneSpill('valdivia')
--- a/packages/forwarding/src/__tests__/unit/JayfallServersOfCopy.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallServersOfCopy.test.ts
@@ -3,26 +3,29 @@
 import * as assert from 'node:assert/strict'
 import { beforeEach, describe, it } from 'node:test'
 
-import { WorkOrders } from '#jayfall/capacity'
+import { WorkOrders, type ColdServers } from '#jayfall/capacity'
 import { ManualClock } from '#jayfall/shared'
 
 import { BackendDirectory } from '../../JayfallBackendDirectory'
 import { type BackendServer } from '../../JayfallForwardingCatalogue'
 import { LAPSED_ENTRY_GRACE_MILLISECONDS } from '../../JayfallForwardingConstants'
 import { ForwardingState } from '../../JayfallForwardingState'
-import { createColdServers, fakeServer, SILENT_LOG } from './JayfallDecisionFixture'
+import { createColdServers, fakeServer, SERVICE, SILENT_LOG } from './JayfallDecisionFixture'
 
 const ENTRY_LIFETIME_MILLISECONDS = 3600
 
 describe('the list of servers of a copy', () => {
   let clock: ManualClock
   let directory: BackendDirectory
+  let coldServers: ColdServers
   let state: ForwardingState
 
   beforeEach(() => {
     clock = new ManualClock(1000)
     directory = new BackendDirectory('valdivia')
-    state = new ForwardingState(directory, { coldServers: createColdServers(clock), workOrders: new WorkOrders() }, clock, SILENT_LOG, ENTRY_LIFETIME_MILLISECONDS)
+    coldServers = createColdServers(clock, directory)
+    coldServers.setPolicies(new Map([[SERVICE, { duration: 3000, requestsPerSecond: 4 }]]))
+    state = new ForwardingState(directory, { coldServers, workOrders: new WorkOrders() }, clock, SILENT_LOG, ENTRY_LIFETIME_MILLISECONDS)
     state.applyServerSnapshot([read(fakeServer('i-1')), read(fakeServer('i-2'))], false)
   })
 
@@ -30,6 +33,17 @@
     return { id: server.id, server }
   }
 
+  // An entry is read up to a heartbeat after it was written, so a server may have become cold meanwhile.
+  it('ends no cold time that the server itself has stated since (guards against too much load on servers that restart)', () => {
+    coldServers.recordReport('i-1', SERVICE, 3000)
+    state.applyServersOfCopy([read(fakeServer('i-1', { coldTime: 0 }))])
+    assert.ok(coldServers.isCold('i-1'))
+    state.applyServerChanges([read(fakeServer('i-1', { coldTime: 0 }))], false)
+    assert.ok(coldServers.isCold('i-1'))
+    clock.advance(3000)
+    assert.equal(coldServers.isCold('i-1'), false)
+  })
+
   // A server that had announced its leaving was listed as ready again, and got new requests while it stopped.
   it('shows no server as ready that has announced its leaving (guards against requests to servers that drain)', () => {
     state.applyServerChanges([read(fakeServer('i-1', { isDraining: true }))], false)
