--- a/packages/capacity/src/JayfallCapacityConstants.ts
+++ b/packages/capacity/src/JayfallCapacityConstants.ts
@@ -20,6 +20,8 @@
 export const MAXIMUM_REPORTS_PER_MESSAGE = 10
 /** Age above which a load report is not passed on. By then an engine has begun several other prompts. */
 export const MAXIMUM_REPORT_AGE_MILLISECONDS = 1000
+/** Difference in time up to which two reports of one load are taken for one report. A message takes about a millisecond, or some tens at a busy instance. */
+export const SAME_REPORT_MILLISECONDS = 50
 
 /** Price of a server of another zone for a request that may leave: the longer way, there and back, and the error of the estimate. */
 export const LEAVING_PRICE_MILLISECONDS = 10
--- a/packages/capacity/src/JayfallLoadReports.ts
+++ b/packages/capacity/src/JayfallLoadReports.ts
@@ -10,7 +10,7 @@
 
 import { Table } from '#jayfall/shared'
 
-import { MAXIMUM_REPORT_AGE_MILLISECONDS, MAXIMUM_REPORTS_PER_MESSAGE } from './JayfallCapacityConstants'
+import { MAXIMUM_REPORT_AGE_MILLISECONDS, MAXIMUM_REPORTS_PER_MESSAGE, SAME_REPORT_MILLISECONDS } from './JayfallCapacityConstants'
 
 /** The load of a server at one time. */
 export interface LoadReport {
@@ -45,7 +45,7 @@
   /** Takes in a report. @returns whether it is newer than those known of its server. */
   record (report: LoadReport): boolean {
     const known = this.latest.get(report.server)
-    if (known !== undefined && known.measuredAt >= report.measuredAt) return false
+    if (known !== undefined && (known.measuredAt >= report.measuredAt || isSameReport(known, report))) return false
     this.latest.delete(report.server)
     this.latest.set(report.server, report)
     return true
@@ -53,7 +53,13 @@
 
   /** Returns the newest reports, for other instances, and forgets those that are too old to help. */
   takeNewest (now: number): readonly LoadReport[] {
-    for (const [server, { measuredAt }] of [...this.latest.entries()]) if (now - measuredAt > MAXIMUM_REPORT_AGE_MILLISECONDS) this.latest.delete(server)
-    return [...this.latest.rows()].sort((left, right) => right.measuredAt - left.measuredAt).slice(0, MAXIMUM_REPORTS_PER_MESSAGE)
+    // Other instances may still return a report that has just become too old.
+    for (const [server, { measuredAt }] of [...this.latest.entries()]) if (now - measuredAt > MAXIMUM_REPORT_AGE_MILLISECONDS + SAME_REPORT_MILLISECONDS) this.latest.delete(server)
+    return [...this.latest.rows()].filter(({ measuredAt }) => now - measuredAt <= MAXIMUM_REPORT_AGE_MILLISECONDS).sort((left, right) => right.measuredAt - left.measuredAt).slice(0, MAXIMUM_REPORTS_PER_MESSAGE)
   }
 }
+
+/** Whether both may be one report, of which one has come back: the age in a message lacks the time that the message takes. */
+function isSameReport (known: LoadReport, report: LoadReport): boolean {
+  return report.measuredAt - known.measuredAt < SAME_REPORT_MILLISECONDS && report.running === known.running && report.waiting === known.waiting && report.slots === known.slots
+}
--- a/packages/capacity/src/__tests__/unit/JayfallLoadReports.test.ts
+++ b/packages/capacity/src/__tests__/unit/JayfallLoadReports.test.ts
@@ -25,6 +25,17 @@
     assert.deepEqual(reports.takeNewest(2001), [])
   })
 
+  // The age that a message names lacks its time on the way, so a report looks a little newer at each instance.
+  it('do not take a report that comes back for a newer one (guards against forgetting what was sent since it was measured)', () => {
+    const reports = new LoadReports()
+    reports.record(reportOf('s1', 1000))
+    assert.equal(reports.record(reportOf('s1', 1004)), false)
+    reports.takeNewest(2001)
+    assert.equal(reports.record(reportOf('s1', 1004)), false)
+    assert.equal(reports.record({ ...reportOf('s1', 1004), running: 2 }), true)
+    assert.equal(reports.record({ ...reportOf('s1', 1200), running: 2 }), true)
+  })
+
   it('let an instance know the load of most servers of half a second ago (guards against servers that are chosen blindly)', () => {
     const [instances, servers, requestsPerSecond] = [73, 63, 350]
     const random = new RandomSource(1)
--- a/packages/forwarding/src/JayfallDatagramLoadReports.ts
+++ b/packages/forwarding/src/JayfallDatagramLoadReports.ts
@@ -39,7 +39,7 @@
   override publish (reports: readonly LoadReport[], now: number): void {
     const { datagrams, random } = this.parts
     const targets = [this.near, this.all].flatMap(addresses => random.pick(addresses) ?? [])
-    const loads = reports.map(({ server, running, waiting, slots, slowness, measuredAt }) => [server, running, waiting, slots, Math.round(slowness * PERCENT), Math.round(now - measuredAt)])
+    const loads = reports.map(({ server, running, waiting, slots, slowness, measuredAt }) => [server, running, waiting, slots, Math.round(slowness * PERCENT), Math.ceil(now - measuredAt)])
     if (targets.length > 0) datagrams.sendWithinLimit([...new Set(targets)], { loads })
   }
 
