--- a/packages/forwarding/src/JayfallOperatorRows.ts
+++ b/packages/forwarding/src/JayfallOperatorRows.ts
@@ -36,6 +36,8 @@
   private readonly ordersSeenMade = new Map<string, TablePosition>()
   /** Evacuated zones by the keys of their rows. */
   private readonly evacuatedZonesByKey = new Map<string, string>()
+  /** Keys of evacuations that are in force although the copy that the store was restored from lacks their rows. */
+  private readonly keptEvacuations = new Set<string>()
 
   constructor (private readonly parts: OperatorRowsParts) {}
 
@@ -47,6 +49,7 @@
   /** Applies what was read, and returns the catalogues in it. */
   apply ({ kind, rows, position: { era }, isNewEra }: OperatorReading): readonly ReadCatalogue[] {
     if (isNewEra && kind === 'changes') this.keepOrders(rows, era)
+    if (isNewEra) this.keepEvacuations(kind, rows)
     const catalogues: ReadCatalogue[] = []
     for (const { key, value, position } of rows) {
       if (value === undefined) {
@@ -89,6 +92,7 @@
 
   private beginEvacuation (key: string, zone: string): void {
     this.evacuatedZonesByKey.set(key, zone)
+    this.keptEvacuations.delete(key)
     if (![...this.parts.directory.rows.rows()].some(({ server }) => server.zone === zone)) this.parts.log.warn('evacuated_zone_unknown', { zone, reason: 'no server is registered in it' })
     this.parts.evacuations.begin(zone)
   }
@@ -96,11 +100,18 @@
   private endEvacuation (key: string): void {
     const zone = this.evacuatedZonesByKey.get(key)
     this.evacuatedZonesByKey.delete(key)
+    this.keptEvacuations.delete(key)
     if (zone !== undefined) this.parts.evacuations.end(zone)
   }
 
   private endUnlistedEvacuations (listed: readonly TableChange[]): void {
     const keys = new Set(listed.map(({ key }) => key))
-    for (const key of [...this.evacuatedZonesByKey.keys()]) if (!keys.has(key)) this.endEvacuation(key)
+    for (const key of [...this.evacuatedZonesByKey.keys()]) if (!keys.has(key) && !this.keptEvacuations.has(key)) this.endEvacuation(key)
+  }
+
+  /** Notes which evacuations the copy lacks. Changes list the rows in which the copy differs, and a snapshot all of its rows. */
+  private keepEvacuations (kind: OperatorReading['kind'], rows: readonly TableChange[]): void {
+    const valuesByKey = new Map(rows.map(({ key, value }) => [key, value]))
+    for (const key of this.evacuatedZonesByKey.keys()) if (valuesByKey.get(key) === undefined && (kind === 'snapshot' || valuesByKey.has(key))) this.keptEvacuations.add(key)
   }
 }
--- a/packages/forwarding/src/__tests__/unit/JayfallOperatorRows.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallOperatorRows.test.ts
@@ -65,6 +65,26 @@
       assert.equal(selectZone(), 'osorno')
     })
 
+    // An instance that has lost the history of the table reads it as a whole again.
+    it('that a copy lacks stay in force until their row is written and removed again (guards against requests to a zone that operators left evacuated)', () => {
+      for (const kind of ['snapshot', 'changes'] as const) {
+        read('changes', { valdivia: {} })
+        read(kind, kind === 'changes' ? { valdivia: undefined } : {}, true)
+        read('snapshot', {})
+        assert.equal(selectZone(), 'osorno')
+        read('snapshot', { valdivia: {} })
+        read('snapshot', {})
+        assert.equal(selectZone(), 'valdivia')
+      }
+    })
+
+    it('that a copy holds end with the next whole reading without them', () => {
+      read('changes', { valdivia: {} })
+      read('changes', {}, true)
+      read('snapshot', {})
+      assert.equal(selectZone(), 'valdivia')
+    })
+
     it('of a zone without servers change nothing for the others', () => {
       read('changes', { chiloe: {} })
       assert.equal(selectZone(), 'valdivia')
