--- a/packages/forwarding/src/JayfallBackendSelector.ts
+++ b/packages/forwarding/src/JayfallBackendSelector.ts
@@ -105,7 +105,7 @@
   }
 
   override select (request: SelectionRequest, now: number): BackendSelection | undefined {
-    const usable = [...this.findUsableRows(request, now)]
+    const usable = this.findUsableRows(request, now)
     const healthy = usable.filter(row => isHealthy(row, now) && !this.directory.isZoneUnreachable(row.server.zone, now))
     const known = healthy.length > 0 ? healthy : usable
     const isDrawn = this.policies.workOrders.isPriorityFirst(request.service)
@@ -144,8 +144,9 @@
     return undefined
   }
 
-  private * findUsableRows (request: SelectionRequest, now: number): Generator<BackendRow> {
-    for (const row of this.findRowsInUse(request, now)) if (this.policies.coldServers.maySend(row.server.id)) yield row
+  private findUsableRows (request: SelectionRequest, now: number): readonly BackendRow[] {
+    const { coldServers } = this.policies
+    return [...this.findRowsInUse(request, now)].filter(({ server }) => coldServers.maySend(server.id))
   }
 
   /** Servers that may take the request, or could if they were not cold. */
