--- a/packages/capacity/src/JayfallCandidateDraw.ts
+++ b/packages/capacity/src/JayfallCandidateDraw.ts
@@ -1,9 +1,9 @@
 /**
  * Draws the servers that are compared for one request.
  *
- * Load that it answers: many instances that know the same load reports. If all of them compared all servers, they would
- * send to the least loaded one until the next reports arrive. The draw follows from the request, so it differs from
- * request to request and is the same each time that one request is decided.
+ * Many instances know the same load reports. If all of them compared all servers, they would send to the least loaded one
+ * until the next reports arrive. The draw follows from the hash of an attempt, so it differs between requests and is the
+ * same each time that one attempt is decided.
  */
 
 import { combineHashes } from '#jayfall/shared'
--- a/packages/capacity/src/JayfallCapacityConstants.ts
+++ b/packages/capacity/src/JayfallCapacityConstants.ts
@@ -1,10 +1,10 @@
 /** Constants of decisions about the capacity of servers. Durations are in milliseconds. */
 
-/** Window of the store's clock in which the requests that cold servers bear are dealt to the instances. Short windows keep the sum of any second near the limit, because at most one window more than fits into a second counts toward it. */
+/** Window of the store's clock for which the requests that cold servers can handle are distributed to the instances. Short windows keep the sum of any second near the limit, because at most one window more than fits into a second counts toward it. */
 export const COLD_WINDOW_MILLISECONDS = 250
 /** Longest time for which a server counts as cold after one report. A longer one is an error of its writer and would keep work away. */
 export const MAXIMUM_COLD_MILLISECONDS = 60_000
-/** Highest number of requests per second that a cold server is taken to bear. */
+/** Highest number of requests per second that a cold server is assumed to handle. */
 export const MAXIMUM_COLD_REQUESTS_PER_SECOND = 100_000
 
 /** Prefill time below which engines treat a prompt as short. A batch step takes 3 to 20 ms. */
@@ -23,15 +23,15 @@
 /** Difference in time up to which two reports of one load are taken for one report. A message takes about a millisecond, or some tens at a busy instance. */
 export const SAME_REPORT_MILLISECONDS = 50
 
-/** Price of a server of another zone for a request that may leave: the longer way, there and back, and the error of the estimate. */
+/** Price of a server of another zone for a request that may leave: the longer network path, there and back, and the error of the estimate. */
 export const LEAVING_PRICE_MILLISECONDS = 10
 /** Half-life of the occupancy of a zone in its moving average: it smooths the noise of single reports, and more would delay the decision. */
 export const OCCUPANCY_HALF_LIFE_MILLISECONDS = 500
 /** Occupied share of the own slots below which no request needs to leave. */
 export const SPARE_OCCUPANCY = 0.5
-/** Part of the own occupancy above the mean of all zones that is not worth the way. */
+/** Excess of the own occupancy over the mean of all zones, as a part of it, up to which no request leaves. */
 export const OCCUPANCY_DEAD_BAND = 0.05
-/** Share of the requests that leaves for each part by which the own occupancy exceeds the mean beyond the dead band. Load follows a decision by an answer's duration, and a higher factor makes it swing. */
+/** Share of the requests that leaves per unit of that excess beyond the dead band. Load follows a decision after the duration of an answer, so a higher factor makes traffic oscillate between zones. */
 export const LEAVING_SHARE_PER_EXCESS = 2.5
 /** Largest change of the share that may leave in one interval of 100 ms: it takes a second to change from one end to the other. */
 export const MAXIMUM_SHARE_STEP = 0.1
--- a/packages/capacity/src/JayfallColdServers.ts
+++ b/packages/capacity/src/JayfallColdServers.ts
@@ -1,9 +1,8 @@
 /**
  * Limits what servers get while they are cold, over all instances together.
  *
- * Load that it answers: after a restart of servers or the evacuation of a zone, servers without load attract all
- * instances at once, and a cold server crashes above the rate that its service bears. Each instance sends a cold server
- * only its share of that rate.
+ * After a restart of servers or the evacuation of a zone, all instances prefer the servers without load, and a cold
+ * server crashes well above the rate that it can handle. Each instance sends a cold server only its share of that rate.
  *
  * A server is cold as long as its entry in the registry, or an answer of it, says. Both come late. So a server is also
  * presumed cold for its service's duration after the evacuation of its zone has ended, and after it could not be reached,
@@ -16,11 +15,11 @@
 import { COLD_WINDOW_MILLISECONDS, MAXIMUM_COLD_MILLISECONDS, MAXIMUM_COLD_REQUESTS_PER_SECOND } from './JayfallCapacityConstants'
 import { WindowShares, type WindowSharesParts } from './JayfallWindowShares'
 
-/** What the cold servers of a service bear, as operators configure it. */
+/** What the cold servers of a service can handle, as operators configure it. */
 export interface ColdPolicy {
   /** Milliseconds for which a server is cold after its start. */
   readonly duration: number
-  /** Requests per second that a cold server bears from all instances. */
+  /** Requests per second that a cold server can handle from all instances together. */
   readonly requestsPerSecond: number
 }
 
@@ -115,7 +114,7 @@
     this.parts.metrics.count('jayfall_capacity_cold_requests_total', { service: row.service })
   }
 
-  /** Milliseconds until shares are dealt anew. */
+  /** Milliseconds until the next window, in which shares are assigned anew; 0 when the store's clock is unknown. */
   get untilNextShare (): number {
     return this.shares.untilNextWindow
   }
--- a/packages/capacity/src/JayfallLoadReports.ts
+++ b/packages/capacity/src/JayfallLoadReports.ts
@@ -1,10 +1,9 @@
 /**
  * Passes on what servers report of their load, without network I/O.
  *
- * Load that it answers: many instances before many servers. A server reports its load with its answers, so an instance
- * hears from each server only when it sends to it, which is every few seconds or less, and chooses servers nearly
- * blindly. So each instance tells a few others, several times a second, the latest reports that it knows, its own and
- * those that it was told. The number of messages of an instance depends neither on the number of instances nor on that
+ * A server reports its load with its answers. With many instances and many servers, an instance gets a report of each
+ * server only every few seconds, which is too old to choose by. So each instance sends the latest reports that it knows,
+ * its own and those that it received, to a few others several times a second. The number of messages of an instance depends neither on the number of instances nor on that
  * of servers. A lost message only makes estimates older.
  */
 
@@ -26,7 +25,7 @@
 
 /** Sends and receives reports. */
 export abstract class LoadReportChannel {
-  /** Tells some other instances. */
+  /** Sends the reports to some other instances. */
   abstract publish (reports: readonly LoadReport[], now: number): void
   /** Sets the function that is called with the reports of other instances. */
   abstract subscribe (handler: (report: LoadReport) => void): void
--- a/packages/capacity/src/JayfallWindowShares.ts
+++ b/packages/capacity/src/JayfallWindowShares.ts
@@ -1,8 +1,8 @@
 /**
- * Deals what a server bears in each window of time to the instances, without a counter that they share.
+ * Distributes the requests that a server can handle in each window of time to the instances, without a shared counter.
  *
  * Time is divided into windows by the store's clock, which all instances know. The whole number of requests that a rate
- * allows in a window is dealt by rendezvous hashing: all instances compute the same shares, and the shares add up to
+ * allows in a window is distributed by rendezvous hashing: all instances compute the same shares, and the shares add up to
  * the rate however many instances there are. A share that is not used in its window is lost, so that shares never add
  * up later. An instance that does not know the list of instances or the store's clock has no share.
  */
--- a/packages/capacity/src/JayfallWorkOrder.ts
+++ b/packages/capacity/src/JayfallWorkOrder.ts
@@ -1,8 +1,8 @@
 /**
  * Orders the work of a service: computes the priority that an engine gives to a prompt.
  *
- * Load that it answers: more prompts than an engine has slots. Engines admit prompts of high priority first, and interrupt
- * running prompts of a lower one, which are then read again.
+ * When an engine has more prompts than slots, it admits those of high priority first, and interrupts running prompts of
+ * a lower one, which are then read again.
  *
  * Operators choose the order of a service by its routes. Where no route has a longer objective than a less urgent one,
  * the operators' priority decides first. Otherwise a less urgent route needs its first events sooner than a more urgent
--- a/packages/capacity/src/JayfallZoneEvacuations.ts
+++ b/packages/capacity/src/JayfallZoneEvacuations.ts
@@ -1,9 +1,8 @@
 /**
  * Holds which availability zones operators have evacuated.
  *
- * Load that it answers: a zone whose servers are to get nothing, for maintenance or before its loss. Nothing is sent to
- * the servers of an evacuated zone, also when there are no others. While the store is silent the last known state stays
- * in force. When the store comes back from a copy, an evacuation that is not in the copy stays in force, because
+ * Nothing is sent to the servers of an evacuated zone, even when there are no others. While the store does not respond,
+ * the last known state stays in force. When the store comes back from a copy, an evacuation that is not in the copy stays in force, because
  * operators write again what was lost.
  */
 
--- a/packages/capacity/src/JayfallZoneSpill.ts
+++ b/packages/capacity/src/JayfallZoneSpill.ts
@@ -1,10 +1,10 @@
 /**
  * Decides when a request may leave the zone of its instance, and how many do.
  *
- * Load that it answers: zones whose demand and servers do not match. Traffic between zones is slower and costs money, so
- * requests stay at home as long as the own servers have room. When these are more occupied than the mean of all zones, a
- * share of the requests may leave that grows with the difference. The share follows a moving average with a dead band and
- * changes by small steps, because all instances of a zone decide alike and the effect shows late.
+ * Traffic between zones is slower and costs money, so requests stay in their zone as long as its servers have spare
+ * capacity. When these are more occupied than the mean of all zones, a share of the requests may leave, which grows with
+ * the difference. The share follows a moving average with a dead band and changes by small steps, because all instances
+ * of a zone decide alike and the effect shows late.
  */
 
 import { halfLifeWeight } from '#jayfall/shared'
@@ -22,7 +22,7 @@
 export abstract class ZonePolicy {
   /** Milliseconds of estimated time by which a server of another zone has to be better. */
   abstract readonly price: number
-  /** @param draw a number in [0, 1) that is the same for all decisions about one request. */
+  /** @param draw a number in [0, 1) that is the same for all decisions about one attempt. */
   abstract mayLeave (service: string, draw: number): boolean
 }
 
--- a/packages/capacity/src/__tests__/unit/JayfallColdServers.test.ts
+++ b/packages/capacity/src/__tests__/unit/JayfallColdServers.test.ts
@@ -131,19 +131,19 @@
     }
 
     for (const count of [9, 73, 195]) {
-      it(`give it no more than it bears at ${count} instances, and use the rate (guards against all instances going to the servers that have just come back)`, () => {
+      it(`give it no more than it can handle at ${count} instances, and use the rate (guards against all instances going to the servers that have just come back)`, () => {
         const { most, mean } = play(idsOf(count).map(() => idsOf(count)))
         assert.ok(most <= MOST_IN_A_SECOND, `${most} in a second`)
         assert.ok(mean >= POLICY.requestsPerSecond * 0.9, `${mean} a second`)
       })
     }
 
-    it('give it no more than it bears when half of the instances have just started and do not know the others', () => {
+    it('give it no more than it can handle when half of the instances have just started and do not know the others', () => {
       const { most } = play(idsOf(74).map((_, index) => index % 2 === 0 ? idsOf(74) : null))
       assert.ok(most <= MOST_IN_A_SECOND, `${most} in a second`)
     })
 
-    it('give it no more than it bears when a part of the instances is not in the lists of the others yet', () => {
+    it('give it no more than it can handle when a part of the instances is not in the lists of the others yet', () => {
       const { most } = play(idsOf(73).map((_, index) => index < 60 ? idsOf(60) : idsOf(73)))
       assert.ok(most <= MOST_IN_A_SECOND, `${most} in a second`)
     })
--- a/packages/forwarding/src/JayfallDatagramLoadReports.ts
+++ b/packages/forwarding/src/JayfallDatagramLoadReports.ts
@@ -35,7 +35,7 @@
     this.all = all
   }
 
-  /** Tells one instance of the own zone and one of any. */
+  /** Sends to one instance of the own zone and one of any zone. */
   override publish (reports: readonly LoadReport[], now: number): void {
     const { datagrams, random } = this.parts
     const targets = [this.near, this.all].flatMap(addresses => random.pick(addresses) ?? [])
--- a/packages/forwarding/src/JayfallForwardingCatalogue.ts
+++ b/packages/forwarding/src/JayfallForwardingCatalogue.ts
@@ -43,7 +43,7 @@
 export interface ForwardedService {
   readonly name: string
   readonly healthPath: string
-  /** What servers of the service bear while they are cold; undefined when they are never cold. */
+  /** What servers of the service can handle while they are cold; undefined when they are never cold. */
   readonly cold?: ColdPolicy
 }
 
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -291,7 +291,7 @@
 /** Difference below which two times of a trial are the same news. */
 export const SAME_NEWS_MILLISECONDS = 1000
 
-/** Window of the store's clock in which the requests that a server's limit allows are dealt to the instances. */
+/** Window of the store's clock in which the requests that a server's limit allows are distributed to the instances. */
 export const LIMIT_WINDOW_MILLISECONDS = 1000
 /** Requests per second that a server gets at least, so that the end of its limit is noticed. */
 export const MINIMUM_SERVER_LIMIT = 0.1
--- a/packages/forwarding/src/JayfallLoadSharing.ts
+++ b/packages/forwarding/src/JayfallLoadSharing.ts
@@ -26,7 +26,7 @@
   private readonly reports = new LoadReports()
 
   constructor (private readonly parts: LoadSharingParts) {
-    parts.channel.subscribe(report => this.hear(report))
+    parts.channel.subscribe(report => this.receive(report))
   }
 
   /** Records what a server reported to this instance. */
@@ -37,7 +37,7 @@
     if (workOrders.isPriorityFirst(service)) this.reports.record({ server: id, ...load, measuredAt })
   }
 
-  /** Tells other instances, and adapts to what they told; called at an interval. */
+  /** Sends reports to other instances, and updates the share of requests that may leave the zone; called at an interval. */
   update (): void {
     const { channel, workOrders, zoneSpill, clock, metrics } = this.parts
     const now = clock.monotonic()
@@ -51,12 +51,12 @@
     if (newest.length > 0) channel.publish(newest, now)
   }
 
-  private hear (report: LoadReport): void {
+  private receive (report: LoadReport): void {
     const { server, measuredAt, ...load } = report
     const { directory, metrics } = this.parts
     if (directory.get(server) === undefined || !this.reports.record(report)) return
     directory.recordLoad(server, load, measuredAt)
-    metrics.count('jayfall_capacity_load_reports_heard_total', {})
+    metrics.count('jayfall_capacity_load_reports_received_total', {})
   }
 
   /** The load of the service's servers that are in use, by zone. */
--- a/packages/forwarding/src/JayfallServerLimits.ts
+++ b/packages/forwarding/src/JayfallServerLimits.ts
@@ -1,8 +1,8 @@
 /**
  * Keeps to the limits that servers name, without a counter that instances share.
  *
- * A server in need names how many requests a second it takes from all instances together. `WindowShares` deals them to
- * the instances.
+ * A server in need names how many requests a second it takes from all instances together. `WindowShares` distributes
+ * them to the instances.
  *
  * An instance learns of a limit from an answer, or as a rumor from one that did. The limit ends with an answer that
  * names none, to a request that was sent after the limit was last named.
