--- a/packages/capacity/src/JayfallCapacityConstants.ts
+++ b/packages/capacity/src/JayfallCapacityConstants.ts
@@ -2,6 +2,8 @@
 
 /** Window of the store's clock for which the requests that cold servers can handle are distributed to the instances. Short windows keep the sum of any second near the limit, because at most one window more than fits into a second counts toward it. */
 export const COLD_WINDOW_MILLISECONDS = 250
+/** Names whose hashes are kept; instances and servers of a large deployment together are fewer. */
+export const MAXIMUM_TRACKED_HASHES = 16_384
 /** Longest time for which a server counts as cold after one report. A longer one is an error of its writer and would keep work away. */
 export const MAXIMUM_COLD_MILLISECONDS = 60_000
 /** Highest number of requests per second that a cold server is assumed to handle. */
--- a/packages/capacity/src/JayfallWindowShares.ts
+++ b/packages/capacity/src/JayfallWindowShares.ts
@@ -8,6 +8,9 @@
  */
 
 import { combineHashes, hashName } from '#jayfall/shared'
+import { LRUCache } from 'lru-cache'
+
+import { MAXIMUM_TRACKED_HASHES } from './JayfallCapacityConstants'
 
 export interface WindowSharesParts {
   /** Milliseconds of the store's clock; not finite when it is unknown. */
@@ -19,7 +22,8 @@
 }
 
 export class WindowShares {
-  private readonly instanceHashes = new Map<string, number>()
+  /** Hashes of the names of instances and servers. */
+  private readonly hashes = new LRUCache<string, number>({ max: MAXIMUM_TRACKED_HASHES })
 
   /** @param length milliseconds of a window. */
   constructor (private readonly parts: WindowSharesParts, private readonly length: number) {}
@@ -48,7 +52,7 @@
   /** Whether this instance is among the first `places` in the ranking for the server's window. */
   private isRankedBefore (places: number, server: string, window: number, instances: readonly string[]): boolean {
     if (places === 0) return false
-    const key = combineHashes(hashName(server), window % 2 ** 32)
+    const key = combineHashes(this.hashOf(server), window % 2 ** 32)
     const weightOf = (instance: string): number => combineHashes(key, this.hashOf(instance))
     const ownWeight = weightOf(this.parts.instance)
     let before = 0
@@ -61,9 +65,11 @@
     return true
   }
 
-  private hashOf (instance: string): number {
-    const known = this.instanceHashes.get(instance) ?? hashName(instance)
-    this.instanceHashes.set(instance, known)
-    return known
+  private hashOf (name: string): number {
+    const known = this.hashes.get(name)
+    if (known !== undefined) return known
+    const hash = hashName(name)
+    this.hashes.set(name, hash)
+    return hash
   }
 }
