--- a/packages/capacity/src/JayfallLoadReports.ts
+++ b/packages/capacity/src/JayfallLoadReports.ts
@@ -1,16 +1,15 @@
 /**
  * Passes on what servers report of their load, without network I/O.
  *
- * Load that it answers: many instances before many servers. A server reports its load with its answers, so an instance
- * hears from each server only when it sends to it, which is every few seconds or less, and chooses servers nearly
- * blindly. So each instance tells a few others, several times a second, the latest reports that it knows, its own and
- * those that it was told. The number of messages of an instance depends neither on the number of instances nor on that
+ * A server reports its load with its answers. With many instances and many servers, an instance gets a report of each
+ * server only every few seconds, which is too old to choose by. So each instance sends the latest reports that it knows,
+ * its own and those that it received, to a few others several times a second. The number of messages of an instance depends neither on the number of instances nor on that
  * of servers. A lost message only makes estimates older.
  */
 
 import { combineHashes, Table } from '#jayfall/shared'
 
-import { EQUAL_COST_MILLISECONDS, MAXIMUM_REPORT_AGE_MILLISECONDS, MAXIMUM_REPORTS_PER_MESSAGE, MAXIMUM_SILENCE_MILLISECONDS, MINIMUM_SILENCE_MILLISECONDS, SILENCE_MEAN_AGES } from './JayfallCapacityConstants'
+import { EQUAL_COST_MILLISECONDS, MAXIMUM_REPORT_AGE_MILLISECONDS, MAXIMUM_REPORTS_PER_MESSAGE, MAXIMUM_SILENCE_MILLISECONDS, MINIMUM_SILENCE_MILLISECONDS, SAME_REPORT_MILLISECONDS, SILENCE_MEAN_AGES } from './JayfallCapacityConstants'
 
 /** The load of a server at one time. */
 export interface LoadReport {
@@ -26,7 +25,7 @@
 
 /** Sends and receives reports. */
 export abstract class LoadReportChannel {
-  /** Tells some other instances. */
+  /** Sends the reports to some other instances. */
   abstract publish (reports: readonly LoadReport[], now: number): void
   /** Sets the function that is called with the reports of other instances. */
   abstract subscribe (handler: (report: LoadReport) => void): void
@@ -45,7 +44,7 @@
   /** Takes in a report. @returns whether it is newer than those known of its server. */
   record (report: LoadReport): boolean {
     const known = this.latest.get(report.server)
-    if (known !== undefined && known.measuredAt >= report.measuredAt) return false
+    if (known !== undefined && (known.measuredAt >= report.measuredAt || isSameReport(known, report))) return false
     this.latest.delete(report.server)
     this.latest.set(report.server, report)
     return true
@@ -53,11 +52,17 @@
 
   /** Returns the newest reports, for other instances, and forgets those that are too old to help. */
   takeNewest (now: number): readonly LoadReport[] {
-    for (const [server, { measuredAt }] of [...this.latest.entries()]) if (now - measuredAt > MAXIMUM_REPORT_AGE_MILLISECONDS) this.latest.delete(server)
-    return [...this.latest.rows()].sort((left, right) => right.measuredAt - left.measuredAt).slice(0, MAXIMUM_REPORTS_PER_MESSAGE)
+    // Other instances may still return a report that has just become too old.
+    for (const [server, { measuredAt }] of [...this.latest.entries()]) if (now - measuredAt > MAXIMUM_REPORT_AGE_MILLISECONDS + SAME_REPORT_MILLISECONDS) this.latest.delete(server)
+    return [...this.latest.rows()].filter(({ measuredAt }) => now - measuredAt <= MAXIMUM_REPORT_AGE_MILLISECONDS).sort((left, right) => right.measuredAt - left.measuredAt).slice(0, MAXIMUM_REPORTS_PER_MESSAGE)
   }
 }
 
+/** Whether both may be one report, of which one has come back: the age in a message lacks the time that the message takes. */
+function isSameReport (known: LoadReport, report: LoadReport): boolean {
+  return report.measuredAt - known.measuredAt < SAME_REPORT_MILLISECONDS && report.running === known.running && report.waiting === known.waiting && report.slots === known.slots
+}
+
 const HASH_COUNT = 2 ** 32
 
 /**
--- a/packages/capacity/src/JayfallWindowShares.ts
+++ b/packages/capacity/src/JayfallWindowShares.ts
@@ -1,13 +1,16 @@
 /**
- * Deals what a server bears in each window of time to the instances, without a counter that they share.
+ * Distributes the requests that a server can handle in each window of time to the instances, without a shared counter.
  *
  * Time is divided into windows by the store's clock, which all instances know. The whole number of requests that a rate
- * allows in a window is dealt by rendezvous hashing: all instances compute the same shares, and the shares add up to
+ * allows in a window is distributed by rendezvous hashing: all instances compute the same shares, and the shares add up to
  * the rate however many instances there are. A share that is not used in its window is lost, so that shares never add
  * up later. An instance that does not know the list of instances or the store's clock has no share.
  */
 
 import { combineHashes, hashName } from '#jayfall/shared'
+import { LRUCache } from 'lru-cache'
+
+import { MAXIMUM_TRACKED_HASHES } from './JayfallCapacityConstants'
 
 export interface WindowSharesParts {
   /** Milliseconds of the store's clock; not finite when it is unknown. */
@@ -19,7 +22,8 @@
 }
 
 export class WindowShares {
-  private readonly instanceHashes = new Map<string, number>()
+  /** Hashes of the names of instances and servers. */
+  private readonly hashes = new LRUCache<string, number>({ max: MAXIMUM_TRACKED_HASHES })
 
   /** @param length milliseconds of a window. */
   constructor (private readonly parts: WindowSharesParts, private readonly length: number) {}
@@ -48,7 +52,7 @@
   /** Whether this instance is among the first `places` in the ranking for the server's window. */
   private isRankedBefore (places: number, server: string, window: number, instances: readonly string[]): boolean {
     if (places === 0) return false
-    const key = combineHashes(hashName(server), window % 2 ** 32)
+    const key = combineHashes(this.hashOf(server), window % 2 ** 32)
     const weightOf = (instance: string): number => combineHashes(key, this.hashOf(instance))
     const ownWeight = weightOf(this.parts.instance)
     let before = 0
@@ -61,9 +65,11 @@
     return true
   }
 
-  private hashOf (instance: string): number {
-    const known = this.instanceHashes.get(instance) ?? hashName(instance)
-    this.instanceHashes.set(instance, known)
-    return known
+  private hashOf (name: string): number {
+    const known = this.hashes.get(name)
+    if (known !== undefined) return known
+    const hash = hashName(name)
+    this.hashes.set(name, hash)
+    return hash
   }
 }
--- a/packages/forwarding/src/JayfallDatagramLoadReports.ts
+++ b/packages/forwarding/src/JayfallDatagramLoadReports.ts
@@ -35,11 +35,11 @@
     this.all = all
   }
 
-  /** Tells one instance of the own zone and one of any. */
+  /** Sends to one instance of the own zone and one of any zone. */
   override publish (reports: readonly LoadReport[], now: number): void {
     const { datagrams, random } = this.parts
     const targets = [this.near, this.all].flatMap(addresses => random.pick(addresses) ?? [])
-    const loads = reports.map(({ server, running, waiting, slots, slowness, measuredAt }) => [server, running, waiting, slots, Math.round(slowness * PERCENT), Math.round(now - measuredAt)])
+    const loads = reports.map(({ server, running, waiting, slots, slowness, measuredAt }) => [server, running, waiting, slots, Math.round(slowness * PERCENT), Math.ceil(now - measuredAt)])
     if (targets.length > 0) datagrams.send([...new Set(targets)], { loads })
   }
 
--- a/packages/forwarding/src/JayfallForwardingConstants.ts
+++ b/packages/forwarding/src/JayfallForwardingConstants.ts
@@ -295,7 +295,7 @@
 /** Difference below which two times of a trial are the same news. */
 export const SAME_NEWS_MILLISECONDS = 1000
 
-/** Window of the store's clock in which the requests that a server's limit allows are dealt to the instances. */
+/** Window of the store's clock in which the requests that a server's limit allows are distributed to the instances. */
 export const LIMIT_WINDOW_MILLISECONDS = 1000
 /** Requests per second that a server gets at least, so that the end of its limit is noticed. */
 export const MINIMUM_SERVER_LIMIT = 0.1
@@ -341,6 +341,8 @@
 /** Bytes of a refused body that are read before its connection is closed. */
 export const MAXIMUM_DISCARDED_BYTES = 8 * 1024 * 1024
 
+/** Longest wait for a cold server, as a multiple of the objective. The rest is for the answer, and a refusal should not come late. */
+export const COLD_WAIT_OBJECTIVES = 0.5
 /** Time by which a request that waits for a cold server starts after one of the next higher priority. It is a few times the jitter of timers. */
 export const WAKE_OFFSET_MILLISECONDS = 4
 /** Time over which refused callers of one priority return, so that they do not meet again. */
--- a/packages/forwarding/src/JayfallLoadSharing.ts
+++ b/packages/forwarding/src/JayfallLoadSharing.ts
@@ -27,7 +27,7 @@
   private readonly reports = new LoadReports()
 
   constructor (private readonly parts: LoadSharingParts) {
-    parts.channel.subscribe(report => this.hear(report))
+    parts.channel.subscribe(report => this.receive(report))
   }
 
   /** Records what a server reported to this instance. */
@@ -38,7 +38,7 @@
     if (workOrders.areLoadsShared) this.reports.record({ server: id, ...load, measuredAt })
   }
 
-  /** Tells other instances, and adapts to what they told; called at an interval. */
+  /** Sends reports to other instances, and updates the share of requests that may leave the zone; called at an interval. */
   update (): void {
     const { channel, workOrders, zoneSpill, lanes, clock, metrics } = this.parts
     const now = clock.monotonic()
@@ -64,12 +64,12 @@
     return new Set([zone, ...[...zones].filter(other => !zonesInUse.has(other))])
   }
 
-  private hear (report: LoadReport): void {
+  private receive (report: LoadReport): void {
     const { server, measuredAt, ...load } = report
     const { directory, metrics } = this.parts
     if (directory.get(server) === undefined || !this.reports.record(report)) return
     directory.recordLoad(server, load, measuredAt)
-    metrics.count('jayfall_capacity_load_reports_heard_total', {})
+    metrics.count('jayfall_capacity_load_reports_received_total', {})
   }
 
   /** Records that a long prompt is sent to a server, by this instance or another one. */
