--- a/packages/forwarding/src/JayfallBackendSelector.ts
+++ b/packages/forwarding/src/JayfallBackendSelector.ts
@@ -141,7 +141,7 @@
   }
 
   override outOfReachShare (service: string, now: number): number {
-    const rows = [...this.directory.rowsOfService(service)].filter(({ server }) => !server.isDraining)
+    const rows = [...this.directory.rowsOfService(service)].filter(({ server }) => !server.isDraining && !this.policies.evacuations.isEvacuated(server.zone))
     return rows.length === 0 ? 0 : rows.filter(row => isOutOfReach(row, now)).length / rows.length
   }
 
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -141,7 +141,7 @@
     const promptSuspicions = this.promptSuspicions = new PromptSuspicions({ clock, log, metrics: this.metrics, rumors })
     const evidence = new RolloutEvidence(this.versionPolicy, clock)
     const [reach, connectionCheck] = [new ServiceReach(), new ConnectionCheck()]
-    this.reachMonitor = new ReachMonitor({ ...dependencies, reach, directory: this.directory, check: connectionCheck, metrics: this.metrics })
+    this.reachMonitor = new ReachMonitor({ ...dependencies, isEvacuated: zone => this.evacuations.isEvacuated(zone), reach, directory: this.directory, check: connectionCheck, metrics: this.metrics })
     this.relays = new RelayTargets(settings.instance, settings.zone)
     const memory = new HeldMemory(settings.memoryLimit === undefined ? DEFAULT_HELD_BYTES : settings.memoryLimit * HELD_BYTES_SHARE_OF_MEMORY)
     const pacer = new ReadPacer(clock, peer => {
--- a/packages/forwarding/src/JayfallReachMonitor.ts
+++ b/packages/forwarding/src/JayfallReachMonitor.ts
@@ -13,6 +13,8 @@
   readonly reach: ServiceReach
   readonly directory: BackendDirectory
   readonly check: ServerConnectionCheck
+  /** Whether nothing is sent to the servers of a zone, so that they cannot show whether this instance reaches them. */
+  readonly isEvacuated: (zone: string) => boolean
   readonly clock: Clock
   readonly random: RandomSource
   readonly log: Log
@@ -61,7 +63,7 @@
   }
 
   private serversOf (service: string): readonly BackendServer[] {
-    return [...this.parts.directory.rowsOfService(service)].map(({ server }) => server).filter(({ isDraining }) => !isDraining)
+    return [...this.parts.directory.rowsOfService(service)].map(({ server }) => server).filter(({ isDraining, zone }) => !isDraining && !this.parts.isEvacuated(zone))
   }
 
   private logChange (service: string, change: ReachChange | undefined): void {
