--- a/packages/capacity/src/JayfallLoadReports.ts
+++ b/packages/capacity/src/JayfallLoadReports.ts
@@ -3,8 +3,8 @@
  *
  * A server reports its load with its answers. With many instances and many servers, an instance gets a report of each
  * server only every few seconds, which is too old to choose by. So each instance sends the latest reports that it knows,
- * its own and those that it received, to a few others several times a second. The number of messages of an instance depends neither on the number of instances nor on that
- * of servers. A lost message only makes estimates older.
+ * its own and those that it received, to a few others several times a second. The number of messages of an instance
+ * depends neither on the number of instances nor on that of servers. A lost message only makes estimates older.
  */
 
 import { combineHashes, Table } from '#jayfall/shared'
--- a/packages/capacity/src/JayfallLongWorkLane.ts
+++ b/packages/capacity/src/JayfallLongWorkLane.ts
@@ -52,6 +52,11 @@
     })))
   }
 
+  /** Number of servers of the service that long prompts are kept on. */
+  sizeOf (service: string): number {
+    return this.lanes.get(service)?.size ?? 0
+  }
+
   /** Whether long prompts are kept on this server. */
   isInLane (service: string, server: string): boolean {
     return this.lanes.get(service)?.has(server) === true
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -129,7 +129,7 @@
     const workOrders = new WorkOrders()
     const zoneSpill = new ZoneSpill(settings.zone)
     const lanes = new LongWorkLanes(settings.zone)
-    this.loadSharing = new LoadSharing({ channel: dependencies.loadReports ?? new NoLoadReports(), directory: this.directory, workOrders, zoneSpill, lanes, isEvacuated: zone => this.evacuations.isEvacuated(zone), clock, metrics: this.metrics })
+    this.loadSharing = new LoadSharing({ channel: dependencies.loadReports ?? new NoLoadReports(), directory: this.directory, workOrders, zoneSpill, lanes, isEvacuated: zone => this.evacuations.isEvacuated(zone), clock, log, metrics: this.metrics })
     this.state = new ForwardingState(this.directory, { coldServers: this.coldServers, workOrders }, clock, log, settings.serverEntryLifetime)
     this.versionPolicy = new VersionPolicy(settings, storeTime)
     this.retryBudget = new RetryBudget(settings.retryRatio)
--- a/packages/forwarding/src/JayfallLoadSharing.ts
+++ b/packages/forwarding/src/JayfallLoadSharing.ts
@@ -1,12 +1,13 @@
 /**
- * Shares the load reports of servers with other instances, and keeps the share of requests that may leave the zone.
+ * Shares the load reports of servers with other instances, and keeps the share of requests that may leave the zone and
+ * the lane of long prompts.
  *
  * It does so where some service is ordered by priority.
  */
 
 import { LoadReports, type LaneServer, type LoadReport, type LoadReportChannel, type LongWorkLanes, type WorkOrders, type ZoneLoad, type ZoneSpill } from '#jayfall/capacity'
 import { type Clock } from '#jayfall/shared'
-import { type Metrics } from '#jayfall/telemetry'
+import { type Log, type Metrics } from '#jayfall/telemetry'
 
 import { isOutOfReach, sharedLoadOf, slotsOf, type BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
 import { type BackendServer } from './JayfallForwardingCatalogue'
@@ -20,6 +21,7 @@
   readonly lanes: LongWorkLanes
   readonly isEvacuated: (zone: string) => boolean
   readonly clock: Clock
+  readonly log: Log
   readonly metrics: Metrics
 }
 
@@ -38,16 +40,13 @@
     if (workOrders.areLoadsShared) this.reports.record({ server: id, ...load, measuredAt })
   }
 
-  /** Sends reports to other instances, and updates the share of requests that may leave the zone; called at an interval. */
+  /** Sends reports to other instances, and updates the share and the lane; called at an interval. */
   update (): void {
-    const { channel, workOrders, zoneSpill, lanes, clock, metrics } = this.parts
+    const { channel, workOrders, clock } = this.parts
     const now = clock.monotonic()
     for (const service of workOrders.priorityFirstServices) {
-      const before = zoneSpill.leavingShare(service)
-      zoneSpill.update(service, this.loadsByZone(service, now), now)
-      lanes.update(service, [...this.serversInUse(service, now)], now)
-      const share = zoneSpill.leavingShare(service)
-      if (share !== before) metrics.count('jayfall_capacity_zone_leaving_share', { service }, share - before)
+      this.updateLeavingShare(service, now)
+      this.updateLane(service, now)
     }
     const newest = this.reports.takeNewest(now)
     if (newest.length > 0) channel.publish(newest, now)
@@ -64,6 +63,25 @@
     return new Set([zone, ...[...zones].filter(other => !zonesInUse.has(other))])
   }
 
+  private updateLeavingShare (service: string, now: number): void {
+    const { zoneSpill, log, metrics } = this.parts
+    const before = zoneSpill.leavingShare(service)
+    zoneSpill.update(service, this.loadsByZone(service, now), now)
+    const share = zoneSpill.leavingShare(service)
+    if (share === before) return
+    metrics.count('jayfall_capacity_zone_leaving_share', { service }, share - before)
+    if (before === 0) log.info('requests_leave_zone', { service })
+    else if (share === 0) log.info('requests_stay_in_zone', { service })
+  }
+
+  private updateLane (service: string, now: number): void {
+    const { lanes, metrics } = this.parts
+    const before = lanes.sizeOf(service)
+    lanes.update(service, [...this.serversInUse(service, now)], now)
+    const size = lanes.sizeOf(service)
+    if (size !== before) metrics.count('jayfall_capacity_lane_servers', { service }, size - before)
+  }
+
   private receive (report: LoadReport): void {
     const { server, measuredAt, ...load } = report
     const { directory, metrics } = this.parts
