--- a/packages/capacity/src/JayfallCapacityConstants.ts
+++ b/packages/capacity/src/JayfallCapacityConstants.ts
@@ -38,8 +38,12 @@
 /** Largest change of the share that may leave in one interval of 100 ms: it takes a second to change from one end to the other. */
 export const MAXIMUM_SHARE_STEP = 0.1
 
-/** Range of the estimated time within which servers count as equally good: about what two more running requests cost. All instances that know the same reports would choose the same server without it. */
-export const EQUAL_COST_MILLISECONDS = 150
+/** Time that one running request adds to the whole answer of another, for each output token that it may have, of which it uses about half. The data sheets give 0.022 for each step. With more, known loads outweigh the prompts that a server has to read first. */
+export const STEP_MILLISECONDS_PER_REQUEST = 0.011
+/** Wait for a slot of a full engine, for each request that is ahead. A stream takes one to two seconds, and an engine has a few dozen slots. */
+export const SLOT_WAIT_MILLISECONDS = 80
+/** Range of the estimated time within which servers count as equally good: about what a few more running requests cost. All instances that know the same reports would choose the same server without it. */
+export const EQUAL_COST_MILLISECONDS = 40
 /** Time without a report of a busy server from which it counts as held up, at least, and as a multiple of the mean age of reports. An engine that reads a very long prompt answers nobody meanwhile. */
 export const MINIMUM_SILENCE_MILLISECONDS = 500
 export const SILENCE_MEAN_AGES = 3
@@ -56,9 +60,13 @@
 export const MINIMUM_FLOOD_REQUESTS = 6
 
 /** Share of the time of a lane's servers that long prompts may take. More would make them wait for each other for longer than for all the rest. */
-export const LANE_OCCUPANCY = 0.25
+export const LANE_OCCUPANCY = 0.4
+/** Smallest share of the servers of a zone that belong to the lane once there are long prompts. A burst begins with several of them at once, before their rate is known. */
+export const SMALLEST_LANE_SHARE = 0.25
 /** Largest share of the servers of a zone that belong to the lane. The rest is kept for short prompts. */
 export const LARGEST_LANE_SHARE = 0.7
+/** Servers that long prompts have to occupy for a lane: less than one prompt of 150 ms in some seconds is none. */
+export const LEAST_LONG_OCCUPANCY = 0.01
 /** Half-life of a long prompt in the sum from which the lane follows. Demand swings within seconds. */
 export const LANE_RATE_HALF_LIFE_MILLISECONDS = 1500
 /** Estimated time by which a server outside the lane may be worse for a short prompt: what a long prompt that is not known yet would cost it on the average. */
--- a/packages/capacity/src/JayfallLoadReports.ts
+++ b/packages/capacity/src/JayfallLoadReports.ts
@@ -9,7 +9,7 @@
 
 import { combineHashes, Table } from '#jayfall/shared'
 
-import { EQUAL_COST_MILLISECONDS, MAXIMUM_REPORT_AGE_MILLISECONDS, MAXIMUM_REPORTS_PER_MESSAGE, MAXIMUM_SILENCE_MILLISECONDS, MINIMUM_SILENCE_MILLISECONDS, SAME_REPORT_MILLISECONDS, SILENCE_MEAN_AGES } from './JayfallCapacityConstants'
+import { EQUAL_COST_MILLISECONDS, MAXIMUM_REPORT_AGE_MILLISECONDS, MAXIMUM_REPORTS_PER_MESSAGE, MAXIMUM_SILENCE_MILLISECONDS, MINIMUM_SILENCE_MILLISECONDS, SAME_REPORT_MILLISECONDS, SILENCE_MEAN_AGES, SLOT_WAIT_MILLISECONDS, STEP_MILLISECONDS_PER_REQUEST } from './JayfallCapacityConstants'
 
 /** The load of a server at one time. */
 export interface LoadReport {
@@ -82,3 +82,8 @@
 export function silenceOf (age: number, meanAge: number): number {
   return Math.max(0, Math.min(MAXIMUM_SILENCE_MILLISECONDS, age - Math.max(MINIMUM_SILENCE_MILLISECONDS, SILENCE_MEAN_AGES * meanAge)))
 }
+
+/** The cost of a known load for one more request, in milliseconds: longer batch steps, and the wait for a slot when none is free. */
+export function knownLoadCost (load: number, slots: number, outputTokens: number): number {
+  return load * STEP_MILLISECONDS_PER_REQUEST * outputTokens + Math.max(0, load + 1 - slots) * SLOT_WAIT_MILLISECONDS
+}
--- a/packages/capacity/src/JayfallLongWorkLane.ts
+++ b/packages/capacity/src/JayfallLongWorkLane.ts
@@ -9,7 +9,7 @@
 
 import { halfLifeWeight } from '#jayfall/shared'
 
-import { LANE_OCCUPANCY, LANE_RATE_HALF_LIFE_MILLISECONDS, LARGEST_LANE_SHARE, LONG_PREFILL_MILLISECONDS } from './JayfallCapacityConstants'
+import { LANE_OCCUPANCY, LANE_RATE_HALF_LIFE_MILLISECONDS, LARGEST_LANE_SHARE, LEAST_LONG_OCCUPANCY, LONG_PREFILL_MILLISECONDS, SMALLEST_LANE_SHARE } from './JayfallCapacityConstants'
 
 /** A server that is in use. */
 export interface LaneServer {
@@ -68,7 +68,7 @@
     const known = own.length > 0 ? own : servers
     const zones = new Set(known.map(({ zone }) => zone))
     const occupied = [...zones].reduce((sum, zone) => sum + this.sumOf(keyOf(service, zone), now), 0) * Math.LN2 / LANE_RATE_HALF_LIFE_MILLISECONDS
-    return known.length === 0 ? 0 : Math.min(LARGEST_LANE_SHARE, occupied / LANE_OCCUPANCY / known.length)
+    return known.length === 0 || occupied < LEAST_LONG_OCCUPANCY ? 0 : Math.max(SMALLEST_LANE_SHARE, Math.min(LARGEST_LANE_SHARE, occupied / LANE_OCCUPANCY / known.length))
   }
 
   private sumOf (key: string, now: number): number {
--- a/packages/capacity/src/index.ts
+++ b/packages/capacity/src/index.ts
@@ -1,6 +1,6 @@
 export { LANE_PRICE_MILLISECONDS, LOWEST_OPERATOR_PRIORITY } from './JayfallCapacityConstants'
 export { ColdServers, type ColdPolicy, type ColdPresumption, type ColdServersParts } from './JayfallColdServers'
-export { equalCostDraw, LoadReportChannel, LoadReports, silenceOf, NoLoadReports, type LoadReport } from './JayfallLoadReports'
+export { equalCostDraw, knownLoadCost, LoadReportChannel, LoadReports, silenceOf, NoLoadReports, type LoadReport } from './JayfallLoadReports'
 export { LongWorkLanes, type LaneServer } from './JayfallLongWorkLane'
 export { WindowShares, type WindowSharesParts } from './JayfallWindowShares'
 export { boundPriority, WorkOrder, WorkOrders, type PromptToRank, type RouteUrgency } from './JayfallWorkOrder'
--- a/packages/forwarding/src/JayfallBackendSelector.ts
+++ b/packages/forwarding/src/JayfallBackendSelector.ts
@@ -11,7 +11,7 @@
  * that service stays in its zone unless it may leave.
  */
 
-import { equalCostDraw, FixedZonePolicy, LANE_PRICE_MILLISECONDS, silenceOf, type ColdServers, type LongWorkLanes, type WorkOrders, type ZoneEvacuations, type ZonePolicy, type ZoneSpill } from '#jayfall/capacity'
+import { equalCostDraw, FixedZonePolicy, knownLoadCost, LANE_PRICE_MILLISECONDS, silenceOf, type ColdServers, type LongWorkLanes, type WorkOrders, type ZoneEvacuations, type ZonePolicy, type ZoneSpill } from '#jayfall/capacity'
 import { combineHashes, hashName } from '#jayfall/shared'
 
 import { currentFailureRate, estimateLoad, estimateWaitingRequests, isOutOfReach, remainingPeerPrefillTime, sharedLoadOf, slotsOf, type BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
@@ -212,7 +212,7 @@
     const queueTime = Math.max(knownQueueTime, silence, this.directory.expectedFirstEventDelay(row, now))
     const timeToFirstEvent = (FIRST_EVENT_OVERHEAD_MILLISECONDS + queueTime + prefillTime) * slownessOf(row)
     const explainedTimeToFirstEvent = (FIRST_EVENT_OVERHEAD_MILLISECONDS + knownQueueTime + prefillTime) * slownessOf(row)
-    const batchStepTime = estimatedLoad * BATCH_STEP_MILLISECONDS_PER_REQUEST * request.outputTokens
+    const batchStepTime = shared === undefined ? estimatedLoad * BATCH_STEP_MILLISECONDS_PER_REQUEST * request.outputTokens : knownLoadCost(estimatedLoad, slotsOf(row), request.outputTokens)
     const cost = timeToFirstEvent + prefillTime * (PREFILL_COST_FACTOR - 1) + batchStepTime + this.zoneCost(zonePolicy, row) + this.laneCost(row) + drawOf(shared, row)
     return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens, prefillTime, peerPrefillTime, timeToFirstEvent, explainedTimeToFirstEvent, cost }
   }
