--- a/packages/capacity/src/JayfallWorkOrder.ts
+++ b/packages/capacity/src/JayfallWorkOrder.ts
@@ -64,11 +64,17 @@
 /** The order of each service, by the routes in force. */
 export class WorkOrders {
   private readonly priorityFirst = new Set<string>()
+  /** The most urgent priority of the routes of each service. */
+  private readonly mostUrgent = new Map<string, number>()
 
   setRoutes (routes: readonly RouteUrgency[]): void {
     this.priorityFirst.clear()
+    this.mostUrgent.clear()
     for (const service of new Set(routes.flatMap(({ services }) => services))) {
-      if (isOrderedByPriority(routes.filter(({ services }) => services.includes(service)))) this.priorityFirst.add(service)
+      const ofService = routes.filter(({ services }) => services.includes(service))
+      if (!isOrderedByPriority(ofService)) continue
+      this.priorityFirst.add(service)
+      this.mostUrgent.set(service, Math.min(...ofService.map(({ priority }) => boundPriority(priority))))
     }
   }
 
@@ -80,6 +86,11 @@
     return this.priorityFirst
   }
 
+  /** Whether requests of the priority come after others of the service, so that they should not hold these up. */
+  isLessUrgent (service: string, priority: number): boolean {
+    return boundPriority(priority) > (this.mostUrgent.get(service) ?? Infinity)
+  }
+
   /** Whether instances share the load reports of all services: they do where callers of some service compete by priority. */
   get areLoadsShared (): boolean {
     return this.priorityFirst.size > 0
--- a/packages/capacity/src/__tests__/unit/JayfallWorkOrder.test.ts
+++ b/packages/capacity/src/__tests__/unit/JayfallWorkOrder.test.ts
@@ -69,6 +69,13 @@
     })
   })
 
+  it('finds which requests come after others, in services ordered by priority only', () => {
+    const orders = new WorkOrders()
+    orders.setRoutes([...ORDERED_ROUTES.map(route => ({ ...route, services: ['ordered'] })), ...MIXED_ROUTES.map(route => ({ ...route, services: ['mixed'] }))])
+    assert.deepEqual([0, 1, 2].map(priority => orders.isLessUrgent('ordered', priority)), [false, true, true])
+    assert.equal(orders.isLessUrgent('mixed', 2), false)
+  })
+
   it('orders a service of a single priority by length, as there is no order to follow', () => {
     assert.ok(rankWith([{ priority: 2, objective: 100 }, { priority: 2, objective: 200 }], { ...PROMPT, prefillTime: 1 }) < rankWith([{ priority: 2, objective: 100 }], { ...PROMPT, prefillTime: 1000 }))
   })
--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -224,7 +224,7 @@
   const { service, session, isSharedSession, fields, clock, selector, versionPolicy } = context
   const now = clock.monotonic()
   const versionRule = versionPolicy.ruleFor(service, session, now, isSharedSession)
-  const request = { service, requestId: fields.requestId ?? '', model, promptTokens: fields.promptTokens, outputTokens: fields.maximumOutputTokens, promptParts: fields.promptParts, triedServers }
+  const request = { service, requestId: fields.requestId ?? '', priority: context.priority, model, promptTokens: fields.promptTokens, outputTokens: fields.maximumOutputTokens, promptParts: fields.promptParts, triedServers }
   for (const allowsVersion of [versionRule.isPreferred, (version: string) => versionRule.isAllowed(version, triedServers.size > 0)]) {
     const selection = selector.select({ ...request, allowsVersion }, now)
     if (selection !== undefined) return { selection, versionRule }
--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -109,13 +109,13 @@
 
   private publishHint ({ server, selection }: AttemptPlan): void {
     const { workOrders, hints, loadSharing } = this.context
-    const hint = { server: server.id, reading: selection.prefillTime }
+    const hint = { server: server.id, reading: selection.prefillTime, ...(selection.isInLane ? { isInLane: true } : {}) }
     // Where requests stay in their zone, only some instances choose among its servers.
     if (!workOrders.isPriorityFirst(server.service)) {
       if (selection.prefillTime >= MINIMUM_PUBLISHED_PREFILL_MILLISECONDS) hints.publish(hint)
     } else if (selection.prefillTime >= MINIMUM_PUBLISHED_PREFILL_IN_ZONE_MILLISECONDS) {
       hints.publish(hint, loadSharing.zonesChoosingFrom(server))
-      loadSharing.recordLongPrompt(server.id, selection.prefillTime)
+      if (selection.isInLane) loadSharing.recordLongPrompt(server.id, selection.prefillTime)
     }
   }
 
--- a/packages/forwarding/src/JayfallBackendSelector.ts
+++ b/packages/forwarding/src/JayfallBackendSelector.ts
@@ -28,6 +28,8 @@
   readonly requestId: string
   /** The model to run; undefined for plain requests. */
   readonly model: string | undefined
+  /** The operators' priority; 0 is the most urgent. */
+  readonly priority: number
   readonly promptTokens: number
   readonly outputTokens: number
   readonly promptParts: readonly PromptPart[]
@@ -53,6 +55,8 @@
   readonly timeToFirstEvent: number
   /** The part of that time which the prompt and the work that is known to come before it explain. */
   readonly explainedTimeToFirstEvent: number
+  /** Whether the prompt is kept on the lane of long prompts. */
+  readonly isInLane: boolean
 }
 
 /** Strategy for the selection of a server. */
@@ -77,6 +81,7 @@
   readonly zonePolicy: ZonePolicy
   /** Set where instances share load reports. */
   readonly shared: SharedLoadScope | undefined
+  readonly isInLane: boolean
 }
 
 interface SharedLoadScope {
@@ -124,9 +129,11 @@
     const isShared = workOrders.areLoadsShared
     const requestHash = isShared ? hashName(`${request.requestId}/${request.triedServers.size}`) : 0
     const zonePolicy = workOrders.isPriorityFirst(request.service) ? zoneSpill : this.fixedZonePolicy
-    const candidates = this.withinLane(request, zonePolicy.mayLeave(request.service, requestHash / HASH_COUNT) ? known : this.withinOwnZone(known), now)
+    const isInLane = this.belongsToLane(request, now)
+    const inZone = zonePolicy.mayLeave(request.service, requestHash / HASH_COUNT) ? known : this.withinOwnZone(known)
+    const candidates = isInLane ? this.withinLane(inZone) : inZone
     const shared = isShared ? { requestHash, meanReportAge: this.directory.meanReportAge(request.service, now) } : undefined
-    const scope = { affinityServers: this.findAffinityServers(request, candidates), zonePolicy, shared }
+    const scope = { affinityServers: this.findAffinityServers(request, candidates), zonePolicy, shared, isInLane }
     let cheapest: Candidate | undefined
     for (const row of candidates) {
       const candidate = request.model === undefined ? this.evaluatePlainServer(scope, row, now) : this.evaluateEngine(request, request.model, scope, row, now)
@@ -181,28 +188,32 @@
     return own.length > 0 ? own : rows
   }
 
-  /** The servers that long prompts are kept on if the request is one, or all when none of them can be used. */
-  private withinLane ({ service, model, promptTokens }: SelectionRequest, rows: readonly BackendRow[], now: number): readonly BackendRow[] {
-    const { lanes } = this.policies
-    if (model === undefined || !lanes.isLong(this.prefillTimes.estimate(model, promptTokens, now))) return rows
-    const inLane = rows.filter(({ server }) => lanes.isInLane(service, server.id))
+  /** Whether the prompt is long and less urgent than others that it would hold up. */
+  private belongsToLane ({ service, model, priority, promptTokens }: SelectionRequest, now: number): boolean {
+    const { lanes, workOrders } = this.policies
+    return model !== undefined && workOrders.isLessUrgent(service, priority) && lanes.isLong(this.prefillTimes.estimate(model, promptTokens, now))
+  }
+
+  /** The servers of the lane, or all when none of them can be used. */
+  private withinLane (rows: readonly BackendRow[]): readonly BackendRow[] {
+    const inLane = rows.filter(({ server }) => this.policies.lanes.isInLane(server.service, server.id))
     return inLane.length > 0 ? inLane : rows
   }
 
-  /** What it costs a prompt to go where long ones are kept. All candidates of a long prompt cost it alike. */
+  /** What it costs a prompt to go where long ones are kept. All candidates of one that belongs there cost it alike. */
   private laneCost ({ server }: BackendRow): number {
     return this.policies.lanes.isInLane(server.service, server.id) ? LANE_PRICE_MILLISECONDS : 0
   }
 
-  private evaluatePlainServer ({ zonePolicy, shared }: SelectionScope, row: BackendRow, now: number): Candidate {
+  private evaluatePlainServer ({ zonePolicy, shared, isInLane }: SelectionScope, row: BackendRow, now: number): Candidate {
     const estimatedLoad = shared === undefined ? estimateLoad(row, now) : sharedLoadOf(row)
     const slots = slotsOf(row)
     const waiting = Math.max(0, estimatedLoad + 1 - slots)
     const timeToFirstEvent = (1 + (estimatedLoad + 1 + waiting) / slots) * PLAIN_WORK_MILLISECONDS * slownessOf(row)
-    return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens: 0, prefillTime: 0, peerPrefillTime: 0, timeToFirstEvent, explainedTimeToFirstEvent: timeToFirstEvent, cost: timeToFirstEvent + this.zoneCost(zonePolicy, row) + drawOf(shared, row, PLAIN_WORK_MILLISECONDS / slots) }
+    return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens: 0, prefillTime: 0, peerPrefillTime: 0, timeToFirstEvent, explainedTimeToFirstEvent: timeToFirstEvent, isInLane, cost: timeToFirstEvent + this.zoneCost(zonePolicy, row) + drawOf(shared, row, PLAIN_WORK_MILLISECONDS / slots) }
   }
 
-  private evaluateEngine (request: SelectionRequest, model: string, { affinityServers, zonePolicy, shared }: SelectionScope, row: BackendRow, now: number): Candidate {
+  private evaluateEngine (request: SelectionRequest, model: string, { affinityServers, zonePolicy, shared, isInLane }: SelectionScope, row: BackendRow, now: number): Candidate {
     const estimatedLoad = shared === undefined ? estimateLoad(row, now) : sharedLoadOf(row)
     const uncachedTokens = Math.max(0, request.promptTokens - this.estimateCachedTokens(request, model, affinityServers, row, now))
     const prefillTime = this.prefillTimes.estimate(model, uncachedTokens, now)
@@ -214,7 +225,7 @@
     const explainedTimeToFirstEvent = (FIRST_EVENT_OVERHEAD_MILLISECONDS + knownQueueTime + prefillTime) * slownessOf(row)
     const batchStepTime = shared === undefined ? estimatedLoad * BATCH_STEP_MILLISECONDS_PER_REQUEST * request.outputTokens : knownLoadCost(estimatedLoad, slotsOf(row), request.outputTokens)
     const cost = timeToFirstEvent + prefillTime * (PREFILL_COST_FACTOR - 1) + batchStepTime + this.zoneCost(zonePolicy, row) + this.laneCost(row) + drawOf(shared, row)
-    return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens, prefillTime, peerPrefillTime, timeToFirstEvent, explainedTimeToFirstEvent, cost }
+    return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens, prefillTime, peerPrefillTime, timeToFirstEvent, explainedTimeToFirstEvent, isInLane, cost }
   }
 
   private estimateCachedTokens ({ promptParts }: SelectionRequest, model: string, affinityServers: readonly string[], row: BackendRow, now: number): number {
--- a/packages/forwarding/src/JayfallDatagramHints.ts
+++ b/packages/forwarding/src/JayfallDatagramHints.ts
@@ -6,7 +6,7 @@
 import { MAXIMUM_HINT_TARGETS } from './JayfallForwardingConstants'
 import { PrefillHints, type PrefillHint } from './JayfallPrefillHints'
 
-const hintMessage = z.object({ server: z.string(), reading: z.number().nonnegative() }).readonly()
+const hintMessage = z.object({ server: z.string(), reading: z.number().nonnegative(), isInLane: z.boolean().optional() }).readonly()
 
 /** An instance that is told, with its IP address and port. */
 export interface HintTarget {
@@ -31,9 +31,9 @@
     this.targetsByZone = new Map([...zones].map(zone => [zone, instances.filter(instance => instance.zone === zone).slice(0, MAXIMUM_HINT_TARGETS).map(({ address }) => address)]))
   }
 
-  override publish ({ server, reading }: PrefillHint, zones?: Iterable<string>): void {
+  override publish ({ server, reading, isInLane }: PrefillHint, zones?: Iterable<string>): void {
     const targets = zones === undefined ? this.targets : [...zones].flatMap(zone => this.targetsByZone.get(zone) ?? [])
-    if (targets.length > 0) this.datagrams.sendWithinLimit(targets, { server, reading: Math.round(reading) })
+    if (targets.length > 0) this.datagrams.sendWithinLimit(targets, { server, reading: Math.round(reading), isInLane })
   }
 
   override subscribe (handler: (hint: PrefillHint) => void): void {
--- a/packages/forwarding/src/JayfallForwardingInstance.ts
+++ b/packages/forwarding/src/JayfallForwardingInstance.ts
@@ -161,9 +161,9 @@
     this.server = new ForwardingServer({
       clock, log, protocol, evidence, promptCache, prefillTimes, hints, limits, coldServers: this.coldServers, workOrders, workspaceShares: new WorkspaceShares(), loadSharing: this.loadSharing, promptSuspicions, connectionCheck, reach, reachMonitor: this.reachMonitor, relays: this.relays, memory, pacer, instance: settings.instance, relayHost: dependencies.relayHost, metrics: this.metrics, directory: this.directory, selector: new EstimatedTimeSelector(this.directory, promptCache, prefillTimes, settings.zone, { limits, coldServers: this.coldServers, evacuations: this.evacuations, workOrders, zoneSpill, lanes }), retryBudget: this.retryBudget, versionPolicy: this.versionPolicy
     }, this.state)
-    hints.subscribe(({ server, reading }) => {
+    hints.subscribe(({ server, reading, isInLane }) => {
       this.directory.recordPeerPrefill(server, reading, clock.monotonic())
-      this.loadSharing.recordLongPrompt(server, reading)
+      if (isInLane === true) this.loadSharing.recordLongPrompt(server, reading)
     })
   }
 
--- a/packages/forwarding/src/JayfallPrefillHints.ts
+++ b/packages/forwarding/src/JayfallPrefillHints.ts
@@ -10,6 +10,8 @@
   readonly server: string
   /** Estimated milliseconds of prefill. */
   readonly reading: number
+  /** Whether the prompt is kept on the lane of long prompts. */
+  readonly isInLane?: boolean
 }
 
 /** Sends and receives hints. */
