--- a/packages/forwarding/src/JayfallRelayPlan.ts
+++ b/packages/forwarding/src/JayfallRelayPlan.ts
@@ -82,7 +82,7 @@
     // A stream that breaks may wait from then on, however long it ran before.
     if (waitsUntil === undefined || end.progress.sentAttempts > progress.sentAttempts) waitsUntil = latestColdStart(context)
     const duration = end.wait + wakeOffset(context)
-    if (context.clock.monotonic() + duration > waitsUntil) return end.progress.previous?.kind === 'failed' ? { kind: 'deliver' } : decideWithoutAnswer(context, end.progress.mayHaveRun, 'servers_cold')
+    if (context.clock.monotonic() + duration > waitsUntil) return end.progress.hasFailedAnswer === true ? { kind: 'deliver' } : decideWithoutAnswer(context, end.progress.mayHaveRun, 'servers_cold')
     const { kind } = (yield { kind: 'wait', plan: { duration } }) as WaitResult
     if (kind === 'caller_left') return { kind: 'none' }
     progress = end.progress
@@ -96,7 +96,7 @@
   return step.value
 }
 
-/** Monotonic milliseconds until which a request that begins to wait now waits for a cold server. A later first event would miss the objective, and a longer pause that of the stream. */
+/** Monotonic milliseconds until which a request that begins to wait now waits for a cold server, so that the rest of the objective, or of the longest pause of the stream, is left for the answer. */
 function latestColdStart ({ route, arrivedAt, deadline, clock, lastDeliveredEventId }: PlanContext): number {
   const latest = lastDeliveredEventId() === undefined ? arrivedAt + route.objective * COLD_WAIT_OBJECTIVES : clock.monotonic() + route.eventGapObjective * COLD_WAIT_OBJECTIVES
   return Math.min(latest, deadline - MINIMUM_ATTEMPT_MILLISECONDS)
