--- a/packages/forwarding/src/JayfallBackendSelector.ts
+++ b/packages/forwarding/src/JayfallBackendSelector.ts
@@ -8,7 +8,7 @@
  *
  * Where some service is ordered by priority, instances know the load of servers from each other's reports. There equally
  * good servers are told apart by a draw, a busy engine that has been silent for long counts as held up, and a request of
- * that service stays in its zone unless it may leave.
+ * that service stays in its zone unless it may leave, or its prompt is probably cached in another one.
  */
 
 import { equalCostDraw, FixedZonePolicy, knownLoadCost, LANE_PRICE_MILLISECONDS, silenceOf, type ColdServers, type LongWorkLanes, type WorkOrders, type ZoneEvacuations, type ZonePolicy, type ZoneSpill } from '#jayfall/capacity'
@@ -130,10 +130,11 @@
     const requestHash = isShared ? hashName(`${request.requestId}/${request.triedServers.size}`) : 0
     const zonePolicy = workOrders.isPriorityFirst(request.service) ? zoneSpill : this.fixedZonePolicy
     const isInLane = this.belongsToLane(request, now)
-    const inZone = zonePolicy.mayLeave(request.service, requestHash / HASH_COUNT) ? known : this.withinOwnZone(known)
-    const candidates = isInLane ? this.withinLane(inZone) : inZone
+    const pool = isInLane ? this.withinLane(known) : known
+    const affinityServers = this.findAffinityServers(request, pool)
+    const candidates = zonePolicy.mayLeave(request.service, requestHash / HASH_COUNT) ? pool : this.withinOwnZone(pool, affinityServers)
     const shared = isShared ? { requestHash, meanReportAge: this.directory.meanReportAge(request.service, now) } : undefined
-    const scope = { affinityServers: this.findAffinityServers(request, candidates), zonePolicy, shared, isInLane }
+    const scope = { affinityServers, zonePolicy, shared, isInLane }
     let cheapest: Candidate | undefined
     for (const row of candidates) {
       const candidate = request.model === undefined ? this.evaluatePlainServer(scope, row, now) : this.evaluateEngine(request, request.model, scope, row, now)
@@ -182,10 +183,10 @@
     }
   }
 
-  /** The servers of the own zone, or all when it has none. */
-  private withinOwnZone (rows: readonly BackendRow[]): readonly BackendRow[] {
-    const own = rows.filter(({ server }) => server.zone === this.ownZone)
-    return own.length > 0 ? own : rows
+  /** The servers of the own zone and those that probably have the prompt in their cache, or all when the zone has none. */
+  private withinOwnZone (rows: readonly BackendRow[], affinityServers: readonly string[]): readonly BackendRow[] {
+    if (!rows.some(({ server }) => server.zone === this.ownZone)) return rows
+    return rows.filter(({ server }) => server.zone === this.ownZone || affinityServers.includes(server.id))
   }
 
   /** Whether the prompt is long and less urgent than others that it would hold up. */
