--- a/packages/capacity/src/JayfallLongWorkLane.ts
+++ b/packages/capacity/src/JayfallLongWorkLane.ts
@@ -3,8 +3,8 @@
  *
  * Load that it answers: a few prompts that take a hundred times as long as the others. An engine reads prompts one after
  * another, whatever their priority, so a short prompt behind a long one misses its objective. Spread evenly, long prompts
- * hold up every server by turns. So those that are less urgent than others go to a lane: as many servers of each zone as their work needs, and the others
- * prefer the rest. All instances of a zone hear the same hints of long prompts and so find the same lane.
+ * hold up every server by turns. So those that are less urgent than others go to a lane: as many servers of each zone as
+ * their work needs, and the others prefer the rest. All instances of a zone hear the same hints of long prompts and so find the same lane.
  */
 
 import { halfLifeWeight } from '#jayfall/shared'
--- a/packages/capacity/src/JayfallZoneEvacuations.ts
+++ b/packages/capacity/src/JayfallZoneEvacuations.ts
@@ -2,8 +2,8 @@
  * Holds which availability zones operators have evacuated.
  *
  * Nothing is sent to the servers of an evacuated zone, even when there are no others. While the store does not respond,
- * the last known state stays in force. When the store comes back from a copy, an evacuation that is not in the copy stays in force, because
- * operators write again what was lost.
+ * the last known state stays in force. When the store comes back from a copy, an evacuation that is not in the copy stays
+ * in force, because operators write again what was lost.
  */
 
 import { type Log } from '#jayfall/telemetry'
--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -296,7 +296,7 @@
   const limitDelay = code === 'too_late' ? undefined : selector.refuseForLimits(service)
   if (limitDelay !== undefined) return { kind: 'refuse', code: 'servers_limited', retryAfter: limitDelay }
   if (code === 'servers_cold') return { kind: 'refuse', code, retryAfter: returnTime(context) }
-  if (code === 'no_server' && selector.hasEvacuatedServers(service)) return { kind: 'refuse', code: 'servers_evacuated', retryAfter: EVACUATED_RETRY_AFTER_MILLISECONDS + returnTime(context) }
+  if (code === 'no_server' && selector.isEvacuated(service)) return { kind: 'refuse', code: 'servers_evacuated', retryAfter: EVACUATED_RETRY_AFTER_MILLISECONDS + returnTime(context) }
   return { kind: 'refuse', code, retryAfter: Math.max(DEFAULT_RETRY_AFTER_MILLISECONDS, selector.timeUntilReach(service, clock.monotonic()) ?? 0) }
 }
 
--- a/packages/forwarding/src/JayfallBackendSelector.ts
+++ b/packages/forwarding/src/JayfallBackendSelector.ts
@@ -69,8 +69,8 @@
   abstract outOfReachShare (service: string, now: number): number
   /** Milliseconds until this instance gets a new share of a cold server that could take the request; undefined when no server waits for that. */
   abstract timeUntilColdShare (request: SelectionRequest, now: number): number | undefined
-  /** Whether servers of the service get nothing because their zones are evacuated. */
-  abstract hasEvacuatedServers (service: string): boolean
+  /** Whether the service has servers and all of them are in evacuated zones. */
+  abstract isEvacuated (service: string): boolean
   /** Milliseconds after which a refused caller may return because of limits that servers named; undefined when no server is kept from work by its limit. */
   abstract refuseForLimits (service: string): number | undefined
 }
@@ -153,9 +153,9 @@
     return rows.length === 0 ? 0 : rows.filter(row => isOutOfReach(row, now)).length / rows.length
   }
 
-  override hasEvacuatedServers (service: string): boolean {
-    for (const { server } of this.directory.rowsOfService(service)) if (this.policies.evacuations.isEvacuated(server.zone)) return true
-    return false
+  override isEvacuated (service: string): boolean {
+    const inUse = [...this.directory.rowsOfService(service)].filter(({ server }) => !server.isDraining)
+    return inUse.length > 0 && inUse.every(({ server }) => this.policies.evacuations.isEvacuated(server.zone))
   }
 
   override refuseForLimits (service: string): number | undefined {
@@ -203,7 +203,9 @@
 
   /** What it costs a prompt to go where long ones are kept. All candidates of one that belongs there cost it alike. */
   private laneCost ({ server }: BackendRow): number {
-    return this.policies.lanes.isInLane(server.service, server.id) ? LANE_PRICE_MILLISECONDS : 0
+    const { lanes, workOrders } = this.policies
+    // A lane that was determined before the configuration changed does not count any longer.
+    return workOrders.isPriorityFirst(server.service) && lanes.isInLane(server.service, server.id) ? LANE_PRICE_MILLISECONDS : 0
   }
 
   private evaluatePlainServer ({ zonePolicy, shared, isInLane }: SelectionScope, row: BackendRow, now: number): Candidate {
@@ -254,7 +256,7 @@
   }
 }
 
-/** @param range milliseconds; about what one more request costs a plain server, and by default what two cost an engine. */
+/** @param range milliseconds: what one more request costs a plain server, and by default what a few more cost an engine. */
 function drawOf (shared: SharedLoadScope | undefined, { affinityHash }: BackendRow, range?: number): number {
   return shared === undefined ? 0 : equalCostDraw(shared.requestHash, affinityHash, range)
 }
--- a/packages/forwarding/src/__tests__/unit/JayfallOperatorRows.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallOperatorRows.test.ts
@@ -97,6 +97,13 @@
     })
   })
 
+  it('names no evacuation when other servers are only out of reach (guards against callers that are kept away for seconds)', () => {
+    read('changes', { valdivia: {} })
+    for (let failure = 0; failure < 2; failure++) fixture.directory.recordUnreachable('far-1', fixture.clock.monotonic())
+    const { value } = planRequest(fixture.context(fakeRoute())).next()
+    assert.equal((value as { readonly code?: string }).code, 'no_server')
+  })
+
   describe('cold servers', () => {
     beforeEach(() => {
       fixture.coldServers.setPolicies(new Map([[SERVICE, { duration: 3000, requestsPerSecond: 4 }]]))
