--- a/packages/capacity/src/JayfallZoneEvacuations.ts
+++ b/packages/capacity/src/JayfallZoneEvacuations.ts
@@ -29,9 +29,4 @@
   isEvacuated (zone: string): boolean {
     return this.zones.has(zone)
   }
-
-  /** The evacuated zones. */
-  get current (): readonly string[] {
-    return [...this.zones]
-  }
 }
