Give each version a lane of long prompts, and keep it to what it can take

The lane was a quarter of the servers of all versions, of which a session may use those of one version only, so its usable part was read from all the time while others were nearly idle. Prompts of that route have the shortest objective of the service and could not wait there either.

Change: each version has a lane that follows its own work; only prompts whose objective is twice the shortest of the service go there; a lane costs other prompts as much as it is occupied; and when the largest lane has more work than it can take, fewer long prompts are asked again of a larger model.

Ruled out: estimates that are too low (medians of estimates and first events agree at every load), and slots (zones were occupied by 0.3 to 0.7).

--- a/packages/capacity/src/JayfallCapacityConstants.ts
+++ b/packages/capacity/src/JayfallCapacityConstants.ts
@@ -59,7 +59,7 @@
 /** Recent requests of a workspace at one instance below which there is no flood, because numbers as small vary by chance. */
 export const MINIMUM_FLOOD_REQUESTS = 6
 
-/** Share of the time of a lane's servers that long prompts may take. More would make them wait for each other for longer than for all the rest. */
+/** Share of the time of a lane's servers that long prompts may take. At 0.4 a running stream has about two thirds of its usual speed, so that the longest answers still end before their deadlines. */
 export const LANE_OCCUPANCY = 0.4
 /** Smallest share of the servers of a zone that belong to the lane once there are long prompts. A burst begins with several of them at once, before their rate is known. */
 export const SMALLEST_LANE_SHARE = 0.25
@@ -69,5 +69,11 @@
 export const LEAST_LONG_OCCUPANCY = 0.01
 /** Half-life of a long prompt in the sum from which the lane follows. Demand swings within seconds. */
 export const LANE_RATE_HALF_LIFE_MILLISECONDS = 1500
-/** Estimated time by which a server outside the lane may be worse for a short prompt: what a long prompt that is not known yet would cost it on the average. */
+/** Estimated time by which a server outside the lane may be worse for a short prompt while the lane is as occupied as it may be: what a long prompt that is not known yet would cost it on the average. */
 export const LANE_PRICE_MILLISECONDS = 150
+/** Multiple of the shortest objective of a service that a prompt's objective has to be for the lane. Prompts wait for each other there for about as long as they are read. */
+export const LANE_OBJECTIVE_RATIO = 2
+/** Change of the escalation factor in one interval of 100 ms at twice the work that the lane can take. The work follows within seconds, so a larger step would make it oscillate. */
+export const ESCALATION_STEP = 0.05
+/** Highest multiple of the work that a lane can take that counts, which limits the fall of the escalation factor to a tenth in an interval. */
+export const MAXIMUM_CROWDING = 3
--- a/packages/capacity/src/JayfallWorkOrder.ts
+++ b/packages/capacity/src/JayfallWorkOrder.ts
@@ -9,7 +9,7 @@
  * one, so short prompts go before long ones, and the priority orders prompts of similar length.
  */
 
-import { LONG_PREFILL_MILLISECONDS, LOWEST_OPERATOR_PRIORITY, OBJECTIVE_TOLERANCE, SHORT_PREFILL_MILLISECONDS } from './JayfallCapacityConstants'
+import { LANE_OBJECTIVE_RATIO, LONG_PREFILL_MILLISECONDS, LOWEST_OPERATOR_PRIORITY, OBJECTIVE_TOLERANCE, SHORT_PREFILL_MILLISECONDS } from './JayfallCapacityConstants'
 
 export interface PromptToRank {
   /** Estimated milliseconds of prefill. */
@@ -31,6 +31,14 @@
   readonly objective: number
 }
 
+/** What the routes of a service that is ordered by priority have in common. */
+interface ServiceUrgency {
+  /** The most urgent priority. */
+  readonly highestPriority: number
+  /** Milliseconds. */
+  readonly shortestObjective: number
+}
+
 /** The order of the work of one service. */
 export abstract class WorkOrder {
   /** Returns the priority for the engine; 0 is the most urgent. */
@@ -63,18 +71,18 @@
 
 /** The order of each service, by the routes in force. */
 export class WorkOrders {
-  private readonly priorityFirst = new Set<string>()
-  /** The most urgent priority of the routes of each service. */
-  private readonly mostUrgent = new Map<string, number>()
+  /** The services ordered by priority. */
+  private readonly urgencies = new Map<string, ServiceUrgency>()
 
   setRoutes (routes: readonly RouteUrgency[]): void {
-    this.priorityFirst.clear()
-    this.mostUrgent.clear()
+    this.urgencies.clear()
     for (const service of new Set(routes.flatMap(({ services }) => services))) {
       const ofService = routes.filter(({ services }) => services.includes(service))
       if (!isOrderedByPriority(ofService)) continue
-      this.priorityFirst.add(service)
-      this.mostUrgent.set(service, Math.min(...ofService.map(({ priority }) => boundPriority(priority))))
+      this.urgencies.set(service, {
+        highestPriority: Math.min(...ofService.map(({ priority }) => boundPriority(priority))),
+        shortestObjective: Math.min(...ofService.map(({ objective }) => objective))
+      })
     }
   }
 
@@ -82,23 +90,24 @@
     return this.isPriorityFirst(service) ? PRIORITY_FIRST : LENGTH_FIRST
   }
 
-  get priorityFirstServices (): ReadonlySet<string> {
-    return this.priorityFirst
+  get priorityFirstServices (): Iterable<string> {
+    return this.urgencies.keys()
   }
 
-  /** Whether requests of the priority come after others of the service, so that they should not hold these up. */
-  isLessUrgent (service: string, priority: number): boolean {
-    return boundPriority(priority) > (this.mostUrgent.get(service) ?? Infinity)
+  /** Whether a request comes after others of the service and has a longer objective than these, so that it can wait where it does not hold them up. */
+  mayWaitForOthers (service: string, priority: number, objective: number): boolean {
+    const urgency = this.urgencies.get(service)
+    return urgency !== undefined && boundPriority(priority) > urgency.highestPriority && objective >= urgency.shortestObjective * LANE_OBJECTIVE_RATIO
   }
 
   /** Whether instances share the load reports of all services: they do where callers of some service compete by priority. */
   get areLoadsShared (): boolean {
-    return this.priorityFirst.size > 0
+    return this.urgencies.size > 0
   }
 
   /** Whether the operators' priority decides first who is served by the service. */
   isPriorityFirst (service: string): boolean {
-    return this.priorityFirst.has(service)
+    return this.urgencies.has(service)
   }
 }
 
--- a/packages/capacity/src/index.ts
+++ b/packages/capacity/src/index.ts
@@ -1,4 +1,4 @@
-export { LANE_PRICE_MILLISECONDS, LOWEST_OPERATOR_PRIORITY } from './JayfallCapacityConstants'
+export { LOWEST_OPERATOR_PRIORITY } from './JayfallCapacityConstants'
 export { ColdServers, type ColdPolicy, type ColdPresumption, type ColdServersParts } from './JayfallColdServers'
 export { equalCostDraw, knownLoadCost, LoadReportChannel, LoadReports, silenceOf, NoLoadReports, type LoadReport } from './JayfallLoadReports'
 export { LongWorkLanes, type LaneServer } from './JayfallLongWorkLane'
--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -216,7 +216,7 @@
   if (largest === undefined || model === largest || !route.isRepeatable || sentAttempts + 1 >= route.maximumAttempts || lastDeliveredEventId() !== undefined) return 0
   const now = clock.monotonic()
   const next = retryBudget.hasRetryLeft(service, now) ? chooseServer(context, largest, new Set()) : undefined
-  return !isServerChosen(next) ? 0 : confidenceThreshold(next.selection.timeToFirstEvent, arrivedAt + route.objective - now)
+  return !isServerChosen(next) ? 0 : confidenceThreshold(next.selection.timeToFirstEvent, arrivedAt + route.objective - now) * next.selection.escalationFactor
 }
 
 /** Chooses a server, or says how long to wait for a share of a cold one. A request does not change its version to avoid that wait. */
@@ -224,7 +224,7 @@
   const { service, session, isSharedSession, fields, clock, selector, versionPolicy } = context
   const now = clock.monotonic()
   const versionRule = versionPolicy.ruleFor(service, session, now, isSharedSession)
-  const request = { service, requestId: fields.requestId ?? '', priority: context.priority, model, promptTokens: fields.promptTokens, outputTokens: fields.maximumOutputTokens, promptParts: fields.promptParts, triedServers }
+  const request = { service, requestId: fields.requestId ?? '', priority: context.priority, objective: context.route.objective, model, promptTokens: fields.promptTokens, outputTokens: fields.maximumOutputTokens, promptParts: fields.promptParts, triedServers }
   for (const allowsVersion of [versionRule.isPreferred, (version: string) => versionRule.isAllowed(version, triedServers.size > 0)]) {
     const selection = selector.select({ ...request, allowsVersion }, now)
     if (selection !== undefined) return { selection, versionRule }
--- a/packages/forwarding/src/JayfallBackendSelector.ts
+++ b/packages/forwarding/src/JayfallBackendSelector.ts
@@ -11,7 +11,7 @@
  * that service stays in its zone unless it may leave, or its prompt is probably cached in another one.
  */
 
-import { equalCostDraw, FixedZonePolicy, knownLoadCost, LANE_PRICE_MILLISECONDS, silenceOf, type ColdServers, type LongWorkLanes, type WorkOrders, type ZoneEvacuations, type ZonePolicy, type ZoneSpill } from '#jayfall/capacity'
+import { equalCostDraw, FixedZonePolicy, knownLoadCost, silenceOf, type ColdServers, type LongWorkLanes, type WorkOrders, type ZoneEvacuations, type ZonePolicy, type ZoneSpill } from '#jayfall/capacity'
 import { combineHashes, hashName } from '#jayfall/shared'
 
 import { currentFailureRate, estimateLoad, estimateWaitingRequests, isOutOfReach, remainingPeerPrefillTime, sharedLoadOf, slotsOf, type BackendDirectory, type BackendRow } from './JayfallBackendDirectory'
@@ -30,6 +30,8 @@
   readonly model: string | undefined
   /** The operators' priority; 0 is the most urgent. */
   readonly priority: number
+  /** Milliseconds within which a first event, or a plain answer, is timely. */
+  readonly objective: number
   readonly promptTokens: number
   readonly outputTokens: number
   readonly promptParts: readonly PromptPart[]
@@ -57,6 +59,8 @@
   readonly explainedTimeToFirstEvent: number
   /** Whether the prompt is kept on the lane of long prompts. */
   readonly isInLane: boolean
+  /** The factor, from 0 to 1, for the confidence below which the request is asked again of a larger model, by the room for its prompt. */
+  readonly escalationFactor: number
 }
 
 /** Strategy for the selection of a server. */
@@ -189,15 +193,15 @@
     return rows.filter(({ server }) => server.zone === this.ownZone || affinityServers.includes(server.id))
   }
 
-  /** Whether the prompt is long and less urgent than others that it would hold up. */
-  private belongsToLane ({ service, model, priority, promptTokens }: SelectionRequest, now: number): boolean {
+  /** Whether the prompt is long, and can wait longer than others that it would hold up. */
+  private belongsToLane ({ service, model, priority, objective, promptTokens }: SelectionRequest, now: number): boolean {
     const { lanes, workOrders } = this.policies
-    return model !== undefined && workOrders.isLessUrgent(service, priority) && lanes.isLong(this.prefillTimes.estimate(model, promptTokens, now))
+    return model !== undefined && workOrders.mayWaitForOthers(service, priority, objective) && lanes.isLong(this.prefillTimes.estimate(model, promptTokens, now))
   }
 
   /** The servers of the lane, or all when none of them can be used. */
   private withinLane (rows: readonly BackendRow[]): readonly BackendRow[] {
-    const inLane = rows.filter(({ server }) => this.policies.lanes.isInLane(server.service, server.id))
+    const inLane = rows.filter(({ server }) => this.policies.lanes.isInLane(server.service, server))
     return inLane.length > 0 ? inLane : rows
   }
 
@@ -205,7 +209,7 @@
   private laneCost ({ server }: BackendRow): number {
     const { lanes, workOrders } = this.policies
     // A lane that was determined before the configuration changed does not count any longer.
-    return workOrders.isPriorityFirst(server.service) && lanes.isInLane(server.service, server.id) ? LANE_PRICE_MILLISECONDS : 0
+    return workOrders.isPriorityFirst(server.service) ? lanes.price(server.service, server) : 0
   }
 
   private evaluatePlainServer ({ zonePolicy, shared, isInLane }: SelectionScope, row: BackendRow, now: number): Candidate {
@@ -213,7 +217,7 @@
     const slots = slotsOf(row)
     const waiting = Math.max(0, estimatedLoad + 1 - slots)
     const timeToFirstEvent = (1 + (estimatedLoad + 1 + waiting) / slots) * PLAIN_WORK_MILLISECONDS * slownessOf(row)
-    return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens: 0, prefillTime: 0, peerPrefillTime: 0, timeToFirstEvent, explainedTimeToFirstEvent: timeToFirstEvent, isInLane, cost: timeToFirstEvent + this.zoneCost(zonePolicy, row) + drawOf(shared, row, PLAIN_WORK_MILLISECONDS / slots) }
+    return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens: 0, prefillTime: 0, peerPrefillTime: 0, timeToFirstEvent, explainedTimeToFirstEvent: timeToFirstEvent, isInLane, escalationFactor: 1, cost: timeToFirstEvent + this.zoneCost(zonePolicy, row) + drawOf(shared, row, PLAIN_WORK_MILLISECONDS / slots) }
   }
 
   private evaluateEngine (request: SelectionRequest, model: string, { affinityServers, zonePolicy, shared, isInLane }: SelectionScope, row: BackendRow, now: number): Candidate {
@@ -228,7 +232,7 @@
     const explainedTimeToFirstEvent = (FIRST_EVENT_OVERHEAD_MILLISECONDS + knownQueueTime + prefillTime) * slownessOf(row)
     const batchStepTime = shared === undefined ? estimatedLoad * BATCH_STEP_MILLISECONDS_PER_REQUEST * request.outputTokens : knownLoadCost(estimatedLoad, slotsOf(row), request.outputTokens)
     const cost = timeToFirstEvent + prefillTime * (PREFILL_COST_FACTOR - 1) + batchStepTime + this.zoneCost(zonePolicy, row) + this.laneCost(row) + drawOf(shared, row)
-    return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens, prefillTime, peerPrefillTime, timeToFirstEvent, explainedTimeToFirstEvent, isInLane, cost }
+    return { row, estimatedLoad, loadReportAge: now - row.loadReportedAt, uncachedTokens, prefillTime, peerPrefillTime, timeToFirstEvent, explainedTimeToFirstEvent, isInLane, escalationFactor: isInLane ? this.policies.lanes.escalationFactor(request.service, row.server.version) : 1, cost }
   }
 
   private estimateCachedTokens ({ promptParts }: SelectionRequest, model: string, affinityServers: readonly string[], row: BackendRow, now: number): number {
--- a/packages/forwarding/src/JayfallLoadSharing.ts
+++ b/packages/forwarding/src/JayfallLoadSharing.ts
@@ -94,11 +94,11 @@
   recordLongPrompt (server: string, prefillTime: number): void {
     const { directory, lanes, clock } = this.parts
     const row = directory.get(server)
-    if (row !== undefined && lanes.isLong(prefillTime)) lanes.record(row.server.service, row.server.zone, prefillTime, clock.monotonic())
+    if (row !== undefined && lanes.isLong(prefillTime)) lanes.record(row.server.service, row.server, prefillTime, clock.monotonic())
   }
 
   private * serversInUse (service: string, now: number): Generator<LaneServer> {
-    for (const { server: { id, zone }, affinityHash } of this.rowsInUse(service, now)) yield { id, zone, affinityHash }
+    for (const { server: { id, zone, version }, affinityHash } of this.rowsInUse(service, now)) yield { id, zone, version, affinityHash }
   }
 
   private * rowsInUse (service: string, now: number): Generator<BackendRow> {
