Keep two thirds of the servers for urgent prompts, and log reduced escalations

Change: the lane has 35 % of the servers at most, and fewer long prompts are asked again of a larger model from an occupancy of 60 % of that lane, in steps that are twice as large. The event escalations_reduced and a metric show it.

--- a/packages/capacity/src/JayfallCapacityConstants.ts
+++ b/packages/capacity/src/JayfallCapacityConstants.ts
@@ -63,8 +63,8 @@
 export const LANE_OCCUPANCY = 0.4
 /** Smallest share of the servers of a zone that belong to the lane once there are long prompts. A burst begins with several of them at once, before their rate is known. */
 export const SMALLEST_LANE_SHARE = 0.25
-/** Largest share of the servers of a zone that belong to the lane. The rest is kept for short prompts. */
-export const LARGEST_LANE_SHARE = 0.7
+/** Largest share of the servers of a zone that belong to the lane. The rest is kept for prompts that are more urgent, which most servers have to be free for when many come. */
+export const LARGEST_LANE_SHARE = 0.35
 /** Servers that long prompts have to occupy for a lane: less than one prompt of 150 ms in some seconds is none. */
 export const LEAST_LONG_OCCUPANCY = 0.01
 /** Half-life of a long prompt in the sum from which the lane follows. Demand swings within seconds. */
@@ -73,7 +73,21 @@
 export const LANE_PRICE_MILLISECONDS = 150
 /** Multiple of the shortest objective of a service that a prompt's objective has to be for the lane. Prompts wait for each other there for about as long as they are read. */
 export const LANE_OBJECTIVE_RATIO = 2
-/** Change of the escalation factor in one interval of 100 ms at twice the work that the lane can take. The work follows within seconds, so a larger step would make it oscillate. */
-export const ESCALATION_STEP = 0.05
-/** Highest multiple of the work that a lane can take that counts, which limits the fall of the escalation factor to a tenth in an interval. */
+/** Occupancy of the largest lane from which fewer long prompts are asked again of a larger model. At 0.6 a running stream has half of its usual speed, so that answers of mean length still end before their deadlines. */
+export const ESCALATION_OCCUPANCY = 0.6
+/** Change of the escalation factor in one interval of 100 ms at twice that occupancy. The work follows within seconds, so a larger step would make it oscillate. */
+export const ESCALATION_STEP = 0.1
+/** Highest multiple of that occupancy that counts, which limits the fall of the escalation factor to a fifth in an interval. */
 export const MAXIMUM_CROWDING = 3
+
+/** Share of its objective after which a prompt without a first event may first be moved. Earlier, it may be due to the time that the estimate does not know. */
+export const FIRST_MOVE_CHECK_OBJECTIVES = 0.3
+/** Share of the objective between two checks, and that of the last check. After it another server could hardly answer in time. */
+export const MOVE_CHECK_OBJECTIVES = 0.1
+export const LAST_MOVE_CHECK_OBJECTIVES = 0.8
+/** Multiple of the estimated time to the first event from which a wait is unexpected. */
+export const UNEXPECTED_WAIT_FACTOR = 3
+/** Longest prefill of a prompt that is moved, as a share of its objective. Longer prompts would hold up two servers. */
+export const MAXIMUM_MOVED_PREFILL_OBJECTIVES = 0.1
+/** Multiple of the other server's estimated time that has to be left. One in ten first events takes more than twice the estimate. */
+export const MOVE_ESTIMATE_FACTOR = 2
--- a/packages/capacity/src/JayfallLongWorkLane.ts
+++ b/packages/capacity/src/JayfallLongWorkLane.ts
@@ -17,7 +17,7 @@
 
 import { halfLifeWeight } from '#jayfall/shared'
 
-import { ESCALATION_STEP, LANE_OCCUPANCY, LANE_PRICE_MILLISECONDS, LANE_RATE_HALF_LIFE_MILLISECONDS, LARGEST_LANE_SHARE, LEAST_LONG_OCCUPANCY, LONG_PREFILL_MILLISECONDS, MAXIMUM_CROWDING, SMALLEST_LANE_SHARE } from './JayfallCapacityConstants'
+import { ESCALATION_OCCUPANCY, ESCALATION_STEP, LANE_OCCUPANCY, LANE_PRICE_MILLISECONDS, LANE_RATE_HALF_LIFE_MILLISECONDS, LARGEST_LANE_SHARE, LEAST_LONG_OCCUPANCY, LONG_PREFILL_MILLISECONDS, MAXIMUM_CROWDING, SMALLEST_LANE_SHARE } from './JayfallCapacityConstants'
 
 /** A server that is in use. */
 export interface LaneServer {
@@ -91,13 +91,18 @@
     return this.lanes.get(service)?.get(version)?.escalationFactor ?? 1
   }
 
+  /** The lowest escalation factor of the versions of the service. */
+  lowestEscalationFactor (service: string): number {
+    return Math.min(1, ...[...this.lanes.get(service)?.values() ?? []].map(({ escalationFactor }) => escalationFactor))
+  }
+
   private determineLane (service: string, version: string, servers: readonly LaneServer[], escalationFactor: number, now: number): Lane {
     const own = servers.filter(({ zone }) => zone === this.ownZone)
     // Instances are told of the prompts of their own zone, or of all when it has no servers.
     const known = own.length > 0 ? own : servers
     const occupied = this.occupiedServers(service, version, known, now)
     const share = occupied < LEAST_LONG_OCCUPANCY ? 0 : Math.max(SMALLEST_LANE_SHARE, Math.min(LARGEST_LANE_SHARE, occupied / LANE_OCCUPANCY / known.length))
-    const crowding = Math.min(MAXIMUM_CROWDING, occupied / (LANE_OCCUPANCY * LARGEST_LANE_SHARE * known.length))
+    const crowding = Math.min(MAXIMUM_CROWDING, occupied / (ESCALATION_OCCUPANCY * LARGEST_LANE_SHARE * known.length))
     const laneOccupancy = share === 0 ? 0 : occupied / (LANE_OCCUPANCY * share * known.length)
     return { servers: firstOfEachZone(servers, share), price: LANE_PRICE_MILLISECONDS * Math.min(1, laneOccupancy), escalationFactor: Math.max(0, Math.min(1, escalationFactor + ESCALATION_STEP * (1 - crowding))) }
   }
--- a/packages/forwarding/src/JayfallLoadSharing.ts
+++ b/packages/forwarding/src/JayfallLoadSharing.ts
@@ -75,11 +75,15 @@
   }
 
   private updateLane (service: string, now: number): void {
-    const { lanes, metrics } = this.parts
-    const before = lanes.sizeOf(service)
+    const { lanes, log, metrics } = this.parts
+    const [sizeBefore, factorBefore] = [lanes.sizeOf(service), lanes.lowestEscalationFactor(service)]
     lanes.update(service, [...this.serversInUse(service, now)], now)
-    const size = lanes.sizeOf(service)
-    if (size !== before) metrics.count('jayfall_capacity_lane_servers', { service }, size - before)
+    const [size, factor] = [lanes.sizeOf(service), lanes.lowestEscalationFactor(service)]
+    if (size !== sizeBefore) metrics.count('jayfall_capacity_lane_servers', { service }, size - sizeBefore)
+    if (factor === factorBefore) return
+    metrics.count('jayfall_capacity_escalation_reduction', { service }, factorBefore - factor)
+    if (factorBefore === 1) log.info('escalations_reduced', { service })
+    else if (factor === 1) log.info('escalations_restored', { service })
   }
 
   private receive (report: LoadReport): void {
