Move short prompts away from held up servers, and refuse what has no time left

Cause: an engine that begins to read a very long prompt, or gets prompts of several instances at once, answers nobody for a second or more, which no report of its load shows in time.

A move is a retry, no failure of the server, and counts as slow in the evidence of a rollout for both versions. A request that has not run is refused at once (servers_busy) when the known work of even the best server takes longer than the time that is left. What attempts tell of servers and versions has a class of its own, and jayfall explain knows every refusal by servers.

Ruled out: two servers for each prompt from the start, and a second server beside the first, which goes on reading for nobody.

--- a/packages/capacity/src/index.ts
+++ b/packages/capacity/src/index.ts
@@ -1,5 +1,6 @@
 export { LOWEST_OPERATOR_PRIORITY } from './JayfallCapacityConstants'
 export { ColdServers, type ColdPolicy, type ColdPresumption, type ColdServersParts } from './JayfallColdServers'
+export { isWorthMoving, moveCheckWaits, type FirstEventEstimate } from './JayfallHeldUpPrompts'
 export { equalCostDraw, knownLoadCost, LoadReportChannel, LoadReports, silenceOf, NoLoadReports, type LoadReport } from './JayfallLoadReports'
 export { LongWorkLanes, type LaneServer } from './JayfallLongWorkLane'
 export { WindowShares, type WindowSharesParts } from './JayfallWindowShares'
--- a/packages/command/src/JayfallRequestTimeline.ts
+++ b/packages/command/src/JayfallRequestTimeline.ts
@@ -97,6 +97,12 @@
       return `This request, or prompts with the same parts, have crashed servers: ${results === '' ? 'it was sent to none' : results}.`
     case 'servers_limited':
       return 'The servers had named limits, and this instance had used its share of them.'
+    case 'servers_cold':
+      return 'Only cold servers could take the request, and this instance had no share of them in time.'
+    case 'servers_evacuated':
+      return 'All servers of the service were in evacuated zones.'
+    case 'servers_busy':
+      return 'Even the best server had more known work than there was time for the request.'
     case 'servers_full':
       return `No server took the request: ${results}.`
     default:
--- a/packages/command/src/__tests__/unit/JayfallRequestTimeline.test.ts
+++ b/packages/command/src/__tests__/unit/JayfallRequestTimeline.test.ts
@@ -49,6 +49,14 @@
     assert.match(timeline?.beliefs[0].text ?? '', /service out of reach/)
   })
 
+  it('explains every refusal by servers (guards against refusals that read like unknown outcomes)', () => {
+    for (const outcome of ['no_server', 'unreached', 'servers_full', 'suspect_prompt', 'servers_limited', 'servers_cold', 'servers_evacuated', 'servers_busy']) {
+      const record = readLogLine(`{"level":"info","time":"T1","instance":"entry-1","event":"request_ended","request":"r5","outcome":"${outcome}"}`)
+      assert.ok(record !== undefined)
+      assert.doesNotMatch(createTimeline('r5', [record])?.cause ?? 'not known', /not known to have/, outcome)
+    }
+  })
+
   it('reads lines of key=value pairs', () => {
     assert.match(createTimeline('r2', RECORDS)?.cause ?? '', /no such key/)
   })
--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -6,7 +6,7 @@
  * only when it certainly did not run.
  */
 
-import { boundPriority } from '#jayfall/capacity'
+import { boundPriority, isWorthMoving, moveCheckWaits, type WorkOrders } from '#jayfall/capacity'
 import { rendezvousShare, type Clock } from '#jayfall/shared'
 
 import { type BackendSelector, type BackendSelection } from './JayfallBackendSelector'
@@ -41,6 +41,10 @@
   readonly eventGapTimeout: number
   /** Whether another attempt could follow now. A late attempt is only given up when one can. */
   readonly isReplaceable: () => boolean
+  /** Milliseconds to wait for the head of the answer before each check whether the request is moved to another server; none when it stays. */
+  readonly moveCheckWaits: readonly number[]
+  /** Whether another server would answer in time now. */
+  readonly isWorthMoving: () => boolean
   /** The estimates behind the selection of this server; for the log. */
   readonly selection: BackendSelection
   /** The rule that led to the version of this server; for the log. */
@@ -70,6 +74,8 @@
   /** The answer is incomplete, or is not the server's; the request may have run. */
   | { readonly kind: 'broken', readonly cause: string }
   | { readonly kind: 'silent' }
+  /** There was no first event in time, and another server is expected to answer within the objective. */
+  | { readonly kind: 'held_up' }
   /** The answer was dropped because its model reported too little confidence. */
   | { readonly kind: 'unsure', readonly confidence: number }
   /** The deadline of the request passed during the attempt. */
@@ -86,7 +92,7 @@
   | { readonly kind: 'none' }
 
 /** A refusal guarantees that the request has not run. */
-export type RefusalCode = 'no_server' | 'unreached' | 'servers_full' | 'too_late' | 'suspect_prompt' | 'servers_limited' | 'servers_cold' | 'servers_evacuated'
+export type RefusalCode = 'no_server' | 'unreached' | 'servers_full' | 'too_late' | 'suspect_prompt' | 'servers_limited' | 'servers_cold' | 'servers_evacuated' | 'servers_busy'
 export type FailureCode = 'answer_lost' | 'timeout' | 'suspect_prompt'
 
 /** What has been done for a request so far. */
@@ -135,6 +141,7 @@
   readonly isExcess: boolean
   readonly clock: Clock
   readonly selector: BackendSelector
+  readonly workOrders: WorkOrders
   readonly retryBudget: RetryBudget
   readonly versionPolicy: VersionPolicy
   readonly promptSuspicions: PromptSuspicions
@@ -171,6 +178,7 @@
     const chosen = isServerChosen(choice) ? choice : undefined
     // A request that has no retry left would be rejected after its wait, so it is rejected at once.
     if (choice !== undefined && !isServerChosen(choice) && (!isRepeat || retryBudget.hasRetryLeft(service, now))) return { kind: 'cold', wait: choice.wait, progress: { sentAttempts, mayHaveRun, triedServers: [...triedServers], isRetry: isRepeat, model, previous, hasFailedAnswer, isTrial } }
+    if (chosen !== undefined && !mayHaveRun && !hasFailedAnswer && isTooBusy(context, model, chosen, now)) return decideWithoutAnswer(context, false, 'servers_busy')
     // Only an attempt that follows one that may have reached a server counts as a retry.
     if (chosen === undefined || (isRepeat && !retryBudget.trySpendRetry(service, now))) {
       if (hasFailedAnswer) return { kind: 'deliver' }
@@ -196,6 +204,7 @@
       case 'failed':
       case 'broken':
       case 'silent':
+      case 'held_up':
         mayHaveRun = true
     }
     triedServers.add(chosen.selection.row.server.id)
@@ -247,6 +256,8 @@
     answerTimeout: answerTimeoutOf(route),
     eventGapTimeout: eventGapTimeoutOf(route),
     isReplaceable: () => isReplaceable(context, model, sentAttempts, new Set([...triedServers, selection.row.server.id])),
+    moveCheckWaits: isMovable(context, model, resumeAfter) ? [...moveCheckWaits(route.objective, selection)] : [],
+    isWorthMoving: () => isMoveInTime(context, model, sentAttempts, new Set([...triedServers, selection.row.server.id])),
     selection,
     versionRule
   }
@@ -286,6 +297,25 @@
   return reach.isCut(service) && relays.hasTargets ? canBeRelayed(context) && relays.isAvailable(service, now) : isServerChosen(chooseServer(context, model, triedServers))
 }
 
+/** Whether even the best server has more known work before the prompt than there is time, so that the request would only wait for its deadline. */
+function isTooBusy ({ workOrders, service, deadline }: PlanContext, model: string | undefined, { selection }: ChosenServer, now: number): boolean {
+  return model !== undefined && workOrders.isPriorityFirst(service) && selection.explainedTimeToFirstEvent > deadline - now
+}
+
+/** Whether the request may be moved before its first event. It is where instances know the load of all servers from each other. */
+function isMovable ({ workOrders, service, route }: PlanContext, model: string | undefined, resumeAfter: string | undefined): boolean {
+  return model !== undefined && route.isRepeatable && resumeAfter === undefined && workOrders.isPriorityFirst(service)
+}
+
+/** Whether the route and the retry budget allow another attempt, and another server is expected to answer it within the objective. */
+function isMoveInTime (context: PlanContext, model: string | undefined, sentAttempts: number, triedServers: ReadonlySet<string>): boolean {
+  const { route, retryBudget, service, clock, arrivedAt } = context
+  const now = clock.monotonic()
+  if (sentAttempts + 1 >= route.maximumAttempts || !retryBudget.hasRetryLeft(service, now)) return false
+  const other = chooseServer(context, model, triedServers)
+  return isServerChosen(other) && isWorthMoving(arrivedAt + route.objective - now, other.selection)
+}
+
 function isServerChosen (choice: ChosenServer | ColdWait | undefined): choice is ChosenServer {
   return choice !== undefined && !('wait' in choice)
 }
@@ -295,7 +325,7 @@
   if (mayHaveRun) return { kind: 'fail', code: code === 'too_late' ? 'timeout' : 'answer_lost' }
   const limitDelay = code === 'too_late' ? undefined : selector.refuseForLimits(service)
   if (limitDelay !== undefined) return { kind: 'refuse', code: 'servers_limited', retryAfter: limitDelay }
-  if (code === 'servers_cold') return { kind: 'refuse', code, retryAfter: returnTime(context) }
+  if (code === 'servers_cold' || code === 'servers_busy') return { kind: 'refuse', code, retryAfter: returnTime(context) }
   if (code === 'no_server' && selector.isEvacuated(service)) return { kind: 'refuse', code: 'servers_evacuated', retryAfter: EVACUATED_RETRY_AFTER_MILLISECONDS + returnTime(context) }
   return { kind: 'refuse', code, retryAfter: Math.max(DEFAULT_RETRY_AFTER_MILLISECONDS, selector.timeUntilReach(service, clock.monotonic()) ?? 0) }
 }
--- a/packages/forwarding/src/JayfallAttemptRunner.ts
+++ b/packages/forwarding/src/JayfallAttemptRunner.ts
@@ -3,6 +3,7 @@
 import { invariant, messageOf } from '#jayfall/shared'
 
 import { type AnswerHead } from './JayfallAnswerParser'
+import { AttemptObservations } from './JayfallAttemptObservations'
 import { type AttemptPlan, type AttemptResult, type PlanContext } from './JayfallAttemptPlan'
 import { BackendExchange, ExchangeError } from './JayfallBackendExchange'
 import { BodyReader, NO_ANSWER_YET } from './JayfallBodyReader'
@@ -13,7 +14,6 @@
 import { FIRST_EVENT_OVERHEAD_MILLISECONDS, MAXIMUM_ANSWER_BYTES, MINIMUM_PUBLISHED_PREFILL_IN_ZONE_MILLISECONDS, MINIMUM_PUBLISHED_PREFILL_MILLISECONDS } from './JayfallForwardingConstants'
 import { type ForwardingContext } from './JayfallForwardingContext'
 import { StreamRelay } from './JayfallStreamRelay'
-import { type VersionObservation } from './JayfallVersionObservation'
 
 /** The request as the caller sent it. */
 export interface CallerRequest {
@@ -49,16 +49,16 @@
   private zoneOutageDetector: ZoneOutageDetector | undefined
   /** Signals that end the waits of the running attempt. */
   private stopSignals: readonly AbortSignal[] = []
-  /** Attempts that ended with an error answer of the server. They are not counted until the answer of another server shows whether the server or the request is at fault. */
-  private unattributedFailures: AttemptPlan[] = []
-  private readonly observations = new Map<AttemptPlan, VersionObservation>()
+  private readonly observations: AttemptObservations
 
   constructor (
     private readonly context: ForwardingContext,
     private readonly plan: PlanContext,
     private readonly request: CallerRequest,
     private readonly answer: CallerAnswer
-  ) {}
+  ) {
+    this.observations = new AttemptObservations(context, plan.service, plan.route.name)
+  }
 
   async run (attempt: AttemptPlan): Promise<AttemptResult> {
     const { clock, directory, promptCache, versionPolicy, protocol } = this.context
@@ -93,7 +93,7 @@
       if (this.receivedEvents === 0) suspicion.abort()
     })
     this.stopSignals = [this.answer.callerDisconnected, suspicion.signal, ...(this.zoneOutageDetector === undefined ? [] : [this.zoneOutageDetector.signal])]
-    this.observations.set(attempt, this.observe(attempt, startedAt))
+    this.observations.begin(attempt, startedAt)
     const earlierAnswer = this.bufferedAnswer
     this.bufferedAnswer = undefined
     const result = await this.exchange(attempt, rawHeaders, startedAt)
@@ -125,7 +125,8 @@
       exchange = BackendExchange.open({ method: this.request.method, address: attempt.server.address, path: this.request.path, rawHeaders, body: this.request.body, pacer: this.context.pacer, onOpened: () => this.context.reachMonitor.recordOpened(attempt.server) }, resolve, reject)
     })
     try {
-      const wait = await this.waitForAnswer(headPromise, attempt)
+      const wait = await this.waitForHead(headPromise, attempt)
+      if (wait.kind === 'held_up') return wait
       if (wait.kind !== 'value') return this.resultOfInterruptedWait(wait, attempt)
       invariant(exchange !== undefined, 'an answer has an exchange')
       return await this.readAnswer(attempt, exchange, wait.value, startedAt)
@@ -211,7 +212,7 @@
         this.receivedEvents += count
         this.timeToAnswer ??= clock.monotonic() - startedAt
         this.recordPrefillEnd(attempt, this.timeToAnswer)
-        this.observations.get(attempt)?.recordEvent(clock.monotonic(), count)
+        this.observations.recordEvents(attempt, count)
       }
     }).run()
     if (end.kind === 'stopped') return this.resultOfStop()
@@ -239,12 +240,24 @@
     promptSuspicions.recordCrash(this.plan.identity, server.id)
   }
 
+  /** Waits for the head of the answer, also until the server is held up while another one would answer in time. */
+  private async waitForHead (head: Promise<AnswerHead>, attempt: AttemptPlan): Promise<WaitResult<AnswerHead> | { readonly kind: 'held_up' }> {
+    let waited = 0
+    for (const duration of attempt.moveCheckWaits) {
+      const wait = await waitFor(head, duration, this.stopSignals)
+      if (wait.kind !== 'timeout') return wait
+      if (attempt.isWorthMoving()) return { kind: 'held_up' }
+      waited += duration
+    }
+    return this.waitForAnswer(head, attempt, NO_ANSWER_YET, waited)
+  }
+
   /** Waits for a part of the answer until the attempt's deadline, or until the answer makes no progress and another server can be tried. */
-  private async waitForAnswer<Value> (promise: Promise<Value>, attempt: AttemptPlan, progress = NO_ANSWER_YET): Promise<WaitResult<Value>> {
+  private async waitForAnswer<Value> (promise: Promise<Value>, attempt: AttemptPlan, progress = NO_ANSWER_YET, waited = 0): Promise<WaitResult<Value>> {
     // The promise may be rejected after the wait has ended.
     promise.catch(() => {})
-    for (let known = progress.receivedBytes(); ; known = progress.receivedBytes()) {
-      const wait = await waitFor(promise, Math.min(attempt.answerTimeout, attempt.deadline - this.context.clock.monotonic()), this.stopSignals)
+    for (let [known, earlier] = [progress.receivedBytes(), waited]; ; known = progress.receivedBytes(), earlier = 0) {
+      const wait = await waitFor(promise, Math.min(attempt.answerTimeout - earlier, attempt.deadline - this.context.clock.monotonic()), this.stopSignals)
       if (wait.kind !== 'timeout' || this.isExpired(attempt)) return wait
       if ((progress.receivedBytes() === known || progress.isHeldUp()) && attempt.isReplaceable()) return wait
     }
@@ -282,8 +295,7 @@
     const { directory, clock } = this.context
     switch (result.kind) {
       case 'failed':
-        this.unattributedFailures.push(attempt)
-        return
+        return this.observations.recordErrorAnswer(attempt)
       case 'unsent':
         this.context.reachMonitor.recordUnopened(attempt.server)
         this.context.coldServers.recordUnreached(attempt.server.id, attempt.server.service)
@@ -291,46 +303,18 @@
       case 'broken':
       case 'silent':
         // The failure of an attempt that lost its path, or in an unreachable zone, is not attributed to the server.
-        if (!this.isPathLost && !this.context.reach.isCut(attempt.server.service) && this.zoneOutageDetector?.signal.aborted !== true) this.recordAttemptFailure(attempt)
+        if (!this.isPathLost && !this.context.reach.isCut(attempt.server.service) && this.zoneOutageDetector?.signal.aborted !== true) this.observations.recordFailure(attempt)
         return
+      case 'held_up':
+        return this.observations.recordMove(attempt)
       case 'answered':
       case 'unsure':
-        directory.recordSuccess(attempt.server.id, clock.monotonic())
-        this.recordVersionOutcome(attempt, false)
-        this.recordUnattributedFailures()
+        this.observations.recordSuccess(attempt)
     }
   }
 
-  /**
-   * Counts the remaining failures at the end of the request. A request that failed at several servers is at
-   * fault itself, unless all of them run the new version of a rollout. Attempts that ended for other reasons are
-   * not observed any longer.
-   */
+  /** Counts what the attempts show once the request has ended. */
   finishObservations (): void {
-    const versions = new Set(this.unattributedFailures.map(({ server }) => server.version))
-    const rollout = this.context.versionPolicy.rolloutOf(this.plan.service)
-    const isNewVersion = rollout?.outcome === 'running' && versions.size === 1 && versions.has(rollout.order.version)
-    if (this.unattributedFailures.length === 1 || isNewVersion) this.recordUnattributedFailures()
-    for (const observation of this.observations.values()) this.context.evidence.forget(observation)
-  }
-
-  private recordUnattributedFailures (): void {
-    for (const attempt of this.unattributedFailures) this.recordAttemptFailure(attempt)
-    this.unattributedFailures = []
-  }
-
-  private recordAttemptFailure (attempt: AttemptPlan): void {
-    this.context.directory.recordFailure(attempt.server.id, this.context.clock.monotonic())
-    this.recordVersionOutcome(attempt, true)
-  }
-
-  private recordVersionOutcome (attempt: AttemptPlan, hasFailed: boolean): void {
-    const observation = this.observations.get(attempt)
-    if (observation !== undefined) this.context.evidence.recordOutcome(observation, hasFailed)
-  }
-
-  private observe ({ server, model, selection }: AttemptPlan, startedAt: number): VersionObservation {
-    const { service, route } = this.plan
-    return this.context.evidence.observe({ service, version: server.version, route: route.name, model, startedAt, explainedTimeToFirstEvent: model === undefined ? undefined : selection.explainedTimeToFirstEvent })
+    this.observations.finish()
   }
 }
--- a/packages/forwarding/src/JayfallRelayPlan.ts
+++ b/packages/forwarding/src/JayfallRelayPlan.ts
@@ -57,7 +57,7 @@
   | { readonly kind: 'wait', readonly plan: WaitPlan }
 
 const FAILURE_CODES: ReadonlySet<string> = new Set<FailureCode>(['answer_lost', 'timeout', 'suspect_prompt'])
-const REFUSAL_CODES: ReadonlySet<string> = new Set<RefusalCode>(['no_server', 'servers_full', 'too_late', 'suspect_prompt', 'servers_limited', 'servers_cold', 'servers_evacuated', 'unreached'])
+const REFUSAL_CODES: ReadonlySet<string> = new Set<RefusalCode>(['no_server', 'servers_full', 'too_late', 'suspect_prompt', 'servers_limited', 'servers_cold', 'servers_evacuated', 'servers_busy', 'unreached'])
 
 type Plan<End> = Generator<PlanStep, End, AttemptResult | RelayResult | WaitResult>
 
--- a/packages/forwarding/src/JayfallRolloutEvidence.ts
+++ b/packages/forwarding/src/JayfallRolloutEvidence.ts
@@ -29,6 +29,12 @@
     this.forService(observation.attempt.service).forget(observation, this.clock.monotonic())
   }
 
+  /** Records that an attempt was moved to another server because its first event was late. */
+  recordMove (observation: VersionObservation): void {
+    const { attempt } = observation
+    if (this.isRunning(attempt)) this.forService(attempt.service).recordMove(observation, this.isNew(attempt), this.clock.monotonic())
+  }
+
   recordOutcome (observation: VersionObservation, hasFailed: boolean): void {
     const { attempt } = observation
     const evidence = this.forService(attempt.service)
--- a/packages/forwarding/src/JayfallVersionEvidence.ts
+++ b/packages/forwarding/src/JayfallVersionEvidence.ts
@@ -63,6 +63,12 @@
     else this.judge(observation, isNew, now)
   }
 
+  /** Records that an attempt was moved to another server, which counts as slow whatever the version. */
+  recordMove (observation: VersionObservation, isNew: boolean, now: number): void {
+    observation.recordMove(now)
+    this.judge(observation, isNew, now)
+  }
+
   /** Updates the baseline times with an answer of the version in service. */
   recordBaseline ({ attempt: { route, model }, timeToFirstEvent, meanEventGap }: VersionObservation): void {
     this.updateBaseline(`first/${route}/${model ?? ''}`, timeToFirstEvent)
--- a/packages/forwarding/src/JayfallVersionObservation.ts
+++ b/packages/forwarding/src/JayfallVersionObservation.ts
@@ -30,6 +30,7 @@
   private lastEventAt = 0
   private events = 0
   private endedAt: number | undefined
+  private wasMoved = false
 
   constructor (readonly attempt: ObservedAttempt) {}
 
@@ -59,6 +60,12 @@
     this.endedAt = now
   }
 
+  /** The request was moved to another server before its first event, which a slow version would cause more often than the others. */
+  recordMove (now: number): void {
+    this.wasMoved = true
+    this.endedAt = now
+  }
+
   /** Whether the attempt is old enough to be judged, or has ended. */
   isDue (limits: SlowLimits, now: number): boolean {
     return this.hasEnded || now - this.attempt.startedAt >= judgedAge(limits)
@@ -66,6 +73,7 @@
 
   /** Whether the attempt was slow up to the age at which it is judged. */
   isSlow (limits: SlowLimits, now: number): boolean {
+    if (this.wasMoved) return Number.isFinite(limits.timeToFirstEvent)
     const end = Math.min(this.endedAt ?? now, now)
     if ((this.timeToFirstEvent ?? end - this.attempt.startedAt) > limits.timeToFirstEvent) return true
     return (this.meanEventGap ?? this.openEventGap(end)) > limits.meanEventGap
--- a/packages/forwarding/src/__tests__/unit/JayfallAttemptPlan.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallAttemptPlan.test.ts
@@ -47,6 +47,89 @@
     })
   })
 
+  describe('with more work at all servers than there is time', () => {
+    const stream = fakeRoute({ isStream: true, objective: 1000 })
+
+    /** Servers that have announced prompts of other instances for so many milliseconds. */
+    function busyFixture (milliseconds: number): DecisionFixture {
+      const fixture = new DecisionFixture(TWO_SERVERS)
+      for (const { id } of TWO_SERVERS) fixture.directory.recordPeerPrefill(id, milliseconds, fixture.clock.monotonic())
+      return fixture
+    }
+
+    function orderByPriority (fixture: DecisionFixture): DecisionFixture {
+      fixture.workOrders.setRoutes([{ services: ['guide'], priority: 0, objective: 1000 }, { services: ['guide'], priority: 1, objective: 2000 }])
+      return fixture
+    }
+
+    function decideWithin (fixture: DecisionFixture, milliseconds: number, priority = 0): AttemptsEnd | AttemptPlan {
+      const context = { ...fixture.context(stream, fakeFields({ model: 'small', promptTokens: 10 })), deadline: fixture.clock.monotonic() + milliseconds, priority }
+      return planAttempts(context).next().value
+    }
+
+    it('refuses at once, and lets the most urgent callers return first (guards against requests that wait until their deadline passes)', () => {
+      const [urgent, late] = [0, 2].map(priority => decideWithin(orderByPriority(busyFixture(800)), 600, priority))
+      assert.ok('kind' in urgent && urgent.kind === 'refuse' && urgent.code === 'servers_busy')
+      assert.ok('kind' in late && late.kind === 'refuse' && late.retryAfter > urgent.retryAfter)
+    })
+
+    it('sends the request when the work before it ends in time', () => {
+      assert.ok('server' in decideWithin(orderByPriority(busyFixture(300)), 600))
+    })
+
+    it('sends it in services that are not ordered by priority, where the load of servers is hardly known', () => {
+      assert.ok('server' in decideWithin(busyFixture(800), 600))
+    })
+  })
+
+  describe('for a prompt whose server is held up', () => {
+    const STREAM = { isStream: true, objective: 1000, models: ['small', 'large'] }
+    const fields = fakeFields({ model: 'small', promptTokens: 10 })
+
+    /** A service ordered by priority, where instances know the load of all servers. */
+    function orderedFixture (servers = [...TWO_SERVERS, fakeServer('c')]): DecisionFixture {
+      const fixture = new DecisionFixture(servers)
+      fixture.workOrders.setRoutes([{ services: ['guide'], priority: 0, objective: 1000 }, { services: ['guide'], priority: 1, objective: 2000 }])
+      return fixture
+    }
+
+    function firstPlan (fixture: DecisionFixture, route = fakeRoute(STREAM)): AttemptPlan {
+      const { value } = planAttempts(fixture.context(route, fields)).next()
+      assert.ok(value !== undefined && !('kind' in value))
+      return value
+    }
+
+    it('moves to another server while that one is expected to answer in time (guards against prompts that wait for one server until they are late)', () => {
+      const fixture = orderedFixture()
+      const plan = firstPlan(fixture)
+      assert.ok(plan.moveCheckWaits.length > 0)
+      fixture.clock.advance(400)
+      assert.equal(plan.isWorthMoving(), true)
+      fixture.clock.advance(500)
+      assert.equal(plan.isWorthMoving(), false)
+    })
+
+    it('goes on at a server that it has not tried, and counts as a retry', () => {
+      const fixture = orderedFixture()
+      const { plans, decision } = runPlan(fixture, fakeRoute(STREAM), [{ kind: 'held_up' }, { kind: 'answered' }], fields)
+      assert.deepEqual([new Set(plans.map(({ server }) => server.id)).size, decision.kind], [2, 'deliver'])
+    })
+
+    it('stays when no retry is left, the route allows no further attempt, or no other server can be used (guards against moves beyond the retry budget)', () => {
+      const withoutRetries = orderedFixture()
+      const plan = firstPlan(withoutRetries)
+      while (withoutRetries.retryBudget.trySpendRetry('guide', withoutRetries.clock.monotonic()));
+      assert.equal(plan.isWorthMoving(), false)
+      assert.equal(firstPlan(orderedFixture(), fakeRoute({ ...STREAM, maximumAttempts: 1 })).isWorthMoving(), false)
+      assert.equal(firstPlan(orderedFixture([fakeServer('a')])).isWorthMoving(), false)
+    })
+
+    it('stays in services that are not ordered by priority, and when it may run only once', () => {
+      assert.deepEqual(firstPlan(new DecisionFixture(TWO_SERVERS)).moveCheckWaits, [])
+      assert.deepEqual(firstPlan(orderedFixture(), fakeRoute({ ...STREAM, isRepeatable: false })).moveCheckWaits, [])
+    })
+  })
+
   describe('with a failure of a server at hand', () => {
     it('delivers it when the next server turns the request away or cannot be reached (guards against an error of our own in place of a known answer)', () => {
       for (const result of [{ kind: 'not_run', status: 503 }, { kind: 'unsent', cause: 'refused' }] as const) {
--- a/packages/forwarding/src/__tests__/unit/JayfallDecisionFixture.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallDecisionFixture.ts
@@ -103,6 +103,7 @@
       isExcess: false,
       clock: this.clock,
       selector: this.selector,
+      workOrders: this.workOrders,
       retryBudget: this.retryBudget,
       versionPolicy: this.versionPolicy,
       promptSuspicions: this.promptSuspicions,
--- a/packages/forwarding/src/__tests__/unit/JayfallRollouts.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallRollouts.test.ts
@@ -95,6 +95,37 @@
     })
   })
 
+  describe('requests that were moved away from held up servers', () => {
+    /** Counts attempts of both versions, of which some are moved before their first event. */
+    function countMoves (moved: { readonly old: number, readonly new: number }): VersionCounts {
+      const evidence = new VersionEvidence()
+      // The usual times of the old version are known from before the rollout.
+      observeEnded(evidence, { isNew: false, timeToFirstEvent: 60 }, 10_000)
+      for (const isNew of [false, true]) {
+        for (let count = 0; count < 60; count++) {
+          const now = 10_000 + count
+          if (count >= moved[isNew ? 'new' : 'old']) {
+            observeEnded(evidence, { isNew, timeToFirstEvent: 60 }, now)
+            continue
+          }
+          const observation = new VersionObservation({ service: 'guide', version: isNew ? 'v2' : 'v1', route: 'route', model: 'small', startedAt: now - 300, explainedTimeToFirstEvent: 60 })
+          evidence.observe(observation, isNew)
+          evidence.recordMove(observation, isNew, now)
+        }
+      }
+      return evidence.recentCounts(10_100)
+    }
+
+    // Without these counts, a slow version would lose its evidence as its requests are moved.
+    it('count as slow, so that a slow version is still found (guards against a slow version that is completed)', () => {
+      assert.equal(isBadVersion(countMoves({ old: 2, new: 40 })), true)
+    })
+
+    it('count alike for both versions (guards against a good version that is rolled back under load)', () => {
+      assert.equal(isBadVersion(countMoves({ old: 20, new: 20 })), false)
+    })
+  })
+
   describe('isBadVersion', () => {
     it('detects a version that fails on a single route', () => {
       assert.equal(isBadVersion(failures({ good: [100, 0, 500, 5], failing: [4, 6, 100, 1] })), true)
