Read no long prompt a second time right after the start of an instance

Cause: after a loss of all instances their callers return within a second.

Change: the escalation factor of an instance begins at 0 and reaches 1 within a second when the lane has room.

--- a/packages/capacity/src/JayfallLongWorkLane.ts
+++ b/packages/capacity/src/JayfallLongWorkLane.ts
@@ -12,7 +12,8 @@
  *
  * Running streams make hardly any progress on a server that reads long prompts all the time, and miss their deadlines. When
  * even the largest lane is too small for the work, fewer long prompts are asked again of a larger model, which reads them
- * several times as long as the smaller one.
+ * several times as long as the smaller one. An instance that has just started begins with none: after the loss of many
+ * instances, all their callers return at once, and the work of all instances is not known yet.
  */
 
 import { halfLifeWeight } from '#jayfall/shared'
@@ -63,10 +64,11 @@
   /** Determines the lanes anew; called at an interval with the servers of the service that are in use. */
   update (service: string, servers: readonly LaneServer[], now: number): void {
     const known = this.lanes.get(service)
+    const firstFactor = known === undefined ? 0 : 1
     const versions = new Set(servers.map(({ version }) => version))
     this.lanes.set(service, new Map([...versions].map(version => {
       const ofVersion = servers.filter(server => server.version === version)
-      return [version, this.determineLane(service, version, ofVersion, known?.get(version)?.escalationFactor ?? 1, now)]
+      return [version, this.determineLane(service, version, ofVersion, known?.get(version)?.escalationFactor ?? firstFactor, now)]
     })))
   }
 
@@ -86,9 +88,10 @@
     return lane?.servers.has(id) === true ? lane.price : 0
   }
 
-  /** The factor, from 0 to 1, for the confidence below which a long prompt is asked again of a larger model. It falls as long as the lane of the version has more work than it can take. */
+  /** The factor, from 0 to 1, for the confidence below which a long prompt is asked again of a larger model. It falls as long as the lane of the version has more work than it can take, and rises from 0 after the start. */
   escalationFactor (service: string, version: string): number {
-    return this.lanes.get(service)?.get(version)?.escalationFactor ?? 1
+    const lanes = this.lanes.get(service)
+    return lanes === undefined ? 0 : lanes.get(version)?.escalationFactor ?? 1
   }
 
   /** The lowest escalation factor of the versions of the service. */
--- a/packages/capacity/src/__tests__/unit/JayfallLongWorkLane.test.ts
+++ b/packages/capacity/src/__tests__/unit/JayfallLongWorkLane.test.ts
@@ -114,6 +114,30 @@
     })
   })
 
+  describe('of an instance that has just started', () => {
+    /** The factor after each update of the first second and a half, with so many milliseconds of long work in each interval. */
+    function factorsAfterStart (milliseconds: number): readonly number[] {
+      const lanes = new LongWorkLanes('a')
+      return Array.from({ length: 15 }, (_, index) => {
+        lanes.record(SERVICE, PLACE, milliseconds, index * 100)
+        const factor = lanes.escalationFactor(SERVICE, 'v1')
+        lanes.update(SERVICE, SERVERS, index * 100)
+        return factor
+      })
+    }
+
+    // Load: after all instances were without power, the callers of some seconds return within one.
+    it('let no long prompt be asked again while returning callers bring more work than the lane can take (guards against urgent prompts that wait behind the second reading of others)', () => {
+      assert.ok(factorsAfterStart(3000).every(factor => factor < 0.2), String(factorsAfterStart(3000)))
+    })
+
+    it('let all be asked again within about a second when there is room', () => {
+      const factors = factorsAfterStart(10)
+      assert.equal(factors[0], 0)
+      assert.ok((factors.at(-1) ?? 0) > 0.99, String(factors))
+    })
+  })
+
   it('keep short prompts from waiting behind long ones (guards against long prompts that hold up every server by turns)', () => {
     const [spread, separated] = [play(false), play(true)]
     assert.ok(separated.short <= spread.short / 4, `${separated.short} and ${spread.short} ms`)
