Refuse as busy only when no server in any zone has time, and forget old work

Found on reading: a request whose zone's servers were busy for longer than its time was refused as servers_busy although another zone had room, and the work of versions that are gone stayed in memory. The new test of a server in another zone fails without the change.

--- a/packages/capacity/src/JayfallCapacityConstants.ts
+++ b/packages/capacity/src/JayfallCapacityConstants.ts
@@ -67,6 +67,8 @@
 export const LARGEST_LANE_SHARE = 0.35
 /** Servers that long prompts have to occupy for a lane: less than one prompt of 150 ms in some seconds is none. */
 export const LEAST_LONG_OCCUPANCY = 0.01
+/** Sum of long work below which it is forgotten. A long prompt is 150 ms at least when it is recorded. */
+export const LEAST_RECORDED_WORK_MILLISECONDS = 1
 /** Half-life of a long prompt in the sum from which the lane follows. Demand swings within seconds. */
 export const LANE_RATE_HALF_LIFE_MILLISECONDS = 1500
 /** Estimated time by which a server outside the lane may be worse for a short prompt while the lane is as occupied as it may be: what a long prompt that is not known yet would cost it on the average. */
--- a/packages/capacity/src/JayfallLongWorkLane.ts
+++ b/packages/capacity/src/JayfallLongWorkLane.ts
@@ -18,7 +18,7 @@
 
 import { halfLifeWeight } from '#jayfall/shared'
 
-import { ESCALATION_OCCUPANCY, ESCALATION_STEP, LANE_OCCUPANCY, LANE_PRICE_MILLISECONDS, LANE_RATE_HALF_LIFE_MILLISECONDS, LARGEST_LANE_SHARE, LEAST_LONG_OCCUPANCY, LONG_PREFILL_MILLISECONDS, MAXIMUM_CROWDING, SMALLEST_LANE_SHARE } from './JayfallCapacityConstants'
+import { ESCALATION_OCCUPANCY, ESCALATION_STEP, LANE_OCCUPANCY, LANE_PRICE_MILLISECONDS, LANE_RATE_HALF_LIFE_MILLISECONDS, LARGEST_LANE_SHARE, LEAST_LONG_OCCUPANCY, LEAST_RECORDED_WORK_MILLISECONDS, LONG_PREFILL_MILLISECONDS, MAXIMUM_CROWDING, SMALLEST_LANE_SHARE } from './JayfallCapacityConstants'
 
 /** A server that is in use. */
 export interface LaneServer {
@@ -63,6 +63,7 @@
 
   /** Determines the lanes anew; called at an interval with the servers of the service that are in use. */
   update (service: string, servers: readonly LaneServer[], now: number): void {
+    this.forgetOldWork(now)
     const known = this.lanes.get(service)
     const firstFactor = known === undefined ? 0 : 1
     const versions = new Set(servers.map(({ version }) => version))
@@ -116,6 +117,11 @@
     return [...zones].reduce((sum, zone) => sum + this.sumOf(keyOf(service, version, zone), now), 0) * Math.LN2 / LANE_RATE_HALF_LIFE_MILLISECONDS
   }
 
+  /** Forgets the work of versions and zones that get none any longer. */
+  private forgetOldWork (now: number): void {
+    for (const key of [...this.work.keys()]) if (this.sumOf(key, now) < LEAST_RECORDED_WORK_MILLISECONDS) this.work.delete(key)
+  }
+
   private sumOf (key: string, now: number): number {
     const known = this.work.get(key)
     return known === undefined ? 0 : known.sum * halfLifeWeight(now - known.updatedAt, LANE_RATE_HALF_LIFE_MILLISECONDS)
--- a/packages/forwarding/src/JayfallAttemptPlan.ts
+++ b/packages/forwarding/src/JayfallAttemptPlan.ts
@@ -9,7 +9,7 @@
 import { boundPriority, isWorthMoving, moveCheckWaits, type WorkOrders } from '#jayfall/capacity'
 import { rendezvousShare, type Clock } from '#jayfall/shared'
 
-import { type BackendSelector, type BackendSelection } from './JayfallBackendSelector'
+import { type BackendSelector, type BackendSelection, type SelectionRequest } from './JayfallBackendSelector'
 import { type BackendServer, type ForwardingRoute } from './JayfallForwardingCatalogue'
 import {
   ANSWER_TIMEOUT_OBJECTIVES, DEFAULT_RETRY_AFTER_MILLISECONDS, EVACUATED_RETRY_AFTER_MILLISECONDS, EVENT_GAP_TIMEOUT_OBJECTIVES, FIRST_EVENT_TIMEOUT_OBJECTIVES, MINIMUM_ANSWER_TIMEOUT_MILLISECONDS, MINIMUM_ATTEMPT_MILLISECONDS,
@@ -178,7 +178,7 @@
     const chosen = isServerChosen(choice) ? choice : undefined
     // A request that has no retry left would be rejected after its wait, so it is rejected at once.
     if (choice !== undefined && !isServerChosen(choice) && (!isRepeat || retryBudget.hasRetryLeft(service, now))) return { kind: 'cold', wait: choice.wait, progress: { sentAttempts, mayHaveRun, triedServers: [...triedServers], isRetry: isRepeat, model, previous, hasFailedAnswer, isTrial } }
-    if (chosen !== undefined && !mayHaveRun && !hasFailedAnswer && isTooBusy(context, model, chosen, now)) return decideWithoutAnswer(context, false, 'servers_busy')
+    if (chosen !== undefined && !mayHaveRun && !hasFailedAnswer && isTooBusy(context, model, chosen, triedServers, now)) return decideWithoutAnswer(context, false, 'servers_busy')
     // Only an attempt that follows one that may have reached a server counts as a retry.
     if (chosen === undefined || (isRepeat && !retryBudget.trySpendRetry(service, now))) {
       if (hasFailedAnswer) return { kind: 'deliver' }
@@ -230,10 +230,10 @@
 
 /** Chooses a server, or says how long to wait for a share of a cold one. A request does not change its version to avoid that wait. */
 function chooseServer (context: PlanContext, model: string | undefined, triedServers: ReadonlySet<string>): ChosenServer | ColdWait | undefined {
-  const { service, session, isSharedSession, fields, clock, selector, versionPolicy } = context
+  const { service, session, isSharedSession, clock, selector, versionPolicy } = context
   const now = clock.monotonic()
   const versionRule = versionPolicy.ruleFor(service, session, now, isSharedSession)
-  const request = { service, requestId: fields.requestId ?? '', priority: context.priority, objective: context.route.objective, model, promptTokens: fields.promptTokens, outputTokens: fields.maximumOutputTokens, promptParts: fields.promptParts, triedServers }
+  const request = describeSelection(context, model, triedServers)
   for (const allowsVersion of [versionRule.isPreferred, (version: string) => versionRule.isAllowed(version, triedServers.size > 0)]) {
     const selection = selector.select({ ...request, allowsVersion }, now)
     if (selection !== undefined) return { selection, versionRule }
@@ -243,6 +243,10 @@
   return undefined
 }
 
+function describeSelection ({ service, route, priority, fields }: PlanContext, model: string | undefined, triedServers: ReadonlySet<string>): Omit<SelectionRequest, 'allowsVersion'> {
+  return { service, requestId: fields.requestId ?? '', priority, objective: route.objective, model, promptTokens: fields.promptTokens, outputTokens: fields.maximumOutputTokens, promptParts: fields.promptParts, triedServers }
+}
+
 function createPlan (context: PlanContext, { selection, versionRule }: ChosenServer, model: string | undefined, number: number, sentAttempts: number, triedServers: ReadonlySet<string>): AttemptPlan {
   const { route, deadline, lastDeliveredEventId } = context
   const resumeAfter = lastDeliveredEventId()
@@ -297,9 +301,13 @@
   return reach.isCut(service) && relays.hasTargets ? canBeRelayed(context) && relays.isAvailable(service, now) : isServerChosen(chooseServer(context, model, triedServers))
 }
 
-/** Whether even the best server has more known work before the prompt than there is time, so that the request would only wait for its deadline. */
-function isTooBusy ({ workOrders, service, deadline }: PlanContext, model: string | undefined, { selection }: ChosenServer, now: number): boolean {
-  return model !== undefined && workOrders.isPriorityFirst(service) && selection.explainedTimeToFirstEvent > deadline - now
+/** Whether every server has more known work before the prompt than there is time, so that the request would only wait for its deadline. */
+function isTooBusy (context: PlanContext, model: string | undefined, { selection, versionRule }: ChosenServer, triedServers: ReadonlySet<string>, now: number): boolean {
+  const { workOrders, service, selector, deadline } = context
+  if (model === undefined || !workOrders.isPriorityFirst(service) || selection.explainedTimeToFirstEvent <= deadline - now) return false
+  // The selected server is the best one of those that the request should go to, which may be those of its zone.
+  const request = { ...describeSelection(context, model, triedServers), allowsVersion: (version: string) => versionRule.isAllowed(version, triedServers.size > 0) }
+  return selector.shortestExplainedTime(request, now) > deadline - now
 }
 
 /** Whether the request may be moved before its first event. It is where instances know the load of all servers from each other. */
--- a/packages/forwarding/src/JayfallBackendSelector.ts
+++ b/packages/forwarding/src/JayfallBackendSelector.ts
@@ -67,6 +67,8 @@
 export abstract class BackendSelector {
   /** Returns undefined when no server may be used. */
   abstract select (request: SelectionRequest, now: number): BackendSelection | undefined
+  /** The shortest time to the first event that known work explains at any server that may be used, in milliseconds; Infinity when there is none. */
+  abstract shortestExplainedTime (request: SelectionRequest, now: number): number
   /** Milliseconds until a server that is out of reach is tried again; undefined when no server of the service is out of reach. */
   abstract timeUntilReach (service: string, now: number): number | undefined
   /** The share of the service's servers in use that are out of reach. */
@@ -147,6 +149,13 @@
     return cheapest
   }
 
+  override shortestExplainedTime (request: SelectionRequest, now: number): number {
+    const { model } = request
+    const usable = this.findUsableRows(request, now)
+    const scope = { affinityServers: this.findAffinityServers(request, usable), zonePolicy: this.fixedZonePolicy, shared: undefined, isInLane: false }
+    return Math.min(Infinity, ...usable.map(row => model === undefined ? 0 : this.evaluateEngine(request, model, scope, row, now).explainedTimeToFirstEvent))
+  }
+
   override timeUntilReach (service: string, now: number): number | undefined {
     const times = [...this.directory.rowsOfService(service)].filter(row => isOutOfReach(row, now)).map(({ avoidedUntil }) => avoidedUntil - now)
     return times.length === 0 ? undefined : Math.min(...times)
--- a/packages/forwarding/src/__tests__/unit/JayfallAttemptPlan.test.ts
+++ b/packages/forwarding/src/__tests__/unit/JayfallAttemptPlan.test.ts
@@ -73,6 +73,12 @@
       assert.ok('kind' in late && late.kind === 'refuse' && late.retryAfter > urgent.retryAfter)
     })
 
+    it('sends the request when a server of another zone has room (guards against refusals while there is room elsewhere)', () => {
+      const fixture = orderByPriority(busyFixture(800))
+      fixture.directory.set(fakeServer('c', { zone: 'osorno' }), fixture.clock.monotonic())
+      assert.ok('server' in decideWithin(fixture, 600))
+    })
+
     it('sends the request when the work before it ends in time', () => {
       assert.ok('server' in decideWithin(orderByPriority(busyFixture(300)), 600))
     })
