--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -191,7 +191,7 @@
     for (const instance of this.instances) instance.signal('SIGKILL')
     await Promise.all(this.instances.map(({ exit }) => exit))
     this.store?.stop()
-    fs.rmSync(this.folder, { recursive: true, force: true })
+    if (process.env.KEEP === undefined) fs.rmSync(this.folder, { recursive: true, force: true })
   }
 }
 
