Review: put the cases in the order of their gravity

The case of engines that crash after their first event becomes review/6, that of answers without a length 7, pipelined orders 8, leaving servers 9. A stand-in that fails ends its processes and exits with 2.

--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,87 +1,85 @@
-/** Two processes end, one killed and one stopped, while a caller of each still reads an answer that has no length. */
+/** A part of prompts crashes each engine that begins to write an answer on it: the engine's first event goes out, then it ends. */
 
-import crypto from 'node:crypto'
-import net from 'node:net'
 import path from 'node:path'
 import { fileURLToPath } from 'node:url'
 
-import { runCase } from '../standins-2/deployment.mjs'
-import { newRequestId, requestHead } from '../standins-2/http.mjs'
+import { BOUNDS, runCase } from '../standins-2/deployment.mjs'
+import { Engine } from '../standins-2/engine.mjs'
+import { call, newRequestId } from '../standins-2/http.mjs'
 import { sleep } from '../standins-2/store.mjs'
 
-/** Loopback connections hold almost 4 MB between writer and reader; links with small windows hold far less. */
-const BODY = crypto.randomBytes(4_190_000)
-const DEADLINE_MS = 25_000
-/** How long the callers read nothing: longer than `grace-s`. */
-const PAUSE_MS = 10_000
-const SIGNAL_AFTER_MS = 500
-
-async function startServer (deployment, record) {
-  const server = net.createServer({ allowHalfOpen: true }, socket => {
-    let text = ''
-    socket.on('error', () => {})
-    socket.on('data', bytes => {
-      text += bytes.toString('latin1')
-      if (!text.endsWith('\r\n\r\n')) return
-      if (text.startsWith('GET /health')) return socket.end('HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n')
-      const [, id] = /^request-id: (.*)\r$/im.exec(text)
-      record.add(`${id}: the server runs it and answers 200 with ${BODY.length} bytes and no length`)
-      socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Seal: seal-of-${id}\r\nContent-Type: application/octet-stream\r\nConnection: close\r\n\r\n`)
-      socket.end(BODY)
-    })
-  })
-  const host = deployment.nextHost()
-  await new Promise(resolve => server.listen(0, host, resolve))
-  deployment.store.put('servers', 'i-1', { service: 'documents', address: `${host}:${server.address().port}`, zone: 'zone-a', version: 'v1', slots: 6, state: 'ready', 'cold-left-ms': 0, seq: 1 })
-  return server
-}
-
-/** Sends one request, reads nothing for a while and then all. Resolves to what the caller got. */
-function readLate (instance, id) {
-  return new Promise(resolve => {
-    const socket = net.connect(instance.frontPort, instance.host)
-    const pieces = []
-    let error
-    socket.write(requestHead({ method: 'GET', path: '/documents/a', id, deadline: DEADLINE_MS }))
-    socket.on('data', bytes => pieces.push(bytes))
-    socket.on('error', ({ code }) => { error = code })
-    socket.on('close', () => {
-      const bytes = Buffer.concat(pieces)
-      const headEnd = bytes.indexOf('\r\n\r\n')
-      resolve({ id, error, head: bytes.toString('latin1', 0, headEnd), body: bytes.subarray(headEnd + 4) })
-    })
-    socket.pause()
-    setTimeout(() => socket.resume(), PAUSE_MS)
-  })
-}
+const ENGINES = 8
+const INSTANCES = 3
+const HEARTBEAT_MS = 1200
+const BACK_AFTER_MS = 3000
+const SOUND_PAUSE_MS = 60
+const TAINTED_PAUSE_MS = 1200
+const PLAY_MS = 24_000
+const SHARED_PART = '5c1e07a2'
+const TAINTED_PART = '91bd3f06'
+/** Events that an engine has sent when it crashes; 0 for a crash before the answer begins. */
+const EVENTS_BEFORE_CRASH = Number(process.env.EVENTS ?? 1)
 
 async function play (deployment, record, isTroubled) {
-  const server = await startServer(deployment, record)
-  deployment.configure([{ name: 'documents', prefix: '/documents/', kind: 'idempotent', service: 'documents', 'timeout-ms': DEADLINE_MS, 'slo-ms': 1000 }], ['documents'])
-  const instances = [deployment.addInstance(), deployment.addInstance()]
-  for (const instance of instances) instance.start()
-  await deployment.untilReady()
-  const answers = Promise.all(instances.map(instance => {
-    const id = newRequestId()
-    record.add(`${id}: sent to ${instance.name}; the caller reads nothing for ${PAUSE_MS} ms`)
-    return readLate(instance, id)
-  }))
-  await sleep(SIGNAL_AFTER_MS)
-  for (const [index, signal] of ['SIGKILL', 'SIGTERM'].entries()) {
-    if (!isTroubled) continue
-    record.add(`${instances[index].name} gets ${signal}`)
-    instances[index].signal(signal)
-    instances[index].exit.then(({ code, signal: by }) => record.add(`${instances[index].name} has ended, status ${code}, signal ${by}`))
+  deployment.configure([{ name: 'guides', prefix: '/guides/', kind: 'streaming', resumable: true, service: 'engines', 'timeout-ms': 20_000, 'slo-ms': 1000, 'gap-target-ms': 800, sticky: true }], ['engines'])
+  const arrivals = []
+  const crashes = []
+  const engines = new Set()
+  let number = 0
+  let isOver = false
+  let seq = 0
+  const announce = engine => deployment.store.put('servers', engine.id, { service: 'engines', address: engine.address, zone: engine.zone, version: 'v1', slots: 64, state: 'ready', 'cold-left-ms': 0, seq: ++seq })
+  const startEngine = async zone => {
+    const engine = new Engine(`i-${++number}`, zone, {
+      onArrival: (id, parts) => { if (parts.includes(TAINTED_PART)) arrivals.push({ id, at: performance.now(), engine: engine.id }) },
+      crashesOn: TAINTED_PART,
+      eventsBeforeCrash: EVENTS_BEFORE_CRASH,
+      onCrash: async id => {
+        crashes.push(performance.now())
+        record.add(`${id} crashes ${engine.id}; it is crash ${crashes.length}`)
+        engines.delete(engine)
+        setTimeout(() => deployment.store.remove('servers', engine.id), 3 * HEARTBEAT_MS)
+        await sleep(BACK_AFTER_MS)
+        if (!isOver) await startEngine(zone)
+      }
+    })
+    await engine.start(deployment.nextHost())
+    engines.add(engine)
+    announce(engine)
   }
-  const breaks = []
-  for (const { id, error, head, body } of await answers) {
-    const [statusLine] = head.split('\r\n')
-    const isFramed = /^(content-length|transfer-encoding):/im.test(head)
-    record.add(`${id}: the caller got "${statusLine}", ${isFramed ? 'with' : 'without'} a length, ${body.length} of ${BODY.length} bytes; the connection ended ${error === undefined ? 'normally' : `with ${error}`}`)
-    if (/ 2\d\d /.test(`${statusLine} `) && error === undefined && !isFramed && !body.equals(BODY)) breaks.push(`MIXED ${id}: a success with ${body.length} of the server's ${BODY.length} bytes looks complete`)
+  for (let index = 0; index < ENGINES; index++) await startEngine(deployment.zones[index % 2])
+  const heartbeat = setInterval(() => { for (const engine of engines) announce(engine) }, HEARTBEAT_MS)
+  for (let index = 0; index < INSTANCES; index++) deployment.addInstance(deployment.zones[index % 2]).start()
+  await deployment.untilReady()
+  // The instances list each other within seconds of their start.
+  await sleep(4000)
+
+  const calls = []
+  let turn = 0
+  const send = (name, middle) => {
+    const id = newRequestId(name)
+    const instance = deployment.instances[turn++ % INSTANCES]
+    const parts = [`${SHARED_PART}:800`, ...middle.map(part => `${part}:410`), `${id.replace(/\D/g, '')}a:250`]
+    calls.push(call(instance, { path: '/guides/a', id, deadline: 20_000, body: `prompt of ${id}`, headers: { Model: 'model-1', 'Token-Count': '1460,80', 'Prompt-Prefix': parts.join(',') } }))
   }
-  server.close()
-  return breaks
+  const timers = [setInterval(() => send('sound', []), SOUND_PAUSE_MS)]
+  await sleep(3000)
+  if (isTroubled) timers.push(setInterval(() => send('tainted', [TAINTED_PART]), TAINTED_PAUSE_MS))
+  await sleep(PLAY_MS)
+  for (const timer of timers) clearInterval(timer)
+  const outcomes = await Promise.all(calls)
+  isOver = true
+  clearInterval(heartbeat)
+  for (const engine of engines) engine.stop()
+
+  const sound = outcomes.filter(({ id }) => id.startsWith('sound'))
+  record.add(`${sound.length} sound requests, ${sound.filter(({ status, isComplete }) => status === 200 && isComplete).length} answered with 200; ${outcomes.length - sound.length} tainted ones; ${crashes.length} crashes`)
+  if (crashes.length < 5) return []
+  const from = crashes[4] + BOUNDS['contact-ms']
+  const late = arrivals.filter(({ at }) => at > from)
+  record.add(`${late.length} arrivals of tainted requests at engines later than ${BOUNDS['contact-ms']} ms after the fifth crash; 3 are allowed`)
+  const requests = new Set(late.map(({ id }) => id))
+  return requests.size > 3 ? [`BUDGET: ${requests.size} requests with the part that crashes engines reached engines ${late.length} times, later than contact-ms after the fifth crash; ${crashes.length} crashes in all`] : []
 }
 
 await runCase(path.dirname(fileURLToPath(import.meta.url)), play)
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,85 +1,101 @@
-/** A part of prompts crashes each engine that begins to write an answer on it: the engine's first event goes out, then it ends. */
+/** A server leaves while a machine is cut off from the store and from all other machines. The server says so in its answers. */
 
+import http from 'node:http'
 import path from 'node:path'
 import { fileURLToPath } from 'node:url'
 
 import { BOUNDS, runCase } from '../standins-2/deployment.mjs'
-import { Engine } from '../standins-2/engine.mjs'
 import { call, newRequestId } from '../standins-2/http.mjs'
+import { Link } from '../standins-2/link.mjs'
+import { Server } from '../standins-2/server.mjs'
 import { sleep } from '../standins-2/store.mjs'
 
-const ENGINES = 8
-const INSTANCES = 3
+const SERVERS = 4
+const WORK_MS = 86
+const PAUSE_MS = 15
+const CUT_MS = 8000
+const LEAVES_AFTER_MS = 1000
+/** How much longer than `drain-ms` the server goes on. */
+const LINGER_MS = 1500
 const HEARTBEAT_MS = 1200
-const BACK_AFTER_MS = 3000
-const SOUND_PAUSE_MS = 60
-const TAINTED_PAUSE_MS = 1200
-const PLAY_MS = 24_000
-const SHARED_PART = '5c1e07a2'
-const TAINTED_PART = '91bd3f06'
-/** Events that an engine has sent when it crashes; 0 for a crash before the answer begins. */
-const EVENTS_BEFORE_CRASH = Number(process.env.EVENTS ?? 1)
+
+class LeavingServer extends Server {
+  isLeaving = false
+  /** Arrivals, with the time and whether the answer said that the server leaves. */
+  arrivals = []
+  open = new Set()
+
+  constructor (id, record) {
+    super(id, record, { answer: (request, response) => this.#work(request, response) })
+  }
+
+  async #work (request, response) {
+    const id = request.headers['request-id']
+    this.arrivals.push({ id, at: performance.now() })
+    this.open.add(id)
+    await sleep(WORK_MS)
+    this.open.delete(id)
+    response.writeHead(200, { 'Request-Id': id, 'Response-Seal': `seal-of-${id}`, 'Server-Load': `${this.open.size},0,6`, ...(this.isLeaving ? { 'Server-Leaving': '1' } : {}) })
+    response.end(`answer to ${id}`)
+  }
+}
 
 async function play (deployment, record, isTroubled) {
-  deployment.configure([{ name: 'guides', prefix: '/guides/', kind: 'streaming', resumable: true, service: 'engines', 'timeout-ms': 20_000, 'slo-ms': 1000, 'gap-target-ms': 800, sticky: true }], ['engines'])
-  const arrivals = []
-  const crashes = []
-  const engines = new Set()
-  let number = 0
-  let isOver = false
+  const servers = Array.from({ length: SERVERS }, (_, index) => new LeavingServer(`i-${index + 1}`, record))
+  deployment.configure([{ name: 'orders', prefix: '/orders/', kind: 'non_idempotent', service: 'desk' }], ['desk'])
   let seq = 0
-  const announce = engine => deployment.store.put('servers', engine.id, { service: 'engines', address: engine.address, zone: engine.zone, version: 'v1', slots: 64, state: 'ready', 'cold-left-ms': 0, seq: ++seq })
-  const startEngine = async zone => {
-    const engine = new Engine(`i-${++number}`, zone, {
-      onArrival: (id, parts) => { if (parts.includes(TAINTED_PART)) arrivals.push({ id, at: performance.now(), engine: engine.id }) },
-      crashesOn: TAINTED_PART,
-      eventsBeforeCrash: EVENTS_BEFORE_CRASH,
-      onCrash: async id => {
-        crashes.push(performance.now())
-        record.add(`${id} crashes ${engine.id}; it is crash ${crashes.length}`)
-        engines.delete(engine)
-        setTimeout(() => deployment.store.remove('servers', engine.id), 3 * HEARTBEAT_MS)
-        await sleep(BACK_AFTER_MS)
-        if (!isOver) await startEngine(zone)
-      }
-    })
-    await engine.start(deployment.nextHost())
-    engines.add(engine)
-    announce(engine)
+  const announce = server => deployment.store.put('servers', server.id, { service: 'desk', address: server.address, zone: 'zone-a', version: 'v1', slots: 6, state: server.isLeaving ? 'draining' : 'ready', 'cold-left-ms': 0, seq: ++seq })
+  for (const server of servers) {
+    await server.start(deployment.nextHost())
+    announce(server)
   }
-  for (let index = 0; index < ENGINES; index++) await startEngine(deployment.zones[index % 2])
-  const heartbeat = setInterval(() => { for (const engine of engines) announce(engine) }, HEARTBEAT_MS)
-  for (let index = 0; index < INSTANCES; index++) deployment.addInstance(deployment.zones[index % 2]).start()
+  const [leaving] = servers
+  let isGone = false
+  const heartbeat = setInterval(() => { for (const server of servers) if (server !== leaving || !isGone) announce(server) }, HEARTBEAT_MS)
+  const link = new Link(deployment.nextHost(), deployment.store.address)
+  await link.start()
+  const instance = deployment.addInstance('zone-a', link.address)
+  instance.start()
   await deployment.untilReady()
-  // The instances list each other within seconds of their start.
-  await sleep(4000)
 
+  const agent = new http.Agent({ keepAlive: true })
   const calls = []
-  let turn = 0
-  const send = (name, middle) => {
-    const id = newRequestId(name)
-    const instance = deployment.instances[turn++ % INSTANCES]
-    const parts = [`${SHARED_PART}:800`, ...middle.map(part => `${part}:410`), `${id.replace(/\D/g, '')}a:250`]
-    calls.push(call(instance, { path: '/guides/a', id, deadline: 20_000, body: `prompt of ${id}`, headers: { Model: 'model-1', 'Token-Count': '1460,80', 'Prompt-Prefix': parts.join(',') } }))
+  const timer = setInterval(() => calls.push(call(instance, { path: '/orders/a', id: newRequestId('order'), agent })), PAUSE_MS)
+  await sleep(BOUNDS['contact-ms'])
+  if (isTroubled) {
+    record.add(`${instance.name} is cut off from the store`)
+    link.cut()
+    setTimeout(() => link.heal(), CUT_MS)
   }
-  const timers = [setInterval(() => send('sound', []), SOUND_PAUSE_MS)]
-  await sleep(3000)
-  if (isTroubled) timers.push(setInterval(() => send('tainted', [TAINTED_PART]), TAINTED_PAUSE_MS))
-  await sleep(PLAY_MS)
-  for (const timer of timers) clearInterval(timer)
-  const outcomes = await Promise.all(calls)
-  isOver = true
+  await sleep(LEAVES_AFTER_MS)
+  leaving.isLeaving = true
+  announce(leaving)
+  record.add(`${leaving.id} leaves: its entry says so, and its answers from now on`)
+  await sleep(BOUNDS['drain-ms'] + LINGER_MS)
+  const cut = [...leaving.open]
+  record.add(`${leaving.id} ends, ${cut.length} requests are open there`)
+  isGone = true
+  deployment.store.remove('servers', leaving.id)
+  leaving.stop()
+  await sleep(1000)
+  clearInterval(timer)
+  const outcomes = new Map((await Promise.all(calls)).map(outcome => [outcome.id, outcome]))
   clearInterval(heartbeat)
-  for (const engine of engines) engine.stop()
+  agent.destroy()
+  link.stop()
+  for (const server of servers) server.stop()
 
-  const sound = outcomes.filter(({ id }) => id.startsWith('sound'))
-  record.add(`${sound.length} sound requests, ${sound.filter(({ status, isComplete }) => status === 200 && isComplete).length} answered with 200; ${outcomes.length - sound.length} tainted ones; ${crashes.length} crashes`)
-  if (crashes.length < 5) return []
-  const from = crashes[4] + BOUNDS['contact-ms']
-  const late = arrivals.filter(({ at }) => at > from)
-  record.add(`${late.length} arrivals of tainted requests at engines later than ${BOUNDS['contact-ms']} ms after the fifth crash; 3 are allowed`)
-  const requests = new Set(late.map(({ id }) => id))
-  return requests.size > 3 ? [`BUDGET: ${requests.size} requests with the part that crashes engines reached engines ${late.length} times, later than contact-ms after the fifth crash; ${crashes.length} crashes in all`] : []
+  const told = [...outcomes.values()].filter(({ headers }) => headers?.['server-leaving'] === '1').sort((left, right) => left.endedAt - right.endedAt)
+  if (told.length === 0) {
+    record.add('no answer of the leaving server was passed on')
+    return []
+  }
+  record.add(`${told[0].id} was the first answer with Server-Leaving that the machine passed on`)
+  const late = leaving.arrivals.filter(({ id }) => outcomes.get(id).startedAt > told[0].endedAt + BOUNDS['drain-ms'])
+  const lost = late.filter(({ id }) => outcomes.get(id).status !== 200)
+  for (const { id } of lost) record.add(`${id}: began at ${leaving.id} and got ${outcomes.get(id).status || outcomes.get(id).error}`)
+  record.add(`${late.length} orders that were sent later than drain-ms after that reached ${leaving.id}; ${lost.length} of them were cut by its end`)
+  return late.length === 0 ? [] : [`DRAIN: ${late.length} orders reached ${leaving.id} that were sent later than ${BOUNDS['drain-ms']} ms after ${instance.name} had passed on an answer with Server-Leaving; ${lost.length} of them were lost when it ended`]
 }
 
 await runCase(path.dirname(fileURLToPath(import.meta.url)), play)
--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -186,6 +186,7 @@
     }
   }
 
+  /** Ends all processes, and removes their settings and logs unless KEEP is set. */
   async stop () {
     for (const instance of this.instances) instance.signal('SIGCONT')
     for (const instance of this.instances) instance.signal('SIGKILL')
@@ -212,6 +213,10 @@
     process.exit(code)
   }
   for (const name of ['SIGINT', 'SIGTERM']) process.once(name, () => finish(2))
+  process.once('uncaughtException', error => {
+    record.add(`a stand-in failed: ${error.stack ?? error}`)
+    finish(2)
+  })
   try {
     await deployment.start()
     const breaks = await play(deployment, record, isTroubled)
