Review: stand-ins beside the case folders, and exit status 2 where a case did not come about

A script now exits with 2 when its requests did not reach a server, the rollout was not begun or no answer that tells of leaving was passed on; so far it held then.

--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -3,10 +3,10 @@
 import path from 'node:path'
 import { fileURLToPath } from 'node:url'
 
-import { BOUNDS, runCase } from '../standins-2/deployment.mjs'
-import { call, newRequestId } from '../standins-2/http.mjs'
-import { Server } from '../standins-2/server.mjs'
-import { sleep } from '../standins-2/store.mjs'
+import { BOUNDS, requireThat, runCase } from '../deployment-2.mjs'
+import { call, newRequestId } from '../http-2.mjs'
+import { Server } from '../server-2.mjs'
+import { sleep } from '../store-2.mjs'
 
 const INSTANCES = 3
 const SERVERS = 4
@@ -79,6 +79,7 @@
   clearInterval(heartbeat)
   for (const server of servers) server.stop()
 
+  requireThat(state !== undefined, 'the rollout was not begun')
   const inTime = arrivals.filter(({ at }) => at >= orderedAt && at <= orderedAt + PERIOD_MS)
   const ofNew = inTime.filter(({ version }) => version === 'v2').length
   const allowed = inTime.length * BOUNDS['exposure-share'] + BOUNDS['exposure-slack']
--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -3,10 +3,10 @@
 import path from 'node:path'
 import { fileURLToPath } from 'node:url'
 
-import { BOUNDS, runCase } from '../standins-2/deployment.mjs'
-import { Engine } from '../standins-2/engine.mjs'
-import { call, newRequestId } from '../standins-2/http.mjs'
-import { sleep } from '../standins-2/store.mjs'
+import { BOUNDS, requireThat, runCase } from '../deployment-2.mjs'
+import { Engine } from '../engine-2.mjs'
+import { call, newRequestId } from '../http-2.mjs'
+import { sleep } from '../store-2.mjs'
 
 const ENGINES = 8
 const INSTANCES = 3
@@ -64,6 +64,8 @@
   }
   const timers = [setInterval(() => send('sound', []), SOUND_PAUSE_MS)]
   await sleep(3000)
+  const first = await Promise.all(calls.slice(0, 20))
+  requireThat(first.every(({ status }) => status === 200), 'sound requests are not answered before the first tainted one')
   if (isTroubled) timers.push(setInterval(() => send('tainted', [TAINTED_PART]), TAINTED_PAUSE_MS))
   await sleep(PLAY_MS)
   for (const timer of timers) clearInterval(timer)
@@ -74,6 +76,7 @@
 
   const sound = outcomes.filter(({ id }) => id.startsWith('sound'))
   record.add(`${sound.length} sound requests, ${sound.filter(({ status, isComplete }) => status === 200 && isComplete).length} answered with 200; ${outcomes.length - sound.length} tainted ones; ${crashes.length} crashes`)
+  requireThat(!isTroubled || arrivals.length > 0, 'no tainted request reached an engine')
   if (crashes.length < 5) return []
   const from = crashes[4] + BOUNDS['contact-ms']
   const late = arrivals.filter(({ at }) => at > from)
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -4,11 +4,11 @@
 import path from 'node:path'
 import { fileURLToPath } from 'node:url'
 
-import { BOUNDS, runCase } from '../standins-2/deployment.mjs'
-import { call, newRequestId } from '../standins-2/http.mjs'
-import { Link } from '../standins-2/link.mjs'
-import { Server } from '../standins-2/server.mjs'
-import { sleep } from '../standins-2/store.mjs'
+import { BOUNDS, requireThat, runCase } from '../deployment-2.mjs'
+import { call, newRequestId } from '../http-2.mjs'
+import { Link } from '../link-2.mjs'
+import { Server } from '../server-2.mjs'
+import { sleep } from '../store-2.mjs'
 
 const SERVERS = 4
 const WORK_MS = 86
@@ -86,10 +86,7 @@
   for (const server of servers) server.stop()
 
   const told = [...outcomes.values()].filter(({ headers }) => headers?.['server-leaving'] === '1').sort((left, right) => left.endedAt - right.endedAt)
-  if (told.length === 0) {
-    record.add('no answer of the leaving server was passed on')
-    return []
-  }
+  requireThat(told.length > 0, 'no answer of the leaving server was passed on')
   record.add(`${told[0].id} was the first answer with Server-Leaving that the machine passed on`)
   const late = leaving.arrivals.filter(({ id }) => outcomes.get(id).startedAt > told[0].endedAt + BOUNDS['drain-ms'])
   const lost = late.filter(({ id }) => outcomes.get(id).status !== 200)
--- a/review/standins-2/deployment.mjs
+++ b/review/deployment-2.mjs
@@ -10,9 +10,9 @@
 import path from 'node:path'
 import { fileURLToPath } from 'node:url'
 
-import { sleep, Store } from './store.mjs'
+import { sleep, Store } from './store-2.mjs'
 
-const ROOT = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../..')
+const ROOT = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '..')
 const METRICS_PORT = 9464
 const FRONT_PORT = 8227
 const READY_PORT = 8220
@@ -86,7 +86,10 @@
     const child = spawn(program === 'node' ? process.execPath : program, words, { cwd: ROOT, env: { PATH: process.env.PATH, HOME: folder, JAYFALL_BOOT: settingsPath }, stdio: ['ignore', log, log] })
     fs.closeSync(log)
     this.#process = child
-    this.exit = new Promise(resolve => child.once('exit', (code, signal) => resolve({ code, signal })))
+    this.exit = new Promise(resolve => {
+      child.once('exit', (code, signal) => resolve({ code, signal }))
+      child.once('error', error => resolve({ code: error.code, signal: null }))
+    })
     this.deployment.record.add(`${name} starts as process ${child.pid} at ${host}`)
   }
 
@@ -196,6 +199,11 @@
   }
 }
 
+/** Ends the script with 2 unless the case ran as it was meant to. */
+export function requireThat (condition, text) {
+  if (!condition) throw new CannotRun(text)
+}
+
 /** Runs a case. `play` returns what broke the rule, or an empty list. */
 export async function runCase (folder, play) {
   const record = new Record()
@@ -206,7 +214,10 @@
     record.add('the case took too long')
     finish(2)
   }, 115_000)
+  let isFinishing = false
   const finish = async code => {
+    if (isFinishing) return
+    isFinishing = true
     clearTimeout(timer)
     await deployment.stop().catch(() => {})
     record.write(path.join(folder, 'record.txt'))
--- a/review/standins-2/engine.mjs
+++ b/review/engine-2.mjs
@@ -2,7 +2,7 @@
 
 import http from 'node:http'
 
-import { sleep } from './store.mjs'
+import { sleep } from './store-2.mjs'
 
 const PREFILL_MS = 100
 const EVENT_MS = 20
--- a/review/standins-2/http.mjs
+++ b/review/http-2.mjs
@@ -2,7 +2,7 @@
 
 import http from 'node:http'
 
-import { HOST, KEY } from './deployment.mjs'
+import { HOST, KEY } from './deployment-2.mjs'
 
 let requests = 0
 
--- a/review/standins-2/server.mjs
+++ b/review/server-2.mjs
@@ -2,7 +2,7 @@
 
 import http from 'node:http'
 
-import { sleep } from './store.mjs'
+import { sleep } from './store-2.mjs'
 
 export class Server {
   /** Identifiers of the requests that ran, in order. */
